Add the kernel, the settings and the interfaces that modules share

Cause: the daemon, the stand-ins and the policies need one set of interfaces before they can be written side by side. Requirements are pinned with hashes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Each target sets up its own virtual environment from the pinned requirements.
+VENV ?= .venv
+PYTHON ?= python3
+STAMP := $(VENV)/.requirements
+
+.PHONY: all demo test format lint check
+
+all: test
+
+$(STAMP): requirements/dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --require-hashes -r requirements/dev.txt
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+check: $(STAMP)
+	$(VENV)/bin/python -m pytest
+
+test: lint check
+
+demo: $(STAMP)
+	$(VENV)/bin/python -m tools.demo
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The benchmark of the decision code."""
--- /dev/null
+++ b/plantainstack/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' client."""
--- /dev/null
+++ b/plantainstack/errors.py
@@ -0,0 +1,155 @@
+"""The closed list of error kinds, the table from kind to answer, and exceptions."""
+
+from enum import StrEnum
+from http import HTTPStatus
+from typing import NamedTuple
+
+
+class Outcome(StrEnum):
+    """Say whether a request ran at an endpoint."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class RetryAdvice(StrEnum):
+    """Tell a caller whether and how to send a request again."""
+
+    NEVER = "never"
+    AFTER_CHANGE = "after_change"
+    LATER = "later"
+    WITH_SAME_KEY = "with_same_key"
+
+
+class ErrorKind(StrEnum):
+    """Name every kind of error that leaves a process."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    UNKNOWN_SERVICE = "unknown_service"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    KEY_REQUIRED = "key_required"
+    KEY_REUSED = "key_reused"
+    CONFLICT = "conflict"
+    DEADLINE_PASSED = "deadline_passed"
+    OVERLOADED = "overloaded"
+    NO_ENDPOINT = "no_endpoint"
+    DRAINING = "draining"
+    NOT_READY = "not_ready"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ANSWER_TRUNCATED = "answer_truncated"
+    ANSWER_CROSSED = "answer_crossed"
+    ANSWER_TIMEOUT = "answer_timeout"
+    ANSWER_UNAVAILABLE = "answer_unavailable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TABLE_UNAVAILABLE = "table_unavailable"
+    TABLE_OUTCOME_UNKNOWN = "table_outcome_unknown"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STEP_NOT_SEALED = "step_not_sealed"
+    STEP_EXPIRED = "step_expired"
+    PEER_REJECTED = "peer_rejected"
+    LEASE_LOST = "lease_lost"
+    INTERNAL = "internal"
+
+
+class ErrorAnswer(NamedTuple):
+    """Describe the answer to one kind of error."""
+
+    status: HTTPStatus
+    retry: RetryAdvice
+    outcome: Outcome
+
+
+_NEVER = RetryAdvice.NEVER
+_CHANGE = RetryAdvice.AFTER_CHANGE
+_LATER = RetryAdvice.LATER
+_KEY = RetryAdvice.WITH_SAME_KEY
+_NOT_RUN = Outcome.NOT_RUN
+_MAYBE = Outcome.MAY_HAVE_RUN
+
+ERROR_TABLE: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.BAD_REQUEST: ErrorAnswer(HTTPStatus.BAD_REQUEST, _CHANGE, _NOT_RUN),
+    ErrorKind.UNAUTHENTICATED: ErrorAnswer(HTTPStatus.UNAUTHORIZED, _CHANGE, _NOT_RUN),
+    ErrorKind.FORBIDDEN: ErrorAnswer(HTTPStatus.FORBIDDEN, _NEVER, _NOT_RUN),
+    ErrorKind.NOT_FOUND: ErrorAnswer(HTTPStatus.NOT_FOUND, _CHANGE, _NOT_RUN),
+    ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(HTTPStatus.NOT_FOUND, _CHANGE, _NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE, _CHANGE, _NOT_RUN
+    ),
+    ErrorKind.HEADERS_TOO_LARGE: ErrorAnswer(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, _CHANGE, _NOT_RUN
+    ),
+    ErrorKind.KEY_REQUIRED: ErrorAnswer(HTTPStatus.BAD_REQUEST, _CHANGE, _NOT_RUN),
+    ErrorKind.KEY_REUSED: ErrorAnswer(
+        HTTPStatus.UNPROCESSABLE_ENTITY, _CHANGE, _NOT_RUN
+    ),
+    ErrorKind.CONFLICT: ErrorAnswer(HTTPStatus.CONFLICT, _CHANGE, _NOT_RUN),
+    ErrorKind.DEADLINE_PASSED: ErrorAnswer(
+        HTTPStatus.GATEWAY_TIMEOUT, _CHANGE, _NOT_RUN
+    ),
+    ErrorKind.OVERLOADED: ErrorAnswer(HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN),
+    ErrorKind.NO_ENDPOINT: ErrorAnswer(
+        HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN
+    ),
+    ErrorKind.DRAINING: ErrorAnswer(HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN),
+    ErrorKind.NOT_READY: ErrorAnswer(HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN),
+    ErrorKind.ENDPOINT_REFUSED: ErrorAnswer(HTTPStatus.BAD_GATEWAY, _LATER, _NOT_RUN),
+    ErrorKind.ENDPOINT_FAILED: ErrorAnswer(HTTPStatus.BAD_GATEWAY, _KEY, _MAYBE),
+    ErrorKind.ANSWER_TRUNCATED: ErrorAnswer(HTTPStatus.BAD_GATEWAY, _KEY, _MAYBE),
+    ErrorKind.ANSWER_CROSSED: ErrorAnswer(HTTPStatus.BAD_GATEWAY, _KEY, _MAYBE),
+    ErrorKind.ANSWER_TIMEOUT: ErrorAnswer(HTTPStatus.GATEWAY_TIMEOUT, _KEY, _MAYBE),
+    ErrorKind.ANSWER_UNAVAILABLE: ErrorAnswer(
+        HTTPStatus.BAD_GATEWAY, _NEVER, Outcome.RAN
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(HTTPStatus.CONFLICT, _KEY, _MAYBE),
+    ErrorKind.TABLE_UNAVAILABLE: ErrorAnswer(
+        HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN
+    ),
+    ErrorKind.TABLE_OUTCOME_UNKNOWN: ErrorAnswer(
+        HTTPStatus.SERVICE_UNAVAILABLE, _KEY, _MAYBE
+    ),
+    ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(
+        HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN
+    ),
+    ErrorKind.STEP_NOT_SEALED: ErrorAnswer(HTTPStatus.CONFLICT, _LATER, _NOT_RUN),
+    ErrorKind.STEP_EXPIRED: ErrorAnswer(HTTPStatus.GONE, _NEVER, _NOT_RUN),
+    ErrorKind.PEER_REJECTED: ErrorAnswer(HTTPStatus.FORBIDDEN, _NEVER, _NOT_RUN),
+    ErrorKind.LEASE_LOST: ErrorAnswer(HTTPStatus.CONFLICT, _LATER, _NOT_RUN),
+    ErrorKind.INTERNAL: ErrorAnswer(HTTPStatus.INTERNAL_SERVER_ERROR, _KEY, _MAYBE),
+}
+
+
+class Failure(NamedTuple):
+    """Hold an expected failure, as the error side of a result."""
+
+    kind: ErrorKind
+    message: str
+    outcome: Outcome
+
+    @classmethod
+    def of(
+        cls, kind: ErrorKind, message: str, outcome: Outcome | None = None
+    ) -> "Failure":
+        """Build a failure; the outcome defaults to that of the table."""
+        return cls(kind, message, outcome or ERROR_TABLE[kind].outcome)
+
+
+class PlantainstackError(Exception):
+    """Serve as the base of the package's exceptions."""
+
+
+class ConfigurationError(PlantainstackError):
+    """Report every problem found in a settings file or a configuration."""
+
+    def __init__(self, problems):
+        self.problems = tuple(problems)
+        super().__init__("\n".join(str(problem) for problem in self.problems))
+
+
+class KernelError(PlantainstackError):
+    """Report a plug-in that is missing or required in a cycle."""
--- /dev/null
+++ b/plantainstack/front/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP front for callers, trainers and operators."""
--- /dev/null
+++ b/plantainstack/kernel.py
@@ -0,0 +1,154 @@
+"""The kernel: builds the plug-ins, runs them on one loop, and shuts them down."""
+
+import signal
+import uuid
+from collections.abc import Iterable
+from enum import StrEnum
+from graphlib import CycleError, TopologicalSorter
+
+import anyio
+
+from plantainstack import log
+from plantainstack.clock import Clock, SystemClock
+from plantainstack.errors import KernelError
+from plantainstack.plugins import Plugin
+from plantainstack.settings.fleet import FleetConfig
+from plantainstack.settings.instance import InstanceSettings
+from plantainstack.trace import TraceRing
+
+TICK_INTERVAL_S = 0.25
+PAUSE_LIMIT_S = 2.0
+DRAIN_LIMIT_S = 24 * 60.0
+
+
+class State(StrEnum):
+    """Name the phases in the life of a process."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class PauseDetector:
+    """Detect that the process was frozen, from gaps between its own ticks."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._last_tick = clock.now()
+        self.resumed_at: float | None = None
+
+    def check(self) -> bool:
+        """Return whether a pause has happened since the last `clear`."""
+        now = self._clock.now()
+        if now - self._last_tick > PAUSE_LIMIT_S:
+            self.resumed_at = now
+        self._last_tick = now
+        return self.resumed_at is not None
+
+    def clear(self) -> None:
+        """Forget the pause, once all that it may have made stale is refreshed."""
+        self.resumed_at = None
+
+
+class Kernel:
+    """Own the clock, the configuration in force, the plug-ins and their life."""
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        plugin_types: Iterable[type[Plugin]],
+        clock: Clock | None = None,
+    ):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.incarnation = f"{int(self.clock.wall() * 1000):x}-{uuid.uuid4().hex[:8]}"
+        self.config = FleetConfig.builtin()
+        self.state = State.STARTING
+        self.pause = PauseDetector(self.clock)
+        self.trace = TraceRing(self.clock)
+        self._stop_requested = anyio.Event()
+        self._plugins = {kind.name: kind(self) for kind in self._sorted(plugin_types)}
+
+    def plugin(self, name: str) -> Plugin:
+        """Return the plug-in of a name."""
+        try:
+            return self._plugins[name]
+        except KeyError:
+            raise KernelError(f"no plug-in named {name!r}") from None
+
+    def emit(self, event: str, *args) -> None:
+        """Call the handler `on_<event>` of each plug-in, in starting order."""
+        for plugin in self._plugins.values():
+            getattr(plugin, f"on_{event}")(*args)
+
+    def apply_config(self, cfg: FleetConfig) -> bool:
+        """Put a configuration in force unless its version is not a higher one."""
+        if cfg.version <= self.config.version:
+            return False
+        self.config = cfg
+        log.event("config.in_force", version=cfg.version)
+        self.emit("config", cfg)
+        return True
+
+    def unready_reason(self) -> str | None:
+        """Return why the instance may not take new work, or None."""
+        if self.state is not State.SERVING:
+            return self.state.value
+        reasons = (plugin.unready_reason() for plugin in self._plugins.values())
+        return next((reason for reason in reasons if reason), None)
+
+    def request_stop(self) -> None:
+        """Start a graceful shutdown."""
+        self._stop_requested.set()
+
+    async def run(self, handle_signals: bool = True) -> None:
+        """Run until a signal or `request_stop`, then drain and stop."""
+        async with anyio.create_task_group() as tasks:
+            if handle_signals:
+                tasks.start_soon(self._watch_signals)
+            tasks.start_soon(self._tick)
+            for plugin in self._plugins.values():
+                await plugin.start(tasks)
+            self.state = State.SERVING
+            log.event("kernel.serving", incarnation=self.incarnation)
+            await self._stop_requested.wait()
+            await self._shut_down()
+            tasks.cancel_scope.cancel()
+
+    async def _shut_down(self) -> None:
+        self.state = State.DRAINING
+        log.event("kernel.draining")
+        self.emit("drain")
+        deadline = self.clock.now() + DRAIN_LIMIT_S
+        for plugin in reversed(self._plugins.values()):
+            await plugin.drain(deadline)
+        for plugin in reversed(self._plugins.values()):
+            await plugin.stop()
+        self.state = State.STOPPED
+        log.event("kernel.stopped")
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                self.request_stop()
+
+    async def _tick(self) -> None:
+        while True:
+            await self.clock.sleep_until(self.clock.now() + TICK_INTERVAL_S)
+            self.pause.check()
+
+    @staticmethod
+    def _sorted(plugin_types: Iterable[type[Plugin]]) -> list[type[Plugin]]:
+        kinds = {kind.name: kind for kind in plugin_types}
+        sorter = TopologicalSorter(
+            {name: kind.requires for name, kind in kinds.items()}
+        )
+        try:
+            order = list(sorter.static_order())
+        except CycleError as exc:
+            raise KernelError(f"plug-ins require each other: {exc.args[1]}") from exc
+        missing = [name for name in order if name not in kinds]
+        if missing:
+            raise KernelError(f"required plug-ins are missing: {', '.join(missing)}")
+        return [kinds[name] for name in order]
--- /dev/null
+++ b/plantainstack/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to endpoints and to peers."""
--- /dev/null
+++ b/plantainstack/metrics.py
@@ -0,0 +1,35 @@
+"""The registry of the metrics that every instance exposes at /metrics."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+REGISTRY = CollectorRegistry()
+
+REQUESTS = Counter(
+    "plantainstack_requests",
+    "Requests answered, by service, error kind (ok without one) and outcome.",
+    ["service", "kind", "outcome"],
+    registry=REGISTRY,
+)
+ATTEMPTS = Counter(
+    "plantainstack_attempts",
+    "Attempts sent to endpoints, by service.",
+    ["service"],
+    registry=REGISTRY,
+)
+REQUEST_SECONDS = Histogram(
+    "plantainstack_request_seconds",
+    "Time from a request's arrival to the end of its answer, in seconds.",
+    ["service"],
+    registry=REGISTRY,
+)
+CONFIG_VERSION = Gauge(
+    "plantainstack_config_version",
+    "Version of the fleet configuration in force.",
+    registry=REGISTRY,
+)
+PEER_BYTES = Counter(
+    "plantainstack_peer_bytes",
+    "Bytes of control messages sent to and received from peers.",
+    ["direction"],
+    registry=REGISTRY,
+)
--- /dev/null
+++ b/plantainstack/plugins.py
@@ -0,0 +1,78 @@
+"""Plug-ins: classes that register themselves and handle the kernel's events."""
+
+import importlib
+from abc import ABC
+from typing import TYPE_CHECKING, ClassVar
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from plantainstack.kernel import Kernel
+    from plantainstack.settings.fleet import FleetConfig
+
+REGISTRY: dict[str, type["Plugin"]] = {}
+
+BUILTIN_MODULES = (
+    "plantainstack.platform.plugin",
+    "plantainstack.links.endpoint",
+    "plantainstack.links.peer",
+    "plantainstack.services.membership",
+    "plantainstack.services.endpoints",
+    "plantainstack.services.configuration",
+    "plantainstack.services.dispatch",
+    "plantainstack.services.bookings",
+    "plantainstack.services.steps",
+    "plantainstack.services.weights",
+    "plantainstack.front.plugin",
+)
+
+
+class Plugin(ABC):
+    """Serve as the base of a part of the daemon.
+
+    A subclass that sets `name` registers itself. The kernel starts plug-ins
+    after those that they require and stops them in the opposite order.
+    """
+
+    name: ClassVar[str]
+    requires: ClassVar[tuple[str, ...]] = ()
+
+    def __init_subclass__(cls, **kwargs):
+        super().__init_subclass__(**kwargs)
+        if "name" in cls.__dict__:
+            REGISTRY[cls.name] = cls
+
+    def __init__(self, kernel: "Kernel"):
+        self.kernel = kernel
+
+    async def start(self, tasks: "TaskGroup") -> None:
+        """Start the plug-in; long-running work goes into the task group."""
+
+    async def drain(self, deadline: float) -> None:
+        """Finish running work, at the latest by the deadline."""
+
+    async def stop(self) -> None:
+        """Release what the plug-in holds."""
+
+    def unready_reason(self) -> str | None:
+        """Return why the instance may not serve yet, or None."""
+        return None
+
+    def on_config(self, cfg: "FleetConfig") -> None:
+        """Handle a new fleet configuration that is now in force."""
+
+    def on_membership(self, view) -> None:
+        """Handle a new view of the entry instances."""
+
+    def on_endpoints(self, records) -> None:
+        """Handle a new list of endpoints."""
+
+    def on_drain(self) -> None:
+        """Handle the start of a graceful shutdown."""
+
+
+def load_builtin() -> dict[str, type[Plugin]]:
+    """Import the modules of the built-in plug-ins and return the registry."""
+    for module in BUILTIN_MODULES:
+        importlib.import_module(module)
+    return REGISTRY
--- /dev/null
+++ b/plantainstack/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decision code without I/O and without a clock of its own."""
--- /dev/null
+++ b/plantainstack/services/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins that join policies to I/O."""
--- /dev/null
+++ b/plantainstack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one instance and of the fleet."""
--- /dev/null
+++ b/plantainstack/settings/fleet.py
@@ -0,0 +1,215 @@
+"""The fleet's configuration: one set of defaults and a short list of exceptions."""
+
+from typing import NamedTuple, TypedDict
+
+from plantainstack.errors import ConfigurationError
+from plantainstack.settings.ini import IniFile, read_ini
+from plantainstack.settings.options import (
+    Boolean,
+    Duration,
+    Integer,
+    Number,
+    Option,
+    Options,
+    Problem,
+    Size,
+)
+
+SCOPE_FIELDS = ("service", "data_centre", "endpoint", "trainer")
+
+
+class FleetOptions(Options):
+    """Declare every option that operators may change while the fleet runs."""
+
+    # Requests
+    request_timeout = Duration("30 s", "Longest time for a request without deadline.")
+    max_body = Size("1 MiB", "Largest request body.")
+    repeatable = Boolean("no", "Whether calls to a plain service may be repeated.")
+    require_key = Boolean("no", "Refuse non-repeatable calls without a key.")
+    echoes_request_id = Boolean("yes", "Whether endpoints return the attempt id.")
+    connect_timeout = Duration("1 s", "Longest time to open a connection.")
+    progress_timeout = Duration("10 s", "Longest silence of a running answer.")
+    answer_retention = Duration("24 h", "How long answers to keyed calls are kept.")
+    # Retries and limits
+    max_attempts = Integer("3", "Most attempts for one request.", minimum=1)
+    retry_ratio = Number("0.1", "Retries allowed for each request.", maximum=1.0)
+    concurrency_min = Integer("2", "Smallest limit for one endpoint.", minimum=1)
+    concurrency_max = Integer("64", "Largest limit for one endpoint.", minimum=1)
+    # Membership and configuration
+    heartbeat_interval = Duration("1 s", "Time between heartbeats on a peer link.")
+    peer_links = Integer("4", "Links that an instance opens to peers.", minimum=1)
+    config_poll_interval = Duration("2 s", "Time between reads of the head.")
+    config_bound = Duration("7 s", "Longest time until a change is in force.")
+    # Endpoints
+    list_poll_interval = Duration("1 s", "Time between reads of the instance list.")
+    leaving_bound = Duration("5 s", "Longest time a leaving endpoint gets work.")
+    checks_fencing = Boolean("no", "Whether engines refuse old fencing numbers.")
+    # Leases
+    lease_duration = Duration("10 s", "Time for which a lease is granted.")
+    lease_margin = Duration("2 s", "Time before expiry at which a holder stops.")
+    order_timeout = Duration("30 s", "Longest time an order can be under way.")
+    # Steps
+    version_bound = Integer("1", "Most versions a sample may lag behind.")
+    step_timeout = Duration("24 min", "Longest time until a step is complete.")
+
+
+class Scope(NamedTuple):
+    """Select what a value applies to; an empty field selects everything."""
+
+    service: str = ""
+    data_centre: str = ""
+    endpoint: str = ""
+    trainer: str = ""
+
+    def covers(self, other: "Scope") -> bool:
+        """Return whether every field set here has the same value in the other."""
+        pairs = zip(self, other, strict=True)
+        return all(not mine or mine == theirs for mine, theirs in pairs)
+
+    def precision(self) -> int:
+        """Return the number of fields that are set."""
+        return sum(1 for field in self if field)
+
+
+class ConfigException(TypedDict):
+    """Hold one exception to the defaults, with the reason for it."""
+
+    name: str
+    option: str
+    value: str
+    scope: dict[str, str]
+    reason: str
+
+
+class FleetContent(TypedDict):
+    """Hold the content of a configuration as it is stored and sent."""
+
+    defaults: dict[str, str]
+    exceptions: list[ConfigException]
+
+
+class FleetConfig:
+    """Hold one checked version of the fleet's configuration."""
+
+    def __init__(self, version: int, content: FleetContent):
+        problems = check_content(content)
+        if problems:
+            raise ConfigurationError(problems)
+        self.version = version
+        self.content = content
+        self._values: dict[Scope, FleetOptions] = {}
+
+    @classmethod
+    def builtin(cls) -> "FleetConfig":
+        """Return version 0, which holds the built-in defaults."""
+        return cls(0, FleetContent(defaults={}, exceptions=[]))
+
+    def scoped(self, scope: Scope) -> FleetOptions:
+        """Return the values for a scope; the most precise exception wins."""
+        if scope not in self._values:
+            self._values[scope] = self._resolve(scope)
+        return self._values[scope]
+
+    def defaults(self) -> FleetOptions:
+        """Return the values without exceptions."""
+        return self.scoped(Scope())
+
+    def _resolve(self, scope: Scope) -> FleetOptions:
+        texts = {name: option.default for name, option in OPTIONS.items()}
+        texts.update(self.content["defaults"])
+        matching = [
+            (Scope(**item["scope"]), item) for item in self.content["exceptions"]
+        ]
+        matching = [pair for pair in matching if pair[0].covers(scope)]
+        matching.sort(key=lambda pair: pair[0].precision())
+        texts.update({item["option"]: item["value"] for _, item in matching})
+        return FleetOptions(
+            **{name: OPTIONS[name].parse(text).unwrap() for name, text in texts.items()}
+        )
+
+
+OPTIONS: dict[str, Option] = FleetOptions.declared()
+_EXCEPTION_FIELDS = ("option", "value", "reason", *SCOPE_FIELDS)
+
+
+def check_content(content: FleetContent, ini: IniFile | None = None) -> list[Problem]:
+    """Return every problem of a configuration's content."""
+    ini = ini or IniFile("configuration", {}, {}, [])
+    problems = []
+    for name, text in content["defaults"].items():
+        problems += _check_value(ini, "defaults", name, name, text)
+    for item in content["exceptions"]:
+        problems += _check_exception(ini, item)
+    names = [item["name"] for item in content["exceptions"]]
+    problems += [
+        ini.problem(f"exception {name}", "", "duplicate name", "a name of its own")
+        for name in {name for name in names if names.count(name) > 1}
+    ]
+    return problems
+
+
+def parse_fleet(text: str, source: str) -> FleetContent:
+    """Check the INI text of a fleet configuration.
+
+    Raises ConfigurationError with all problems at once.
+    """
+    ini = read_ini(text, source)
+    problems = list(ini.problems)
+    exceptions = []
+    for section, given in ini.sections.items():
+        if section.startswith("exception "):
+            exceptions.append(_exception(section, given))
+            problems += _unknown_fields(ini, section, given)
+        elif section != "defaults":
+            problems.append(
+                ini.problem(
+                    section, "", "unknown section", "defaults or exception NAME"
+                )
+            )
+    content = FleetContent(
+        defaults=ini.sections.get("defaults", {}), exceptions=exceptions
+    )
+    problems += check_content(content, ini)
+    if problems:
+        raise ConfigurationError(problems)
+    return content
+
+
+def _exception(section: str, given: dict[str, str]) -> ConfigException:
+    return ConfigException(
+        name=section.removeprefix("exception ").strip(),
+        option=given.get("option", ""),
+        value=given.get("value", ""),
+        scope={name: given[name] for name in SCOPE_FIELDS if given.get(name)},
+        reason=given.get("reason", ""),
+    )
+
+
+def _unknown_fields(ini: IniFile, section: str, given: dict[str, str]):
+    expected = f"one of {', '.join(_EXCEPTION_FIELDS)}"
+    return [
+        ini.problem(section, name, "unknown option", expected)
+        for name in given
+        if name not in _EXCEPTION_FIELDS
+    ]
+
+
+def _check_exception(ini: IniFile, item: ConfigException) -> list[Problem]:
+    section = f"exception {item['name']}"
+    problems = _check_value(ini, section, item["option"], "value", item["value"])
+    if not item["reason"].strip():
+        problems.append(ini.problem(section, "reason", "missing", "a written reason"))
+    if not item["scope"] or set(item["scope"]) - set(SCOPE_FIELDS):
+        expected = f"at least one of {', '.join(SCOPE_FIELDS)}"
+        problems.append(ini.problem(section, "scope", "invalid", expected))
+    return problems
+
+
+def _check_value(ini: IniFile, section: str, name: str, place: str, text: str):
+    option = OPTIONS.get(name)
+    if option is None:
+        return [ini.problem(section, name or "option", "unknown option", "an option")]
+    outcome = option.parse(text)
+    if outcome.is_ok():
+        return []
+    return [ini.problem(section, place, outcome.unwrap_err(), option.expected)]
--- /dev/null
+++ b/plantainstack/settings/ini.py
@@ -0,0 +1,86 @@
+"""Read INI text with line numbers, so that every problem names its place."""
+
+import configparser
+import re
+from typing import NamedTuple
+
+from plantainstack.settings.options import Option, Problem
+
+_SECTION = re.compile(r"\[(?P<name>[^]]+)\]")
+_OPTION = re.compile(r"(?P<name>[^\s#;=:\[][^=:]*?)\s*[=:]")
+
+
+class IniFile(NamedTuple):
+    """Hold the text of each option, its lines, and the problems of syntax."""
+
+    source: str
+    sections: dict[str, dict[str, str]]
+    lines: dict[tuple[str, str], int]
+    problems: list[Problem]
+
+    def line(self, section: str, option: str = "") -> int | None:
+        """Return the line of an option, or of its section."""
+        return self.lines.get((section, option), self.lines.get((section, "")))
+
+    def problem(self, section: str, option: str, message: str, expected: str = ""):
+        """Build a problem that names the place of an option."""
+        name = f"[{section}] {option}".rstrip()
+        return Problem(self.source, self.line(section, option), name, message, expected)
+
+
+def read_ini(text: str, source: str) -> IniFile:
+    """Parse INI text; faults of syntax and duplicates become problems."""
+    lines, problems = _index_lines(text, source)
+    parser = configparser.ConfigParser(strict=False, interpolation=None)
+    parser.optionxform = str
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as exc:
+        place = getattr(exc, "lineno", None)
+        problems.append(Problem(source, place, "file", exc.message, "INI"))
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    return IniFile(source, sections, lines, problems)
+
+
+def parse_options(
+    ini: IniFile, section: str, options: dict[str, Option]
+) -> tuple[dict, list[Problem]]:
+    """Check the options of one section; return the values and the problems."""
+    given = ini.sections.get(section, {})
+    problems = [
+        ini.problem(section, name, "unknown option", f"one of {', '.join(options)}")
+        for name in given
+        if name not in options
+    ]
+    values = {}
+    for name, option in options.items():
+        text = given.get(name, option.default)
+        if text is None:
+            problems.append(ini.problem(section, name, "missing", option.expected))
+            continue
+        outcome = option.parse(text)
+        if outcome.is_ok():
+            values[name] = outcome.unwrap()
+        else:
+            message = outcome.unwrap_err()
+            problems.append(ini.problem(section, name, message, option.expected))
+    return values, problems
+
+
+def _index_lines(text: str, source: str):
+    lines: dict[tuple[str, str], int] = {}
+    problems: list[Problem] = []
+    section = ""
+    for number, line in enumerate(text.splitlines(), start=1):
+        if match := _SECTION.match(line):
+            section, option = match["name"], ""
+        elif match := _OPTION.match(line):
+            option = match["name"]
+        else:
+            continue
+        first = lines.setdefault((section, option), number)
+        if first != number:
+            name = f"[{section}] {option}".rstrip()
+            message = f"duplicate of line {first}"
+            problems.append(Problem(source, number, name, message, "it once"))
+    return lines, problems
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for development and tests."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,8 @@
+"""Shared fixtures."""
+
+import pytest
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,25 @@
+"""Tests of the fake clock."""
+
+import anyio
+import pytest
+
+from plantainstack.clock import FakeClock
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_sleepers_wake_in_order_of_their_deadlines():
+    clock = FakeClock(now=0.0)
+    woken = []
+
+    async def sleeper(deadline):
+        await clock.sleep_until(deadline)
+        woken.append((deadline, clock.now()))
+
+    async with anyio.create_task_group() as tasks:
+        for deadline in (3.0, 1.0, 9.0):
+            tasks.start_soon(sleeper, deadline)
+        await anyio.wait_all_tasks_blocked()
+        await clock.advance(5.0)
+        assert woken == [(1.0, 1.0), (3.0, 3.0)]
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools that start processes."""
