Add the operators' client, the operators' HTTP and the burn report

Cause: operators need one way to see and change the fleet, and must learn how fast the error budget is used up.

--- /dev/null
+++ b/plantainstack/commands/client.py
@@ -0,0 +1,106 @@
+"""The operators' HTTP client, and what all commands share."""
+
+import json
+import sys
+from enum import IntEnum
+from pathlib import Path
+from typing import Any, NamedTuple, NoReturn
+
+import click
+import httpcore
+
+REQUEST_TIMEOUT_S = 10.0
+
+
+class ExitCode(IntEnum):
+    """List the exit codes of the client."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+
+
+EXIT_CODES_HELP = (
+    "Exit codes: 0 success; 1 the instance refused the request or an alert is "
+    "active; 2 wrong usage or a faulty file; 3 another change came first; "
+    "4 no instance could be reached."
+)
+
+
+class Answer(NamedTuple):
+    """Hold an instance's answer."""
+
+    status: int
+    body: dict[str, Any]
+
+
+class OperatorClient(NamedTuple):
+    """Send requests to the operators' address of one instance."""
+
+    server: str
+    token: str
+    as_json: bool
+
+    def request(self, method: str, path: str, body: dict | None = None) -> Answer:
+        """Send one request; exits when it fails."""
+        answer = self.request_any(method, path, body)
+        if answer.status >= 400:
+            self.fail(answer)
+        return answer
+
+    def request_any(self, method: str, path: str, body: dict | None = None) -> Answer:
+        """Send one request and return any answer; exits when there is none."""
+        content = None if body is None else json.dumps(body).encode()
+        headers = {"Authorization": f"Bearer {self.token}"}
+        timeout = dict.fromkeys(("connect", "read", "write"), REQUEST_TIMEOUT_S)
+        url = f"http://{self.server}{path}"
+        try:
+            response = httpcore.request(
+                method,
+                url,
+                headers=headers,
+                content=content,
+                extensions={"timeout": timeout},
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException) as exc:
+            click.echo(f"{self.server}: no answer: {exc!r}", err=True)
+            sys.exit(ExitCode.UNREACHABLE)
+        return Answer(response.status, _decode(response.content))
+
+    def fail(self, answer: Answer) -> NoReturn:
+        """Print an error answer and exit."""
+        error = answer.body.get("error", {})
+        kind = error.get("kind", f"status {answer.status}")
+        click.echo(f"{kind}: {error.get('message', '')}", err=True)
+        sys.exit(ExitCode.CONFLICT if kind == "conflict" else ExitCode.FAILED)
+
+    def show(self, data: Any, text: str) -> None:
+        """Print data as JSON with --json, else the text."""
+        click.echo(json.dumps(data, indent=2) if self.as_json else text)
+
+
+def read_token(path: Path | None) -> str:
+    """Read the operator's token from a file."""
+    if path is None:
+        raise click.UsageError("a token is needed: --token-file FILE")
+    return path.read_text().strip()
+
+
+def table(headings: tuple[str, ...], rows: list[tuple]) -> str:
+    """Format rows in aligned columns."""
+    cells = [headings, *[tuple(str(cell) for cell in row) for row in rows]]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(headings))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _decode(content: bytes) -> dict[str, Any]:
+    try:
+        return json.loads(content)
+    except ValueError:
+        return {"error": {"message": "the answer is not JSON"}}
--- /dev/null
+++ b/plantainstack/commands/drain.py
@@ -0,0 +1,24 @@
+"""The command `plantainstack drain`."""
+
+import click
+
+from plantainstack.commands.config import change, exception, exception_edit
+
+
+@click.command()
+@click.argument("instance")
+@click.option("--reason", help="Why it is drained.")
+@click.option("--undo", is_flag=True, help="Give it work again.")
+@click.pass_obj
+def drain(obj, instance: str, reason: str | None, undo: bool) -> None:
+    """Give no new work to an endpoint or an entry instance.
+
+    This adds an exception to the fleet's configuration, so that it lasts.
+    """
+    name = f"drain {instance}"
+    entry = None
+    if not undo:
+        if not (reason and reason.strip()):
+            raise click.UsageError("--reason is needed")
+        entry = exception(name, "drain", "yes", {"endpoint": instance}, reason)
+    change(obj.connect(), exception_edit(name, entry), None)
--- /dev/null
+++ b/plantainstack/front/operators.py
@@ -0,0 +1,284 @@
+"""HTTP for operators, on an address of its own."""
+
+import functools
+import hmac
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import msgspec
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from plantainstack.errors import ERROR_TABLE, ConfigurationError, ErrorKind, Failure
+from plantainstack.kernel import Kernel
+from plantainstack.settings.fleet import (
+    OPTIONS,
+    FleetConfig,
+    FleetContent,
+    Scope,
+    check_content,
+)
+from plantainstack.slo import Counts, burn_report, merge_totals
+
+FLEET_QUERY_TIMEOUT_S = 2.0
+FLEET_QUERIES_AT_ONCE = 16
+BODY_MAX_BYTES = 4 * 1024**2
+
+Handler = Callable[[Kernel, Request, str], Awaitable[Response]]
+
+
+class ChangeRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold the body of a configuration change."""
+
+    change_id: str
+    base_version: int
+    defaults: dict[str, str]
+    exceptions: list[dict[str, Any]]
+
+
+def routes(kernel: Kernel) -> list[Route]:
+    """Return the operators' routes."""
+    table: list[tuple[str, str, Handler]] = [
+        ("/operator/config", "GET", show_config),
+        ("/operator/config", "PUT", change_config),
+        ("/operator/history", "GET", show_history),
+        ("/operator/status", "GET", show_status),
+        ("/operator/steps", "GET", show_steps),
+        ("/operator/burn", "GET", show_burn),
+        ("/operator/trace/{id}", "GET", show_trace),
+    ]
+    operators = kernel.settings.tokens().operators
+    return [
+        Route(path, _guarded(kernel, operators, handler), methods=[method])
+        for path, method, handler in table
+    ]
+
+
+def register_queries(kernel: Kernel) -> None:
+    """Answer the queries that other instances send on behalf of operators."""
+    peers = kernel.plugin("peers")
+
+    async def answer_trace(peer_id: str, message: dict) -> dict:
+        return {"events": _own_events(kernel, message["id"])}
+
+    async def answer_burn(peer_id: str, message: dict) -> dict:
+        return {"totals": kernel.burn.totals(kernel.clock.wall())}
+
+    peers.register("trace_query", answer_trace)
+    peers.register("burn_query", answer_burn)
+
+
+async def show_config(kernel: Kernel, request: Request, operator: str) -> Response:
+    """Show the configuration in force on this instance."""
+    cfg = kernel.config
+    values = {name: option.default for name, option in OPTIONS.items()}
+    values.update(cfg.content["defaults"])
+    return JSONResponse({"version": cfg.version, "values": values, **cfg.content})
+
+
+async def change_config(kernel: Kernel, request: Request, operator: str) -> Response:
+    """Accept a change, or refuse it with all its mistakes."""
+    body = await request.body()
+    if len(body) > BODY_MAX_BYTES:
+        return failed(Failure.of(ErrorKind.BODY_TOO_LARGE, "the change is too large"))
+    try:
+        change = msgspec.json.decode(body, type=ChangeRequest)
+        exceptions = msgspec.convert(
+            change.exceptions, type=FleetContent.__annotations__["exceptions"]
+        )
+    except msgspec.ValidationError as exc:
+        return failed(Failure.of(ErrorKind.BAD_REQUEST, str(exc)))
+    except msgspec.DecodeError as exc:
+        return failed(Failure.of(ErrorKind.BAD_REQUEST, str(exc)))
+    content = FleetContent(defaults=change.defaults, exceptions=exceptions)
+    problems = check_content(content)
+    if problems:
+        return failed(
+            Failure.of(ErrorKind.BAD_REQUEST, str(ConfigurationError(problems)))
+        )
+    outcome = await kernel.plugin("configuration").change(
+        change.change_id, change.base_version, content, operator
+    )
+    if outcome.is_err():
+        return failed(outcome.unwrap_err())
+    return JSONResponse({"version": outcome.unwrap()})
+
+
+async def show_history(kernel: Kernel, request: Request, operator: str) -> Response:
+    """List the last changes."""
+    limit = request.query_params.get("limit", "20")
+    if not limit.isdigit():
+        return failed(Failure.of(ErrorKind.BAD_REQUEST, "limit is not a whole number"))
+    outcome = await kernel.plugin("configuration").history(int(limit))
+    if outcome.is_err():
+        return failed(outcome.unwrap_err())
+    return JSONResponse({"history": outcome.unwrap()})
+
+
+async def show_status(kernel: Kernel, request: Request, operator: str) -> Response:
+    """Show this instance's view of the fleet."""
+    view = kernel.plugin("membership").view()
+    return JSONResponse(
+        {
+            "instance": kernel.settings.instance.id,
+            "incarnation": kernel.incarnation,
+            "state": kernel.state,
+            "unready_reason": kernel.unready_reason(),
+            "config_versions": kernel.plugin("configuration").fleet_versions(),
+            "members": [_member(member) for member in view.members.values()],
+            "endpoints": _endpoints(kernel),
+            "leases": kernel.plugin("steps").leases(),
+        }
+    )
+
+
+async def show_steps(kernel: Kernel, request: Request, operator: str) -> Response:
+    """Show the trainers' steps, with idle time and staleness."""
+    trainer = request.query_params.get("trainer", "")
+    outcome = await kernel.plugin("steps").overview(trainer)
+    if outcome.is_err():
+        return failed(outcome.unwrap_err())
+    return JSONResponse({"steps": outcome.unwrap()})
+
+
+async def show_burn(kernel: Kernel, request: Request, operator: str) -> Response:
+    """Show the burn of every service, summed over the fleet."""
+    parts = [kernel.burn.totals(kernel.clock.wall())]
+    answers, missing = await ask_fleet(kernel, {"type": "burn_query"})
+    parts += [answer["totals"] for answer in answers.values()]
+    reports = [
+        _burn(kernel.config, service, totals)
+        for service, totals in sorted(merge_totals(parts).items())
+    ]
+    return JSONResponse({"services": reports, "missing": missing})
+
+
+async def show_trace(kernel: Kernel, request: Request, operator: str) -> Response:
+    """Show the events of one id from all instances, in order of time."""
+    trace_id = request.path_params["id"]
+    events = _own_events(kernel, trace_id)
+    answers, missing = await ask_fleet(kernel, {"type": "trace_query", "id": trace_id})
+    for answer in answers.values():
+        events += answer["events"]
+    events.sort(key=lambda event: event["wall"])
+    return JSONResponse({"events": events, "missing": missing})
+
+
+async def ask_fleet(kernel: Kernel, message: dict) -> tuple[dict[str, dict], list[str]]:
+    """Ask every other member; return the answers, and who did not answer."""
+    deadline = kernel.clock.now() + FLEET_QUERY_TIMEOUT_S
+    limiter = anyio.CapacityLimiter(FLEET_QUERIES_AT_ONCE)
+    answers: dict[str, dict] = {}
+    missing: list[str] = []
+
+    async def ask(peer_id: str) -> None:
+        async with limiter:
+            outcome = await kernel.plugin("peers").ask(peer_id, message, deadline)
+        if outcome.is_ok():
+            answers[peer_id] = outcome.unwrap()
+        else:
+            missing.append(peer_id)
+
+    async with anyio.create_task_group() as tasks:
+        for peer_id in kernel.plugin("membership").view().members:
+            if peer_id != kernel.settings.instance.id:
+                tasks.start_soon(ask, peer_id)
+    return answers, sorted(missing)
+
+
+def failed(failure: Failure) -> JSONResponse:
+    """Build the answer to a failure."""
+    answer = ERROR_TABLE[failure.kind]
+    error = {
+        "kind": failure.kind,
+        "message": failure.message,
+        "outcome": failure.outcome,
+        "retry": answer.retry,
+    }
+    return JSONResponse({"error": error}, status_code=answer.status)
+
+
+def _guarded(kernel: Kernel, operators: dict[str, str], handler: Handler):
+    @functools.wraps(handler)
+    async def guarded(request: Request) -> Response:
+        operator = _holder(operators, request.headers.get("authorization", ""))
+        if operator is None:
+            message = "an operator's token is needed"
+            return failed(Failure.of(ErrorKind.UNAUTHENTICATED, message))
+        return await handler(kernel, request, operator)
+
+    return guarded
+
+
+def _holder(tokens: dict[str, str], header: str) -> str | None:
+    scheme, _, given = header.partition(" ")
+    if scheme.lower() != "bearer":
+        return None
+    matches = [
+        name
+        for token, name in tokens.items()
+        if hmac.compare_digest(token.encode(), given.encode())
+    ]
+    return matches[0] if matches else None
+
+
+def _own_events(kernel: Kernel, trace_id: str) -> list[dict]:
+    return [
+        {
+            "instance": kernel.settings.instance.id,
+            "wall": event.wall,
+            "name": event.name,
+            "fields": event.fields,
+        }
+        for event in kernel.trace.find(trace_id)
+    ]
+
+
+def _member(member) -> dict:
+    return {
+        "id": member.id,
+        "incarnation": member.incarnation,
+        "state": member.state,
+        "data_centre": member.data_centre,
+        "config_version": member.config_version,
+    }
+
+
+def _endpoints(kernel: Kernel) -> list[dict]:
+    endpoints = kernel.plugin("endpoints")
+    return [_endpoint(record, endpoints) for record in endpoints.records]
+
+
+def _endpoint(record, endpoints) -> dict:
+    status = endpoints.statuses.get(record.id)
+    return {
+        "id": record.id,
+        "service": record.service,
+        "kind": record.kind,
+        "data_centre": record.data_centre,
+        "state": record.state,
+        "version": status.version if status else "",
+        "load": f"{status.running}+{status.queued}" if status else "",
+    }
+
+
+def _burn(cfg: FleetConfig, service: str, totals: dict[str, Counts]) -> dict:
+    target = cfg.scoped(Scope(service=service)).slo_target
+    report = burn_report(service, totals, target)
+    burns = [
+        {
+            "window": burn.window,
+            "good": burn.counts.good,
+            "bad": burn.counts.bad,
+            "rate": round(burn.rate, 3),
+        }
+        for burn in report.burns
+    ]
+    return {
+        "service": service,
+        "target": target,
+        "burns": burns,
+        "alerts": list(report.alerts),
+    }
--- a/plantainstack/kernel.py
+++ b/plantainstack/kernel.py
@@ -14,6 +14,7 @@
 from plantainstack.plugins import Plugin
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.settings.instance import InstanceSettings
+from plantainstack.slo import BurnCounter
 from plantainstack.trace import TraceRing
 
 TICK_INTERVAL_S = 0.25
@@ -67,6 +68,7 @@
         self.state = State.STARTING
         self.pause = PauseDetector(self.clock)
         self.trace = TraceRing(self.clock)
+        self.burn = BurnCounter()
         self._stop_requested = anyio.Event()
         self._plugins = {kind.name: kind(self) for kind in self._sorted(plugin_types)}
 
--- a/plantainstack/settings/fleet.py
+++ b/plantainstack/settings/fleet.py
@@ -44,6 +44,8 @@
     list_poll_interval = Duration("1 s", "Time between reads of the instance list.")
     leaving_bound = Duration("5 s", "Longest time a leaving endpoint gets work.")
     checks_fencing = Boolean("no", "Whether engines refuse old fencing numbers.")
+    drain = Boolean("no", "Give no new work to an endpoint or entry instance.")
+    slo_target = Number("0.999", "Share of answers that must be good.", maximum=1.0)
     # Leases
     lease_duration = Duration("10 s", "Time for which a lease is granted.")
     lease_margin = Duration("2 s", "Time before expiry at which a holder stops.")
