--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.requirements
 
-.PHONY: all demo test format lint check proofs known-red
+.PHONY: all demo test format lint check proofs reference known-red
 
 all: test
 
@@ -34,3 +34,6 @@
 
 known-red: $(STAMP)
 	$(VENV)/bin/python -m pytest --known-red
+
+reference: $(STAMP)
+	$(VENV)/bin/python -m tools.reference
--- a/plantainstack/settings/instance.py
+++ b/plantainstack/settings/instance.py
@@ -82,7 +82,7 @@
         return Tokens(*(_holders(ini, role) for role in Tokens._fields))
 
 
-_SECTIONS: dict[str, type[Options]] = {
+SECTIONS: dict[str, type[Options]] = {
     "instance": InstanceOptions,
     "platform": PlatformOptions,
     "credentials": CredentialOptions,
@@ -98,12 +98,12 @@
     ini = read_ini(text, source)
     problems = list(ini.problems)
     problems += [
-        ini.problem(name, "", "unknown section", f"one of {', '.join(_SECTIONS)}")
+        ini.problem(name, "", "unknown section", f"one of {', '.join(SECTIONS)}")
         for name in ini.sections
-        if name not in _SECTIONS
+        if name not in SECTIONS
     ]
     parts = {}
-    for section, kind in _SECTIONS.items():
+    for section, kind in SECTIONS.items():
         values, found = parse_options(ini, section, kind.declared())
         problems += found
         parts[section] = kind(**values)
