Add the HTTP adapters of the platform and group commit

Cause: plug-ins need the table service, the object store, the instance list, the weight store and the scorer behind the interfaces of platform/base.py.

A call is reported as not run only while no byte of it can have left the process. BatchingTable gathers concurrent commits and reads into one request each; a worker owns the request, so a cancelled caller does not affect the others.

--- /dev/null
+++ b/plantainstack/platform/batching.py
@@ -0,0 +1,154 @@
+"""Group commit: concurrent calls to the table service share one request."""
+
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from plantainstack import log
+from plantainstack.clock import Clock
+from plantainstack.errors import Failure
+from plantainstack.platform.base import Mutation, MutationOutcome, Row, TableService
+from plantainstack.platform.http import REQUEST_TIMEOUT_S
+from plantainstack.platform.table import not_applied, unknown
+
+BATCH_MUTATIONS_MAX = 128
+BATCH_KEYS_MAX = 512
+QUEUE_CALLS_MAX = 4096
+
+Send = Callable[[list], Awaitable[Result[list, Failure]]]
+
+
+class _Call:
+    def __init__(self, items: Sequence, deadline: float):
+        self.items = items
+        self.deadline = deadline
+        self.done = anyio.Event()
+        self.outcome: Result[list, Failure] | None = None
+
+    def finish(self, outcome: Result[list, Failure]) -> None:
+        self.outcome = outcome
+        self.done.set()
+
+
+class _Batcher:
+    """Send the items of waiting calls together, one batch in flight at a time.
+
+    The worker owns the request, so the cancellation of one waiting caller
+    leaves the others' outcomes intact.
+    """
+
+    def __init__(self, send: Send, limit: int, clock: Clock):
+        self._send = send
+        self._limit = limit
+        self._clock = clock
+        self._waiting: deque[_Call] = deque()
+        self._arrived = anyio.Event()
+        self._closed = False
+
+    async def submit(self, items: Sequence) -> Result[list, Failure]:
+        """Wait for the outcomes of the items, which are sent in one request."""
+        if self._closed:
+            return Err(not_applied("the process is stopping"))
+        if len(self._waiting) >= QUEUE_CALLS_MAX:
+            return Err(not_applied("too many calls are waiting"))
+        call = _Call(items, self._clock.now() + REQUEST_TIMEOUT_S)
+        self._waiting.append(call)
+        self._arrived.set()
+        try:
+            await call.done.wait()
+        except BaseException:
+            if call in self._waiting:
+                self._waiting.remove(call)
+            raise
+        return call.outcome
+
+    async def run(self) -> None:
+        """Send batches until cancelled, then fail the calls that still wait."""
+        try:
+            while True:
+                await self._arrived.wait()
+                self._arrived = anyio.Event()
+                while batch := self._next_batch():
+                    await self._run_batch(batch)
+        finally:
+            self._closed = True
+            while self._waiting:
+                self._waiting.popleft().finish(Err(not_applied("never sent")))
+
+    def _next_batch(self) -> list[_Call]:
+        batch: list[_Call] = []
+        size = 0
+        while self._waiting:
+            call = self._waiting[0]
+            if batch and size + len(call.items) > self._limit:
+                break
+            self._waiting.popleft()
+            if call.deadline <= self._clock.now():
+                call.finish(Err(not_applied("the deadline passed before sending")))
+                continue
+            batch.append(call)
+            size += len(call.items)
+        return batch
+
+    async def _run_batch(self, batch: list[_Call]) -> None:
+        outcome = Err(unknown("the request was abandoned"))
+        try:
+            outcome = await self._send([item for call in batch for item in call.items])
+        except Exception as exc:
+            log.event("batching.failed", error=repr(exc))
+        finally:
+            _distribute(batch, outcome)
+
+
+def _distribute(batch: list[_Call], outcome: Result[list, Failure]) -> None:
+    start = 0
+    for call in batch:
+        end = start + len(call.items)
+        call.finish(outcome.map(lambda found, part=slice(start, end): found[part]))
+        start = end
+
+
+class BatchingTable(TableService):
+    """Gather concurrent commits, and concurrent reads, into one request each.
+
+    A call is never split. Calls are answered while `run` is running.
+    """
+
+    def __init__(self, table: TableService, clock: Clock):
+        self._table = table
+        self._commits = _Batcher(table.commit, BATCH_MUTATIONS_MAX, clock)
+        self._reads = _Batcher(self._read_rows, BATCH_KEYS_MAX, clock)
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Run the two workers in a task group."""
+        tasks.start_soon(self._commits.run)
+        tasks.start_soon(self._reads.run)
+
+    async def read(self, keys: Sequence[str]) -> Result[dict[str, Row], Failure]:
+        """Return a row for each key."""
+        if not keys:
+            return Ok({})
+        outcome = await self._reads.submit(list(keys))
+        return outcome.map(lambda rows: {row.key: row for row in rows})
+
+    async def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[Row], Failure]:
+        """Return existing rows in order of key, from behind the key `after`."""
+        return await self._table.scan(prefix, after, limit)
+
+    async def commit(
+        self, mutations: Sequence[Mutation]
+    ) -> Result[list[MutationOutcome], Failure]:
+        """Apply mutations in one durable transaction, each whole or not at all."""
+        if not mutations:
+            return Ok([])
+        return await self._commits.submit(list(mutations))
+
+    async def _read_rows(self, keys: list[str]) -> Result[list[Any], Failure]:
+        outcome = await self._table.read(list(dict.fromkeys(keys)))
+        return outcome.map(lambda rows: [rows[key] for key in keys])
--- /dev/null
+++ b/plantainstack/platform/http.py
@@ -0,0 +1,150 @@
+"""Exchange HTTP requests with one platform service, within bounded time."""
+
+from typing import NamedTuple
+
+import anyio
+import httpcore
+from result import Err, Ok, Result
+
+from plantainstack.clock import Clock
+from plantainstack.settings.options import Address
+
+REQUEST_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
+# httpcore's shared pool slows as concurrency grows, so each exchange in flight
+# has a connection object of its own.
+CONNECTIONS_MAX = 4
+
+_NETWORK_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.ConnectionNotAvailable,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
+
+
+class Answer(NamedTuple):
+    """Hold a complete answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Interruption(NamedTuple):
+    """Describe an exchange without a complete answer.
+
+    `sent` tells whether a byte of the request may have left this process.
+    """
+
+    sent: bool
+    message: str
+
+
+class _SentFlag:
+    """Learn from httpcore's trace events when the first byte is handed over."""
+
+    def __init__(self):
+        self.sent = False
+
+    async def trace(self, event: str, info: dict) -> None:
+        if event == "http11.send_request_headers.started":
+            self.sent = True
+
+
+class HttpClient:
+    """Keep a small set of connections to one address, one exchange on each."""
+
+    def __init__(
+        self, address: Address, clock: Clock, connections: int = CONNECTIONS_MAX
+    ):
+        self._address = address
+        self._clock = clock
+        self._origin = httpcore.Origin(b"http", address.host.encode(), address.port)
+        self._slots = anyio.Semaphore(connections)
+        self._idle: list[httpcore.AsyncHTTPConnection] = []
+
+    async def exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        deadline: float | None = None,
+    ) -> Result[Answer, Interruption]:
+        """Send one request and return its complete answer.
+
+        The deadline is at most REQUEST_TIMEOUT_S away.
+        """
+        limit = self._clock.now() + REQUEST_TIMEOUT_S
+        deadline = limit if deadline is None else min(deadline, limit)
+        flag = _SentFlag()
+        message = "no complete answer before the deadline"
+        with anyio.move_on_after(deadline - self._clock.now()):
+            try:
+                async with self._slots:
+                    return Ok(await self._exchange(method, path, body, flag))
+            except _NETWORK_ERRORS as exc:
+                message = f"{type(exc).__name__}: {exc}"
+        # The fault may be in a component between the two ends that affects all
+        # open connections, so the next request opens a fresh one.
+        await self.aclose()
+        place = f"{method} {path} at {self._address}"
+        return Err(Interruption(flag.sent, f"{place}: {message}"))
+
+    async def aclose(self) -> None:
+        """Close the connections that are not in use."""
+        idle, self._idle = self._idle, []
+        for conn in idle:
+            await _close(conn)
+
+    async def _exchange(self, method, path, body, flag: _SentFlag) -> Answer:
+        conn = await self._take()
+        complete = False
+        try:
+            response = await conn.handle_async_request(
+                self._request(method, path, body, flag)
+            )
+            content = await response.aread()
+            await response.aclose()
+            complete = True
+        finally:
+            if complete and conn.is_available():
+                self._idle.append(conn)
+            else:
+                await _close(conn)
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in response.headers
+        }
+        return Answer(response.status, headers, content)
+
+    async def _take(self) -> httpcore.AsyncHTTPConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_available() and not conn.has_expired():
+                return conn
+            await _close(conn)
+        return httpcore.AsyncHTTPConnection(self._origin)
+
+    def _request(self, method, path, body, flag: _SentFlag) -> httpcore.Request:
+        headers = [
+            (b"host", str(self._address).encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        url = httpcore.URL(
+            scheme=b"http",
+            host=self._origin.host,
+            port=self._origin.port,
+            target=path.encode("ascii"),
+        )
+        return httpcore.Request(
+            method, url, headers=headers, content=body, extensions={"trace": flag.trace}
+        )
+
+
+async def _close(conn: httpcore.AsyncHTTPConnection) -> None:
+    with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+        await conn.aclose()
--- /dev/null
+++ b/plantainstack/platform/table.py
@@ -0,0 +1,117 @@
+"""The table service over HTTP."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import Any, TypedDict, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.platform.base import Mutation, MutationOutcome, Row, TableService
+from plantainstack.platform.http import HttpClient, Interruption
+
+T = TypeVar("T")
+
+
+class _RowBody(TypedDict):
+    key: str
+    version: int
+    value: dict[str, Any] | None
+
+
+class _RowsBody(TypedDict):
+    rows: list[_RowBody]
+
+
+class _OutcomeBody(TypedDict):
+    applied: bool
+    conflicts: list[_RowBody]
+
+
+class _OutcomesBody(TypedDict):
+    outcomes: list[_OutcomeBody]
+
+
+class HttpTable(TableService):
+    """Call the table service; each call ends within the request timeout."""
+
+    def __init__(self, client: HttpClient):
+        self._client = client
+
+    async def read(self, keys: Sequence[str]) -> Result[dict[str, Row], Failure]:
+        """Return a row for each key."""
+        outcome = await self._call("/read", {"keys": list(keys)}, _RowsBody)
+        if outcome.is_err():
+            return outcome
+        rows = {row["key"]: Row(**row) for row in outcome.unwrap()["rows"]}
+        missing = [key for key in keys if key not in rows]
+        if missing:
+            return Err(unknown(f"/read: the answer lacks {len(missing)} keys"))
+        return Ok(rows)
+
+    async def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[Row], Failure]:
+        """Return existing rows in order of key, from behind the key `after`."""
+        body = {"prefix": prefix, "after": after, "limit": limit}
+        outcome = await self._call("/scan", body, _RowsBody)
+        return outcome.map(lambda found: [Row(**row) for row in found["rows"]])
+
+    async def commit(
+        self, mutations: Sequence[Mutation]
+    ) -> Result[list[MutationOutcome], Failure]:
+        """Apply mutations in one durable transaction, each whole or not at all."""
+        body = {"mutations": [_mutation(mutation) for mutation in mutations]}
+        outcome = await self._call("/commit", body, _OutcomesBody)
+        if outcome.is_err():
+            return outcome
+        outcomes = [_outcome(found) for found in outcome.unwrap()["outcomes"]]
+        if len(outcomes) != len(mutations):
+            return Err(unknown("/commit: the answer lacks outcomes"))
+        return Ok(outcomes)
+
+    async def aclose(self) -> None:
+        """Close the connections that are not in use."""
+        await self._client.aclose()
+
+    async def _call(self, path: str, body, kind: type[T]) -> Result[T, Failure]:
+        exchange = await self._client.exchange("POST", path, msgspec.json.encode(body))
+        if exchange.is_err():
+            return Err(_interrupted(exchange.unwrap_err()))
+        answer = exchange.unwrap()
+        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            return Err(not_applied(f"{path} was refused"))
+        if answer.status != HTTPStatus.OK:
+            return Err(unknown(f"{path}: unexpected status {answer.status}"))
+        try:
+            return Ok(msgspec.json.decode(answer.body, type=kind))
+        except msgspec.DecodeError as exc:
+            return Err(unknown(f"{path}: answer does not decode: {exc}"))
+
+
+def not_applied(message: str) -> Failure:
+    """Build the failure of a call that was surely not applied."""
+    return Failure.of(ErrorKind.TABLE_UNAVAILABLE, message)
+
+
+def unknown(message: str) -> Failure:
+    """Build the failure of a call that may have been applied."""
+    return Failure.of(ErrorKind.TABLE_OUTCOME_UNKNOWN, message)
+
+
+def _interrupted(stop: Interruption) -> Failure:
+    return unknown(stop.message) if stop.sent else not_applied(stop.message)
+
+
+def _mutation(mutation: Mutation) -> dict[str, Any]:
+    return {
+        "id": mutation.id,
+        "checks": [check._asdict() for check in mutation.checks],
+        "writes": [write._asdict() for write in mutation.writes],
+    }
+
+
+def _outcome(body: _OutcomeBody) -> MutationOutcome:
+    conflicts = tuple(Row(**row) for row in body["conflicts"])
+    return MutationOutcome(body["applied"], conflicts)
