--- a/plantainstack/platform/http.py
+++ b/plantainstack/platform/http.py
@@ -1,5 +1,6 @@
 """Exchange HTTP requests with one platform service, within bounded time."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import anyio
@@ -15,6 +16,8 @@
 # has a connection object of its own.
 CONNECTIONS_MAX = 4
 
+Headers = Sequence[tuple[str, str]]
+
 _NETWORK_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -73,6 +76,7 @@
         path: str,
         body: bytes = b"",
         deadline: float | None = None,
+        headers: Headers = (),
     ) -> Result[Answer, Interruption]:
         """Send one request and return its complete answer.
 
@@ -85,7 +89,8 @@
         with anyio.move_on_after(deadline - self._clock.now()):
             try:
                 async with self._slots:
-                    return Ok(await self._exchange(method, path, body, flag))
+                    req = self._request(method, path, body, headers, flag)
+                    return Ok(await self._exchange(req))
             except _NETWORK_ERRORS as exc:
                 message = f"{type(exc).__name__}: {exc}"
         # The fault may be in a component between the two ends that affects all
@@ -100,13 +105,11 @@
         for conn in idle:
             await _close(conn)
 
-    async def _exchange(self, method, path, body, flag: _SentFlag) -> Answer:
+    async def _exchange(self, req: httpcore.Request) -> Answer:
         conn = await self._take()
         complete = False
         try:
-            response = await conn.handle_async_request(
-                self._request(method, path, body, flag)
-            )
+            response = await conn.handle_async_request(req)
             content = await response.aread()
             await response.aclose()
             complete = True
@@ -129,10 +132,13 @@
             await _close(conn)
         return httpcore.AsyncHTTPConnection(self._origin)
 
-    def _request(self, method, path, body, flag: _SentFlag) -> httpcore.Request:
+    def _request(
+        self, method: str, path: str, body: bytes, headers: Headers, flag: _SentFlag
+    ) -> httpcore.Request:
         headers = [
-            (b"host", str(self._address).encode()),
-            (b"content-length", str(len(body)).encode()),
+            ("host", str(self._address)),
+            ("content-length", str(len(body))),
+            *headers,
         ]
         url = httpcore.URL(
             scheme=b"http",
--- /dev/null
+++ b/standins/base.py
@@ -0,0 +1,153 @@
+"""What all stand-ins share: faults, a report of their state, and JSON."""
+
+from abc import ABC, abstractmethod
+from collections import deque
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import Any, ClassVar, TypeVar
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+from starlette.types import ASGIApp
+
+from plantainstack.clock import Clock, SystemClock
+from standins.faults import Fault, FaultMiddleware, FaultTable
+
+T = TypeVar("T")
+
+HISTORY_S = 30.0
+
+
+class _FaultsBody(msgspec.Struct):
+    faults: list[Fault]
+
+
+class _LeavingBody(msgspec.Struct):
+    leaving: bool
+
+
+class Standin(ABC):
+    """Serve one service of the platform, with faults on request."""
+
+    def __init__(self, clock: Clock | None = None):
+        self.clock = clock or SystemClock()
+        self.faults = FaultTable()
+
+    @abstractmethod
+    def routes(self) -> list[BaseRoute]:
+        """Return the routes of the service."""
+
+    @abstractmethod
+    def state(self) -> dict[str, Any]:
+        """Return the answer to GET /_state."""
+
+    async def run(self) -> None:
+        """Do the work that continues between requests."""
+
+    def app(self) -> ASGIApp:
+        """Build the application."""
+        common = [
+            Route("/_faults", self._put_faults, methods=["PUT"]),
+            Route("/_state", self._get_state, methods=["GET"]),
+        ]
+        app = Starlette(
+            routes=[*common, *self.routes()],
+            lifespan=self._lifespan,
+            exception_handlers={msgspec.DecodeError: _bad_request},
+        )
+        return FaultMiddleware(app, self.faults, self.clock)
+
+    @asynccontextmanager
+    async def _lifespan(self, app: Starlette):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.run)
+            yield
+            tasks.cancel_scope.cancel()
+
+    async def _put_faults(self, request: Request) -> Response:
+        self.faults.replace((await body(request, _FaultsBody)).faults)
+        return reply({})
+
+    async def _get_state(self, request: Request) -> Response:
+        return reply(self.state())
+
+
+class Endpoint(Standin):
+    """Serve requests that the service under test routes.
+
+    PUT /_leaving announces that the endpoint leaves; the state then reports how
+    many seconds later the last request arrived.
+    """
+
+    kind: ClassVar[str]
+
+    def __init__(self, clock: Clock | None = None):
+        super().__init__(clock)
+        self.requests = 0
+        self.left_at: float | None = None
+        self.last_after_leaving_s: float | None = None
+
+    def routes(self) -> list[BaseRoute]:
+        """Return the route that announces leaving."""
+        return [Route("/_leaving", self._put_leaving, methods=["PUT"])]
+
+    def state(self) -> dict[str, Any]:
+        """Return the counts of requests."""
+        return {
+            "requests": self.requests,
+            "leaving": self.left_at is not None,
+            "last_after_leaving_s": self.last_after_leaving_s,
+        }
+
+    def count_request(self) -> None:
+        """Count a request that arrives."""
+        self.requests += 1
+        if self.left_at is not None:
+            self.last_after_leaving_s = self.clock.now() - self.left_at
+
+    async def _put_leaving(self, request: Request) -> Response:
+        leaving = (await body(request, _LeavingBody)).leaving
+        self.left_at = self.clock.now() if leaving else None
+        return reply({})
+
+
+class History:
+    """Remember recent states, so that a report can lag."""
+
+    def __init__(self, clock: Clock, value: Any):
+        self._clock = clock
+        self._states: deque[tuple[float, Any]] = deque([(clock.now(), value)])
+
+    def record(self, value: Any) -> None:
+        """Add the state as of now."""
+        now = self._clock.now()
+        self._states.append((now, value))
+        while len(self._states) > 1 and self._states[1][0] < now - HISTORY_S:
+            self._states.popleft()
+
+    def ago(self, seconds: float) -> Any:
+        """Return the state of some seconds ago, or the oldest one known."""
+        limit = self._clock.now() - seconds
+        known = [value for time, value in self._states if time <= limit]
+        return known[-1] if known else self._states[0][1]
+
+
+async def body(request: Request, kind: type[T]) -> T:
+    """Decode the JSON body of a request."""
+    return msgspec.json.decode(await request.body(), type=kind)
+
+
+def reply(value: Any, status: int = HTTPStatus.OK, **headers: str) -> Response:
+    """Build a JSON answer; underscores in header names stand for hyphens."""
+    names = {name.replace("_", "-"): text for name, text in headers.items()}
+    return Response(
+        msgspec.json.encode(value), status, names, media_type="application/json"
+    )
+
+
+async def _bad_request(request: Request, exc: Exception) -> Response:
+    return reply({"error": str(exc)}, HTTPStatus.BAD_REQUEST)
--- /dev/null
+++ b/standins/batch.py
@@ -0,0 +1,252 @@
+"""Continuous batching, approximated by a token rate that streams share."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from standins.completions import completion, join, prefix_hashes
+
+# An uncached prompt token takes this part of the time of a generated token.
+PREFILL_COST = 0.1
+STEP_LIMIT_S = 0.25
+EVENTS_MAX = 10_000
+
+
+class Chunk(NamedTuple):
+    """Hold consecutive tokens that one version generated."""
+
+    text: str
+    tokens: int
+    version: int
+
+
+class EngineOptions(NamedTuple):
+    """Hold the sizes of a stand-in engine; rates are in tokens per second."""
+
+    model: str
+    version: int = 1
+    token_rate: float = 2000.0
+    stream_rate: float = 200.0
+    running_max: int = 32
+    cache_size: int = 64
+    swap_s: float = 1.0
+    load_lag_s: float = 0.2
+    checks_fence: bool = False
+
+
+class Stream:
+    """Hold the state of one completion."""
+
+    def __init__(
+        self,
+        attempt_id: str,
+        messages: list[dict[str, str]],
+        seed: int,
+        max_tokens: int,
+        rollout: bool,
+        prefix: str = "",
+    ):
+        self.attempt_id = attempt_id
+        self.rollout = rollout
+        self.hashes = prefix_hashes(messages)
+        self.prompt_tokens = [len(each["content"].split()) for each in messages]
+        self.words = completion(messages, seed, max_tokens)
+        self.position = len(prefix.split())
+        self.credit = 0.0
+        self.prefill = 0.0
+        self._send, self.chunks = anyio.create_memory_object_stream[Chunk](100_000)
+        self.finished = False
+
+    def advance(self, share: float, version: int) -> None:
+        """Spend a share of the token rate on prefill, then on tokens."""
+        spent = min(share, self.prefill)
+        self.prefill -= spent
+        self.credit += share - spent
+        count = min(int(self.credit), len(self.words) - self.position)
+        self.credit -= count
+        if count > 0:
+            words = self.words[self.position : self.position + count]
+            text = join(words, self.position)
+            self._send.send_nowait(Chunk(text, count, version))
+            self.position += count
+        if self.position >= len(self.words):
+            self.finished = True
+            self._send.close()
+
+    def abort(self) -> None:
+        """End the stream without the rest of its completion."""
+        self._send.close()
+
+
+class PrefixCache:
+    """Keep the hashes of the last used prompt prefixes, and report changes."""
+
+    def __init__(self, size: int):
+        self._size = size
+        self._stored: OrderedDict[str, None] = OrderedDict()
+        self._number = 0
+        self.events: list[dict] = []
+
+    def missing_tokens(self, hashes: list[str], tokens: list[int]) -> int:
+        """Return the prompt tokens behind the longest cached prefix; store all."""
+        cached = 0
+        for index, prefix in enumerate(hashes):
+            if prefix not in self._stored:
+                break
+            cached = index + 1
+        for prefix in hashes:
+            self._store(prefix)
+        return sum(tokens[cached:])
+
+    def clear(self) -> None:
+        """Evict everything."""
+        while self._stored:
+            self._evict()
+
+    def _store(self, prefix: str) -> None:
+        if prefix in self._stored:
+            self._stored.move_to_end(prefix)
+            return
+        self._stored[prefix] = None
+        self._report(prefix, True)
+        while len(self._stored) > self._size:
+            self._evict()
+
+    def _evict(self) -> None:
+        prefix, _ = self._stored.popitem(last=False)
+        self._report(prefix, False)
+
+    def _report(self, prefix: str, stored: bool) -> None:
+        self._number += 1
+        event = {"number": self._number, "prefix_hash": prefix, "stored": stored}
+        self.events.append(event)
+        del self.events[:-EVENTS_MAX]
+
+
+class _Swap(NamedTuple):
+    model: str
+    version: int
+    due: float
+    fails: bool
+
+
+class Batch:
+    """Run streams at a shared token rate, callers before rollouts."""
+
+    def __init__(self, options: EngineOptions, now: float, on_change: Callable):
+        self._options = options
+        self._stepped_at = now
+        self._on_change = on_change
+        self._swap: _Swap | None = None
+        self._imported: set[str] = set()
+        self.model = options.model
+        self.version = options.version
+        self.fence = 0
+        self.running: list[Stream] = []
+        self.queued: list[Stream] = []
+        self.cache = PrefixCache(options.cache_size)
+        self.counts = {"finished": 0, "cancelled": 0, "swaps": 0, "failed_swaps": 0}
+
+    @property
+    def loading(self) -> int | None:
+        """Return the version that is being loaded."""
+        return self._swap.version if self._swap else None
+
+    def busy(self) -> bool:
+        """Return whether a step would change anything."""
+        return bool(self.running or self.queued or self._swap)
+
+    def submit(self, stream: Stream, now: float) -> None:
+        """Queue a stream."""
+        if not self.busy():
+            self._stepped_at = now
+        self.queued.append(stream)
+        self._on_change()
+
+    def remove(self, stream: Stream) -> None:
+        """Forget a stream whose client has gone or has got everything."""
+        for streams in (self.running, self.queued):
+            if stream in streams:
+                streams.remove(stream)
+                self.counts["cancelled"] += 1
+                self._on_change()
+
+    def cancel(self, attempt_id: str) -> None:
+        """End a stream without an end marker."""
+        stream = self.find(attempt_id)
+        if stream is not None:
+            stream.abort()
+            self.remove(stream)
+
+    def find(self, attempt_id: str) -> Stream | None:
+        """Return the stream of an attempt."""
+        streams = (*self.running, *self.queued)
+        return next((each for each in streams if each.attempt_id == attempt_id), None)
+
+    def import_kv(self, attempt_id: str) -> None:
+        """Skip the prefill of an attempt that will be resumed here."""
+        self._imported.add(attempt_id)
+
+    def start_swap(self, model: str, version: int, now: float, fails: bool) -> None:
+        """Start to load a version; the newest order replaces an earlier one."""
+        if (model, version) == (self.model, self.version):
+            self._swap = None
+        elif self._swap is None or (model, version) != self._swap[:2]:
+            self._swap = _Swap(model, version, now + self._options.swap_s, fails)
+        self._on_change()
+
+    def step(self, now: float) -> None:
+        """Generate what the time since the last step allows."""
+        elapsed = min(now - self._stepped_at, STEP_LIMIT_S)
+        self._stepped_at = now
+        if self._swap is not None:
+            self._finish_swap(now)
+            return
+        self._admit()
+        remaining = self._options.token_rate * elapsed
+        for number, stream in enumerate(self.running):
+            fair = remaining / (len(self.running) - number)
+            wanted = self._options.stream_rate * elapsed
+            share = min(wanted, fair if stream.rollout else remaining)
+            remaining -= share
+            stream.advance(share, self.version)
+        self._collect_finished()
+
+    def _finish_swap(self, now: float) -> None:
+        if now < self._swap.due:
+            return
+        swap, self._swap = self._swap, None
+        if swap.fails:
+            self.counts["failed_swaps"] += 1
+        else:
+            self.model, self.version = swap.model, swap.version
+            self.counts["swaps"] += 1
+            self.cache.clear()
+        self._on_change()
+
+    def _admit(self) -> None:
+        # A stable sort keeps the order of arrival within each priority.
+        everything = sorted([*self.running, *self.queued], key=lambda s: s.rollout)
+        limit = self._options.running_max
+        started = [each for each in everything[:limit] if each not in self.running]
+        for stream in started:
+            self._prefill(stream)
+        self.running, self.queued = everything[:limit], everything[limit:]
+        if started:
+            self._on_change()
+
+    def _prefill(self, stream: Stream) -> None:
+        missing = self.cache.missing_tokens(stream.hashes, stream.prompt_tokens)
+        if stream.attempt_id in self._imported:
+            self._imported.discard(stream.attempt_id)
+            missing = 0
+        stream.prefill = missing * PREFILL_COST
+
+    def _collect_finished(self) -> None:
+        finished = [stream for stream in self.running if stream.finished]
+        if finished:
+            self.running = [each for each in self.running if not each.finished]
+            self.counts["finished"] += len(finished)
+            self._on_change()
--- /dev/null
+++ b/standins/completions.py
@@ -0,0 +1,45 @@
+"""The completions that stand-in engines produce, a function of the request."""
+
+import xxhash
+
+WORDS = 1000
+
+
+def prefix_hashes(messages: list[dict[str, str]]) -> list[str]:
+    """Return the hash of the first message, of the first two, and so on."""
+    digest = xxhash.xxh64()
+    hashes = []
+    for message in messages:
+        digest.update(f"{message['role']}\n{message['content']}\n".encode())
+        hashes.append(digest.hexdigest())
+    return hashes
+
+
+def completion(messages: list[dict[str, str]], seed: int, max_tokens: int) -> list[str]:
+    """Return the words of the whole completion; each word is one token.
+
+    The text does not depend on the weight version, so that an answer that was
+    resumed elsewhere can be compared with the expected one.
+    """
+    key = f"{prefix_hashes(messages)[-1]}/{seed}/{max_tokens}"
+    count = max_tokens // 2 + _digest(key) % (max_tokens // 2 + 1)
+    return [_word(key, index) for index in range(max(1, count))]
+
+
+def completion_text(messages: list[dict[str, str]], seed: int, max_tokens: int) -> str:
+    """Return the text of the whole completion."""
+    return join(completion(messages, seed, max_tokens), 0)
+
+
+def join(words: list[str], start: int) -> str:
+    """Return the text of words of which the first has the index `start`."""
+    text = " ".join(words)
+    return f" {text}" if start > 0 and words else text
+
+
+def _word(key: str, index: int) -> str:
+    return f"w{_digest(f'{key}/{index}') % WORDS:03d}"
+
+
+def _digest(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,191 @@
+"""A stand-in for a model engine."""
+
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Any, Literal
+
+import anyio
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import BaseRoute, Route
+
+from standins.base import Endpoint, History, body, reply
+from standins.batch import Batch, Chunk, EngineOptions, Stream
+from standins.faults import Action
+
+STEP_INTERVAL_S = 0.02
+DONE = b"data: [DONE]\n\n"
+
+
+class _CompletionBody(msgspec.Struct):
+    model: str
+    messages: list[dict[str, str]]
+    max_tokens: int = 64
+    priority: Literal["caller", "rollout"] = "caller"
+    seed: int = 0
+    prefix: str = ""
+    stream: bool = False
+
+
+class _OrderBody(msgspec.Struct):
+    model: str
+    version: int
+    fence: int
+
+
+class _CancelBody(msgspec.Struct):
+    attempt_id: str
+
+
+class EngineStandin(Endpoint):
+    """Generate completions at a token rate, and swap weights on orders."""
+
+    def __init__(self, options: EngineOptions, clock=None):
+        super().__init__(clock)
+        self._options = options
+        self._wake = anyio.Event()
+        self._history: History | None = None
+        self._batch = Batch(options, self.clock.now(), self._changed)
+        self._history = History(self.clock, self._report())
+        self._orders: list[dict[str, Any]] = []
+
+    def routes(self) -> list[BaseRoute]:
+        """Return the routes of an engine."""
+        return [
+            *super().routes(),
+            Route("/v1/chat/completions", self._complete, methods=["POST"]),
+            Route("/load", self._load, methods=["GET"]),
+            Route("/orders", self._order, methods=["POST"]),
+            Route("/cancel", self._cancel, methods=["POST"]),
+            Route("/cache/events", self._cache_events, methods=["GET"]),
+            Route("/kv/{attempt_id}", self._export, methods=["GET"]),
+            Route("/kv/{attempt_id}", self._import, methods=["PUT"]),
+        ]
+
+    def state(self) -> dict[str, Any]:
+        """Return the load report without lag, the counts and the orders."""
+        return {
+            **super().state(),
+            **self._report(),
+            **self._batch.counts,
+            "orders": self._orders,
+        }
+
+    async def run(self) -> None:
+        """Generate tokens while there is work."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            while self._batch.busy():
+                await self.clock.sleep_until(self.clock.now() + STEP_INTERVAL_S)
+                self._batch.step(self.clock.now())
+
+    def _changed(self) -> None:
+        self._wake.set()
+        if self._history is not None:
+            self._history.record(self._report())
+
+    def _report(self) -> dict[str, Any]:
+        batch = self._batch
+        return {
+            "model": batch.model,
+            "version": batch.version,
+            "loading": batch.loading,
+            "running": len(batch.running),
+            "queued": len(batch.queued),
+            "leaving": self.left_at is not None,
+            "fence": batch.fence,
+        }
+
+    async def _complete(self, request: Request) -> Response:
+        self.count_request()
+        asked = await body(request, _CompletionBody)
+        if not asked.stream or not asked.messages or asked.max_tokens < 1:
+            return reply({"error": "not supported"}, HTTPStatus.BAD_REQUEST)
+        if asked.model != self._batch.model:
+            return reply({"error": "unknown model"}, HTTPStatus.NOT_FOUND)
+        attempt_id = request.headers.get("x-attempt-id", "")
+        stream = Stream(
+            attempt_id,
+            asked.messages,
+            asked.seed,
+            asked.max_tokens,
+            asked.priority == "rollout",
+            asked.prefix,
+        )
+        self._batch.submit(stream, self.clock.now())
+        return StreamingResponse(
+            self._events(stream, asked.model), media_type="text/event-stream"
+        )
+
+    async def _events(self, stream: Stream, model: str) -> AsyncIterator[bytes]:
+        try:
+            async for chunk in stream.chunks:
+                yield _event(stream.attempt_id, model, chunk, None)
+            if stream.finished:
+                last = Chunk("", 0, self._batch.version)
+                yield _event(stream.attempt_id, model, last, "stop")
+                yield DONE
+        finally:
+            self._batch.remove(stream)
+
+    async def _load(self, request: Request) -> Response:
+        fault = self.faults.take(Action.LAG, request.url.path)
+        lag = fault.seconds if fault else self._options.load_lag_s
+        return reply(self._history.ago(lag))
+
+    async def _order(self, request: Request) -> Response:
+        order = await body(request, _OrderBody)
+        ignored = self.faults.take(Action.IGNORE_FENCE, request.url.path)
+        checked = self._options.checks_fence and not ignored
+        old = order.fence < self._batch.fence
+        self._orders.append({**msgspec.structs.asdict(order), "old": old})
+        if checked and old:
+            return reply(self._report(), HTTPStatus.CONFLICT)
+        self._batch.fence = order.fence
+        fails = self.faults.take(Action.FAIL_SWAP, request.url.path) is not None
+        self._batch.start_swap(order.model, order.version, self.clock.now(), fails)
+        return reply(self._report())
+
+    async def _cancel(self, request: Request) -> Response:
+        self._batch.cancel((await body(request, _CancelBody)).attempt_id)
+        return reply({})
+
+    async def _cache_events(self, request: Request) -> Response:
+        after = int(request.query_params.get("after", 0))
+        events = [
+            event
+            for event in self._batch.cache.events
+            if event["number"] > after
+            and self.faults.take(Action.SKIP, request.url.path) is None
+        ]
+        return reply({"events": events})
+
+    async def _export(self, request: Request) -> Response:
+        attempt_id = request.path_params["attempt_id"]
+        stream = self._batch.find(attempt_id)
+        if stream is None:
+            return reply({}, HTTPStatus.NOT_FOUND)
+        data = f"{attempt_id} {stream.position}".encode()
+        return Response(data, media_type="application/octet-stream")
+
+    async def _import(self, request: Request) -> Response:
+        attempt_id = request.path_params["attempt_id"]
+        if not await request.body():
+            return reply({"error": "empty"}, HTTPStatus.BAD_REQUEST)
+        self._batch.import_kv(attempt_id)
+        return reply({})
+
+
+def _event(attempt_id: str, model: str, chunk: Chunk, finish: str | None) -> bytes:
+    choice = {"index": 0, "delta": {"content": chunk.text}, "finish_reason": finish}
+    event = {
+        "id": attempt_id,
+        "object": "chat.completion.chunk",
+        "model": model,
+        "choices": [choice],
+        "weight_version": chunk.version,
+        "tokens": chunk.tokens,
+    }
+    return b"data: " + msgspec.json.encode(event) + b"\n\n"
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,205 @@
+"""Faults that a stand-in injects into its answers, from a table given to it."""
+
+from enum import StrEnum
+
+import anyio
+import msgspec
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+from plantainstack.clock import Clock
+
+ATTEMPT_HEADER = b"x-attempt-id"
+OTHER_ATTEMPT_ID = b"another-request"
+
+
+class Action(StrEnum):
+    """Name what a fault does to a request."""
+
+    REFUSE = "refuse"
+    DELAY = "delay"
+    DROP_AFTER_EFFECT = "drop_after_effect"
+    CUT = "cut"
+    SILENT = "silent"
+    LATE = "late"
+    CROSSED = "crossed"
+    LAG = "lag"
+    SKIP = "skip"
+    IGNORE_FENCE = "ignore_fence"
+    FAIL_SWAP = "fail_swap"
+
+
+# These change what a stand-in reports or does; the others change its answers.
+_STATE_ACTIONS = (Action.LAG, Action.SKIP, Action.IGNORE_FENCE, Action.FAIL_SWAP)
+
+
+class Fault(msgspec.Struct):
+    """Hold one fault; a count of 0 hits every request that matches."""
+
+    match: str
+    action: Action
+    count: int = 0
+    seconds: float = 0.0
+    status: int = 503
+
+
+class FaultTable:
+    """Keep the faults in force, and use up those with a count."""
+
+    def __init__(self):
+        self._faults: list[Fault] = []
+
+    def replace(self, faults: list[Fault]) -> None:
+        """Put other faults in force."""
+        self._faults = list(faults)
+
+    def take_answer_fault(self, path: str) -> Fault | None:
+        """Return the first fault for the answer to a request."""
+        return self._take(
+            fault
+            for fault in self._faults
+            if fault.action not in _STATE_ACTIONS and path.startswith(fault.match)
+        )
+
+    def take(self, action: Action, path: str) -> Fault | None:
+        """Return the first fault of one action for a request."""
+        return self._take(
+            fault
+            for fault in self._faults
+            if fault.action is action and path.startswith(fault.match)
+        )
+
+    def _take(self, matching) -> Fault | None:
+        fault = next(matching, None)
+        if fault is not None and fault.count > 0:
+            fault.count -= 1
+            if fault.count == 0:
+                self._faults = [other for other in self._faults if other is not fault]
+        return fault
+
+
+class FaultMiddleware:
+    """Return each request's attempt id, and apply the faults to the answers."""
+
+    def __init__(self, app: ASGIApp, faults: FaultTable, clock: Clock):
+        self._app = app
+        self._faults = faults
+        self._clock = clock
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http" or scope["path"].startswith("/_"):
+            await self._app(scope, receive, send)
+            return
+        exchange = _Exchange(scope, receive, send)
+        fault = self._faults.take_answer_fault(scope["path"])
+        if fault is None:
+            await self._app(scope, receive, exchange.answer)
+        else:
+            await self._apply(fault, exchange)
+
+    async def _apply(self, fault: Fault, exchange: "_Exchange") -> None:
+        scope, receive = exchange.scope, exchange.receive
+        match fault.action:
+            case Action.REFUSE:
+                await exchange.refuse(fault.status)
+            case Action.SILENT:
+                await exchange.wait_for_disconnect()
+            case Action.DELAY:
+                # The body is read first, so that the request takes effect even
+                # when its client gives up during the delay.
+                receive = await exchange.read_body()
+                await self._wait(fault)
+                await self._app(scope, receive, exchange.answer)
+            case Action.LATE:
+                await self._app(scope, receive, self._late(fault, exchange))
+            case Action.DROP_AFTER_EFFECT:
+                await self._app(scope, receive, exchange.discard)
+                await exchange.close()
+            case Action.CUT:
+                await self._app(scope, receive, exchange.cut)
+            case Action.CROSSED:
+                exchange.attempt_id = OTHER_ATTEMPT_ID
+                await self._app(scope, receive, exchange.answer)
+
+    async def _wait(self, fault: Fault) -> None:
+        await self._clock.sleep_until(self._clock.now() + fault.seconds)
+
+    def _late(self, fault: Fault, exchange: "_Exchange") -> Send:
+        async def send(message: Message) -> None:
+            if message["type"] == "http.response.start":
+                await self._wait(fault)
+            await exchange.answer(message)
+
+        return send
+
+
+class _Exchange:
+    """Send, change or withhold the answer to one request."""
+
+    def __init__(self, scope: Scope, receive: Receive, send: Send):
+        self.scope = scope
+        self.receive = receive
+        self.attempt_id = dict(scope["headers"]).get(ATTEMPT_HEADER)
+        self._send = send
+        self._was_cut = False
+
+    async def answer(self, message: Message) -> None:
+        if message["type"] == "http.response.start" and self.attempt_id is not None:
+            headers = [*message.get("headers", []), (ATTEMPT_HEADER, self.attempt_id)]
+            message = {**message, "headers": headers}
+        await self._send(message)
+
+    async def read_body(self) -> Receive:
+        """Read the whole body, and return a `receive` that gives it again."""
+        message = await self.receive()
+        content = message.get("body", b"")
+        while message.get("more_body"):
+            message = await self.receive()
+            content += message.get("body", b"")
+        messages = [{"type": "http.request", "body": content}]
+
+        async def receive() -> Message:
+            return messages.pop() if messages else await self.receive()
+
+        return receive
+
+    async def discard(self, message: Message) -> None:
+        """Take a message of the answer without sending it."""
+
+    async def refuse(self, status: int) -> None:
+        body = msgspec.json.encode({"error": "refused by a fault"})
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await self.answer(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await self.answer({"type": "http.response.body", "body": body})
+
+    async def cut(self, message: Message) -> None:
+        """Send the head and half of the first part of the body, then close."""
+        if self._was_cut:
+            return
+        if message["type"] == "http.response.start":
+            await self.answer(message)
+            return
+        body = message.get("body", b"")
+        await self.answer(
+            {**message, "body": body[: len(body) // 2], "more_body": True}
+        )
+        self._was_cut = True
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connection without the rest of the answer.
+
+        ASGI has no message for it, so the transport of uvicorn is used.
+        """
+        self._send.__self__.transport.close()
+        await self.wait_for_disconnect()
+
+    async def wait_for_disconnect(self) -> None:
+        with anyio.move_on_after(3600):
+            while (await self.receive())["type"] != "http.disconnect":
+                pass
--- /dev/null
+++ b/standins/objects.py
@@ -0,0 +1,44 @@
+"""A stand-in for the object store, in memory."""
+
+from http import HTTPStatus
+from typing import Any
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+
+from standins.base import Standin, reply
+
+
+class ObjectsStandin(Standin):
+    """Keep objects; a name keeps its first content."""
+
+    def __init__(self, clock=None):
+        super().__init__(clock)
+        self._objects: dict[str, bytes] = {}
+
+    def routes(self) -> list[BaseRoute]:
+        """Return the routes of the object store."""
+        return [
+            Route("/objects/{name:path}", self._put, methods=["PUT"]),
+            Route("/objects/{name:path}", self._get, methods=["GET"]),
+        ]
+
+    def state(self) -> dict[str, Any]:
+        """Return the number and total size of the objects."""
+        size = sum(len(data) for data in self._objects.values())
+        return {"objects": len(self._objects), "bytes": size}
+
+    async def _put(self, request: Request) -> Response:
+        name, data = request.path_params["name"], await request.body()
+        if name not in self._objects:
+            self._objects[name] = data
+            return reply({}, HTTPStatus.CREATED)
+        same = self._objects[name] == data
+        return reply({}, HTTPStatus.OK if same else HTTPStatus.CONFLICT)
+
+    async def _get(self, request: Request) -> Response:
+        data = self._objects.get(request.path_params["name"])
+        if data is None:
+            return reply({}, HTTPStatus.NOT_FOUND)
+        return Response(data, media_type="application/octet-stream")
--- /dev/null
+++ b/standins/table.py
@@ -0,0 +1,106 @@
+"""A stand-in for the transactional table service, in memory."""
+
+from typing import Any
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+
+from standins.base import Standin, body, reply
+
+
+class _ReadBody(msgspec.Struct):
+    keys: list[str]
+
+
+class _ScanBody(msgspec.Struct):
+    prefix: str
+    after: str = ""
+    limit: int = 1000
+
+
+class _Check(msgspec.Struct):
+    key: str
+    version: int
+
+
+class _Write(msgspec.Struct):
+    key: str
+    value: dict[str, Any] | None
+
+
+class _Mutation(msgspec.Struct):
+    id: str
+    checks: list[_Check]
+    writes: list[_Write]
+
+
+class _CommitBody(msgspec.Struct):
+    mutations: list[_Mutation]
+
+
+class TableStandin(Standin):
+    """Keep rows; the versions of a key go on after it was deleted."""
+
+    def __init__(self, clock=None):
+        super().__init__(clock)
+        self._values: dict[str, dict[str, Any]] = {}
+        self._versions: dict[str, int] = {}
+        self._counts = {"reads": 0, "scans": 0, "commits": 0, "mutations": 0}
+
+    def routes(self) -> list[BaseRoute]:
+        """Return the routes of the table service."""
+        return [
+            Route("/read", self._read, methods=["POST"]),
+            Route("/scan", self._scan, methods=["POST"]),
+            Route("/commit", self._commit, methods=["POST"]),
+        ]
+
+    def state(self) -> dict[str, Any]:
+        """Return the counts of calls and rows."""
+        return {**self._counts, "rows": len(self._values)}
+
+    async def _read(self, request: Request) -> Response:
+        asked = await body(request, _ReadBody)
+        self._counts["reads"] += 1
+        return reply({"rows": [self._row(key) for key in asked.keys]})
+
+    async def _scan(self, request: Request) -> Response:
+        asked = await body(request, _ScanBody)
+        self._counts["scans"] += 1
+        keys = sorted(
+            key
+            for key in self._values
+            if key.startswith(asked.prefix) and key > asked.after
+        )
+        return reply({"rows": [self._row(key) for key in keys[: asked.limit]]})
+
+    async def _commit(self, request: Request) -> Response:
+        asked = await body(request, _CommitBody)
+        self._counts["commits"] += 1
+        self._counts["mutations"] += len(asked.mutations)
+        return reply({"outcomes": [self._apply(each) for each in asked.mutations]})
+
+    def _apply(self, mutation: _Mutation) -> dict[str, Any]:
+        conflicts = [
+            self._row(check.key)
+            for check in mutation.checks
+            if self._row(check.key)["version"] != check.version
+        ]
+        if not conflicts:
+            for write in mutation.writes:
+                self._write(write)
+        return {"applied": not conflicts, "conflicts": conflicts}
+
+    def _write(self, write: _Write) -> None:
+        self._versions[write.key] = self._versions.get(write.key, 0) + 1
+        if write.value is None:
+            self._values.pop(write.key, None)
+        else:
+            self._values[write.key] = write.value
+
+    def _row(self, key: str) -> dict[str, Any]:
+        value = self._values.get(key)
+        version = 0 if value is None else self._versions[key]
+        return {"key": key, "version": version, "value": value}
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapters to the platform."""
