--- /dev/null
+++ b/plantainstack/front/callers.py
@@ -0,0 +1,467 @@
+"""The callers' API: chat completions and calls to plain services."""
+
+import time
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from typing import Any, Literal
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+from sse_starlette.event import ServerSentEvent
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.front.answers import (
+    ATTEMPTS_HEADER,
+    error_content,
+    error_response,
+)
+from plantainstack.kernel import State
+from plantainstack.links.endpoint import DONE, HOP_HEADERS
+from plantainstack.platform.base import (
+    GenerateRequest,
+    Part,
+    PlainAnswer,
+    PlainRequest,
+    Priority,
+)
+from plantainstack.requests import RequestContext, new_id
+from plantainstack.services.dispatch import AttemptLog
+from plantainstack.settings.fleet import FleetOptions, Scope
+
+DEFAULT_MAX_TOKENS = 1024
+MAX_TOKENS_LIMIT = 131_072
+KEY_MAX_CHARACTERS = 255
+# Time for a slow reader to take the rest of an answer after the deadline.
+STALL_LIMIT_S = 30.0
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+_PRIVATE_HEADERS = HOP_HEADERS | {
+    "authorization",
+    "x-attempt-id",
+    "x-attempts",
+    "x-deadline-ms",
+    "x-instance",
+    "x-request-deadline",
+    "x-request-id",
+}
+
+
+class TextContent(msgspec.Struct, forbid_unknown_fields=True, tag="text"):
+    """Hold one part of a message that is given in parts."""
+
+    text: str
+
+
+class Message(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold one message of a conversation."""
+
+    role: Literal["system", "developer", "user", "assistant"]
+    content: str | list[TextContent]
+    name: str | None = None
+
+    def flat(self) -> dict[str, str]:
+        """Return the message with its content as one text."""
+        content = self.content
+        if not isinstance(content, str):
+            content = "".join(part.text for part in content)
+        return {"role": self.role, "content": content}
+
+
+class StreamOptions(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold the options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+class Completion(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold the body of a chat completion request."""
+
+    model: str
+    messages: list[Message]
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    seed: int | None = None
+    n: Literal[1] | None = None
+    user: str | None = None
+    temperature: float | None = None
+    top_p: float | None = None
+    frequency_penalty: float | None = None
+    presence_penalty: float | None = None
+    stop: str | list[str] | None = None
+
+    def token_limit(self) -> int:
+        """Return the most tokens to generate."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+
+    def sampling(self) -> dict[str, Any]:
+        """Return the options that engines interpret."""
+        names = (
+            "temperature",
+            "top_p",
+            "frequency_penalty",
+            "presence_penalty",
+            "stop",
+        )
+        values = {name: getattr(self, name) for name in names}
+        return {name: value for name, value in values.items() if value is not None}
+
+
+_COMPLETION_DECODER = msgspec.json.Decoder(Completion)
+
+
+class Reply:
+    """Build the JSON of a chat completion."""
+
+    def __init__(self, request_id: str, completion: Completion):
+        self._id = f"chatcmpl-{request_id}"
+        self._completion = completion
+        self._created = int(time.time())
+        self._tokens = 0
+        self._version: int | None = None
+
+    def add(self, part: Part) -> None:
+        """Count a part of the answer."""
+        self._tokens += part.tokens
+        self._version = part.version if part.version is not None else self._version
+
+    def whole(self, text: str) -> dict[str, Any]:
+        """Return the whole answer."""
+        message = {"role": "assistant", "content": text}
+        choice = {"index": 0, "message": message, "finish_reason": self._reason()}
+        return self._object("chat.completion", [choice], usage=self._usage())
+
+    def chunk(self, text: str, first: bool) -> dict[str, Any]:
+        """Return one chunk of a streamed answer."""
+        delta = {"role": "assistant", "content": text} if first else {"content": text}
+        choice = {"index": 0, "delta": delta, "finish_reason": None}
+        return self._object("chat.completion.chunk", [choice])
+
+    def last_chunks(self) -> list[dict[str, Any]]:
+        """Return the chunks that end a streamed answer."""
+        choice = {"index": 0, "delta": {}, "finish_reason": self._reason()}
+        chunks = [self._object("chat.completion.chunk", [choice])]
+        options = self._completion.stream_options
+        if options is not None and options.include_usage:
+            usage = self._usage()
+            chunks.append(self._object("chat.completion.chunk", [], usage=usage))
+        return chunks
+
+    def _reason(self) -> str:
+        return "length" if self._tokens >= self._completion.token_limit() else "stop"
+
+    def _usage(self) -> dict[str, int]:
+        return {
+            "prompt_tokens": 0,
+            "completion_tokens": self._tokens,
+            "total_tokens": self._tokens,
+        }
+
+    def _object(self, kind: str, choices: list, **more: Any) -> dict[str, Any]:
+        return {
+            "id": self._id,
+            "object": kind,
+            "created": self._created,
+            "model": self._completion.model,
+            "system_fingerprint": f"weights-{self._version}",
+            "choices": choices,
+            **more,
+        }
+
+
+class BoundedStream(StreamingResponse):
+    """Stream an answer, but not forever to a caller that does not read it."""
+
+    def __init__(self, content, limit_s: float, headers: dict[str, str]):
+        super().__init__(content, headers=headers, media_type="text/event-stream")
+        self._limit_s = limit_s
+
+    async def stream_response(self, send) -> None:
+        """Send the stream; raises TimeoutError when the caller does not read it."""
+        with anyio.fail_after(self._limit_s):
+            await super().stream_response(send)
+
+
+class Callers:
+    """Handle the requests of callers."""
+
+    def __init__(self, kernel):
+        self._kernel = kernel
+        self._dispatch = kernel.plugin("dispatch")
+        self._bookings = kernel.plugin("bookings")
+
+    async def complete(self, request: Request) -> Response:
+        """Answer a chat completion request."""
+        checked = await self._read(request, self._options(""))
+        if checked.is_err():
+            return error_response(checked.err_value)
+        body, deadline = checked.ok_value
+        parsed = _parse_completion(body)
+        if parsed.is_err():
+            return error_response(parsed.err_value)
+        completion = parsed.ok_value
+        ctx = self._context(request, completion.model, deadline)
+        self._record(ctx, "completion.received", stream=completion.stream)
+        log = AttemptLog()
+        parts = self._dispatch.generate(ctx, _generate_request(completion), log)
+        reply = Reply(ctx.request_id, completion)
+        if completion.stream:
+            return await self._streamed(ctx, reply, parts, log)
+        return await self._whole(request, reply, parts, log)
+
+    async def call(self, request: Request) -> Response:
+        """Answer a call to a plain service."""
+        service = request.path_params["service"]
+        options = self._options(service)
+        checked = await self._read(request, options)
+        if checked.is_err():
+            return error_response(checked.err_value)
+        body, deadline = checked.ok_value
+        key = _key(request, options)
+        if key.is_err():
+            return error_response(key.err_value)
+        ctx = self._context(request, service, deadline, key.ok_value)
+        self._record(ctx, "call.received", keyed=ctx.key is not None)
+        req = _plain_request(request, body)
+        log = AttemptLog()
+        if ctx.key is None:
+            repeatable = options.repeatable or req.method in SAFE_METHODS
+            result = await self._dispatch.call_plain(ctx, req, repeatable, log)
+        else:
+            result = await self._bookings.call(ctx, req, log)
+        if result.is_err():
+            return error_response(result.err_value, log.count)
+        return _plain_response(result.ok_value.answer, log.count)
+
+    async def _read(
+        self, request: Request, options: FleetOptions
+    ) -> Result[tuple[bytes, float], Failure]:
+        unready = self._unready()
+        if unready:
+            return Err(unready)
+        deadline = self._deadline(request, options)
+        if deadline.is_err():
+            return deadline
+        limit_s = deadline.ok_value - self._kernel.clock.now()
+        try:
+            with anyio.fail_after(limit_s):
+                body = await read_body(request, options.max_body)
+        except TimeoutError:
+            message = "the deadline passed before the whole request had arrived"
+            return Err(Failure.of(ErrorKind.DEADLINE_PASSED, message))
+        return body.map(lambda data: (data, deadline.ok_value))
+
+    def _unready(self) -> Failure | None:
+        reason = self._kernel.unready_reason()
+        if reason is None:
+            return None
+        draining = self._kernel.state is State.DRAINING
+        kind = ErrorKind.DRAINING if draining else ErrorKind.NOT_READY
+        return Failure.of(kind, f"the instance takes no new work: {reason}")
+
+    def _options(self, service: str) -> FleetOptions:
+        data_centre = self._kernel.settings.instance.data_centre
+        return self._kernel.config.scoped(Scope(service, data_centre))
+
+    def _deadline(
+        self, request: Request, options: FleetOptions
+    ) -> Result[float, Failure]:
+        clock = self._kernel.clock
+        text = request.headers.get("x-request-deadline")
+        if text is None:
+            return Ok(clock.now() + options.request_timeout)
+        if not text.isascii() or not text.isdigit() or len(text) > 15:
+            message = "X-Request-Deadline must be Unix milliseconds"
+            return Err(Failure.of(ErrorKind.BAD_REQUEST, message))
+        deadline = clock.deadline_from_wall(int(text) / 1000)
+        if deadline <= clock.now():
+            message = "X-Request-Deadline has passed"
+            return Err(Failure.of(ErrorKind.DEADLINE_PASSED, message))
+        return Ok(deadline)
+
+    def _context(
+        self, request: Request, service: str, deadline: float, key: str | None = None
+    ) -> RequestContext:
+        return RequestContext(
+            request.state.request_id,
+            request.state.holder.name,
+            service,
+            Priority.CALLER,
+            self._kernel.clock.now(),
+            deadline,
+            key,
+        )
+
+    def _record(self, ctx: RequestContext, event: str, **fields) -> None:
+        self._kernel.trace.record(
+            ctx.request_id, event, caller=ctx.caller, service=ctx.service, **fields
+        )
+
+    async def _whole(
+        self, request: Request, reply: Reply, parts, log: AttemptLog
+    ) -> Response:
+        outcome = await _unless_gone(request, lambda: _collect(parts, reply))
+        if outcome is None:
+            return Response(status_code=499)
+        if outcome.is_err():
+            return error_response(outcome.err_value, log.count)
+        headers = {ATTEMPTS_HEADER: str(log.count)}
+        return JSONResponse(reply.whole(outcome.ok_value), headers=headers)
+
+    async def _streamed(
+        self, ctx: RequestContext, reply: Reply, parts, log: AttemptLog
+    ) -> Response:
+        first = await anext(parts, None)
+        if first is not None and first.is_err():
+            await parts.aclose()
+            return error_response(first.err_value, log.count)
+        content = _events(first, parts, reply)
+        limit_s = ctx.deadline - self._kernel.clock.now() + STALL_LIMIT_S
+        headers = {ATTEMPTS_HEADER: str(log.count), "Cache-Control": "no-cache"}
+        return BoundedStream(content, limit_s, headers)
+
+
+def routes(kernel) -> list[Route]:
+    """Return the routes for callers."""
+    callers = Callers(kernel)
+    return [
+        Route("/v1/chat/completions", callers.complete, methods=["POST"]),
+        Route("/services/{service}/{path:path}", callers.call, methods=METHODS),
+    ]
+
+
+async def read_body(request: Request, limit: int) -> Result[bytes, Failure]:
+    """Read a request's body, up to a number of bytes."""
+    message = f"the body is limited to {limit} bytes"
+    too_large = Err(Failure.of(ErrorKind.BODY_TOO_LARGE, message))
+    length = request.headers.get("content-length", "0")
+    if int(length) > limit:
+        return too_large
+    chunks = []
+    size = 0
+    async for chunk in request.stream():
+        size += len(chunk)
+        if size > limit:
+            return too_large
+        chunks.append(chunk)
+    return Ok(b"".join(chunks))
+
+
+def _parse_completion(body: bytes) -> Result[Completion, Failure]:
+    try:
+        completion = _COMPLETION_DECODER.decode(body)
+    except msgspec.MsgspecError as exc:
+        return Err(Failure.of(ErrorKind.BAD_REQUEST, str(exc)))
+    problem = None
+    if not completion.messages:
+        problem = "messages must not be empty"
+    elif not 1 <= completion.token_limit() <= MAX_TOKENS_LIMIT:
+        problem = f"max_tokens must be between 1 and {MAX_TOKENS_LIMIT}"
+    if problem:
+        return Err(Failure.of(ErrorKind.BAD_REQUEST, problem))
+    return Ok(completion)
+
+
+def _generate_request(completion: Completion) -> GenerateRequest:
+    return GenerateRequest(
+        attempt_id=new_id(),
+        model=completion.model,
+        messages=[message.flat() for message in completion.messages],
+        max_tokens=completion.token_limit(),
+        priority=Priority.CALLER,
+        seed=completion.seed or 0,
+        sampling=completion.sampling(),
+    )
+
+
+def _key(request: Request, options: FleetOptions) -> Result[str | None, Failure]:
+    if request.method in SAFE_METHODS:
+        return Ok(None)
+    key = request.headers.get("idempotency-key")
+    if key is None:
+        if options.require_key and not options.repeatable:
+            message = "the service requires the header Idempotency-Key"
+            return Err(Failure.of(ErrorKind.KEY_REQUIRED, message))
+        return Ok(None)
+    if not 1 <= len(key) <= KEY_MAX_CHARACTERS or not key.isprintable():
+        message = f"Idempotency-Key must have 1 to {KEY_MAX_CHARACTERS} characters"
+        return Err(Failure.of(ErrorKind.BAD_REQUEST, message))
+    return Ok(key)
+
+
+def _plain_request(request: Request, body: bytes) -> PlainRequest:
+    rest = request.scope["raw_path"].split(b"/", 3)[3]
+    target = b"/" + rest
+    if request.scope["query_string"]:
+        target += b"?" + request.scope["query_string"]
+    headers = [
+        (name, value)
+        for name, value in request.headers.items()
+        if name not in _PRIVATE_HEADERS
+    ]
+    return PlainRequest(new_id(), request.method, target.decode("ascii"), headers, body)
+
+
+def _plain_response(answer: PlainAnswer, attempts: int) -> Response:
+    response = Response(answer.body, status_code=answer.status)
+    kept = [
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in answer.headers
+        if name.lower() not in _PRIVATE_HEADERS
+    ]
+    kept.append((b"content-length", str(len(answer.body)).encode()))
+    kept.append((ATTEMPTS_HEADER.lower().encode(), str(attempts).encode()))
+    response.raw_headers = kept
+    return response
+
+
+async def _collect(parts, reply: Reply) -> Result[str, Failure]:
+    texts = []
+    async with aclosing(parts):
+        async for part in parts:
+            if part.is_err():
+                return part
+            reply.add(part.ok_value)
+            texts.append(part.ok_value.text)
+    return Ok("".join(texts))
+
+
+async def _events(first, parts, reply: Reply) -> AsyncIterator[bytes]:
+    async with aclosing(parts):
+        part = first
+        while part is not None:
+            if part.is_err():
+                yield _event(error_content(part.err_value))
+                return
+            reply.add(part.ok_value)
+            yield _event(reply.chunk(part.ok_value.text, part is first))
+            part = await anext(parts, None)
+    for chunk in reply.last_chunks():
+        yield _event(chunk)
+    yield ServerSentEvent(DONE, sep="\n").encode()
+
+
+def _event(content: dict[str, Any]) -> bytes:
+    data = msgspec.json.encode(content).decode()
+    return ServerSentEvent(data, sep="\n").encode()
+
+
+async def _unless_gone(request: Request, work):
+    """Return the result of the work, or None once the caller has gone."""
+    result = None
+
+    async def watch() -> None:
+        while (await request.receive())["type"] != "http.disconnect":
+            pass
+        tasks.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch)
+        result = await work()
+        tasks.cancel_scope.cancel()
+    return result
--- /dev/null
+++ b/plantainstack/front/gate.py
@@ -0,0 +1,200 @@
+"""The outermost layer of the front: request ids, tokens, limits and counting."""
+
+import hashlib
+import re
+from enum import StrEnum
+from http import HTTPStatus
+from typing import NamedTuple
+
+import anyio
+from starlette.requests import ClientDisconnect
+
+from plantainstack import log
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.front.answers import ATTEMPTS_HEADER, error_response
+from plantainstack.requests import new_id
+from plantainstack.settings.instance import Tokens
+
+HEADERS_MAX_BYTES = 32 * 1024
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+
+
+class Role(StrEnum):
+    """Name who may use a path."""
+
+    CALLER = "callers"
+    TRAINER = "trainers"
+    OPERATOR = "operators"
+
+
+class Holder(NamedTuple):
+    """Name the holder of a token."""
+
+    role: Role
+    name: str
+
+
+class TokenBook:
+    """Find the holder of a token; only digests of the tokens are kept."""
+
+    def __init__(self, tokens: Tokens):
+        self._holders = {
+            _digest(token): Holder(role, name)
+            for role in Role
+            for token, name in getattr(tokens, role).items()
+        }
+
+    def holder(self, authorization: str | None) -> Holder | None:
+        """Return the holder of the bearer token in a header."""
+        scheme, _, token = (authorization or "").partition(" ")
+        if scheme.lower() != "bearer":
+            return None
+        return self._holders.get(_digest(token.strip()))
+
+
+class Gate:
+    """Wrap an ASGI application."""
+
+    def __init__(self, app, kernel, book: TokenBook, operators_only: bool = False):
+        self._app = app
+        self._kernel = kernel
+        self._book = book
+        self._operators_only = operators_only
+        self.in_flight = 0
+        self._idle = anyio.Event()
+
+    async def drained(self, deadline: float) -> None:
+        """Wait until no request is running, at the latest until the deadline."""
+        with anyio.move_on_after(max(0.0, deadline - self._kernel.clock.now())):
+            while self.in_flight:
+                self._idle = anyio.Event()
+                await self._idle.wait()
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] != "http":
+            return
+        headers = Headers(scope["headers"])
+        request_id = _request_id(headers)
+        answer = _Answer(send, request_id or new_id(), self._kernel)
+        scope.setdefault("state", {})["request_id"] = answer.request_id
+        self.in_flight += 1
+        try:
+            failure = self._failure(scope, headers, request_id)
+            app = error_response(failure) if failure else self._app
+            await self._guarded(app, scope, receive, answer)
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self._idle.set()
+
+    async def _guarded(self, app, scope, receive, answer: "_Answer") -> None:
+        try:
+            await app(scope, receive, answer.send)
+        except ClientDisconnect:
+            return
+        except Exception as exc:
+            log.event(
+                "front.failed", request_id=answer.request_id, error=type(exc).__name__
+            )
+            if answer.started:
+                raise
+            failure = Failure.of(ErrorKind.INTERNAL, "an internal error occurred")
+            await error_response(failure)(scope, receive, answer.send)
+
+    def _failure(
+        self, scope, headers: "Headers", request_id: str | None
+    ) -> Failure | None:
+        if headers.size > HEADERS_MAX_BYTES:
+            message = f"headers are limited to {HEADERS_MAX_BYTES} bytes"
+            return Failure.of(ErrorKind.HEADERS_TOO_LARGE, message)
+        if request_id == "":
+            message = "X-Request-Id must have 1 to 128 characters of A-Za-z0-9._:-"
+            return Failure.of(ErrorKind.BAD_REQUEST, message)
+        role = self._role(scope["path"])
+        if role is None:
+            return None
+        holder = self._book.holder(headers.get("authorization"))
+        if holder is None:
+            message = "a bearer token is missing or unknown"
+            return Failure.of(ErrorKind.UNAUTHENTICATED, message)
+        if holder.role is not role or not _owns(holder, scope["path"]):
+            message = "the token is not valid for this resource"
+            return Failure.of(ErrorKind.FORBIDDEN, message)
+        scope["state"]["holder"] = holder
+        return None
+
+    def _role(self, path: str) -> Role | None:
+        if self._operators_only:
+            return Role.OPERATOR
+        if path in ("/healthz", "/readyz", "/metrics"):
+            return None
+        if path.startswith("/v1/trainers/"):
+            return Role.TRAINER
+        return Role.CALLER
+
+
+class Headers:
+    """Read the headers of an ASGI scope."""
+
+    def __init__(self, raw: list[tuple[bytes, bytes]]):
+        self.size = sum(len(name) + len(value) + 4 for name, value in raw)
+        self._raw = raw
+
+    def get(self, name: str) -> str | None:
+        """Return the first value of a header."""
+        wanted = name.encode()
+        values = (value for key, value in self._raw if key == wanted)
+        value = next(values, None)
+        return None if value is None else value.decode("latin-1")
+
+
+class _Answer:
+    """Add the headers that every answer carries."""
+
+    def __init__(self, send, request_id: str, kernel):
+        self._send = send
+        self._kernel = kernel
+        self.request_id = request_id
+        self.started = False
+
+    async def send(self, message) -> None:
+        if message["type"] == "http.response.start":
+            self.started = True
+            message = message | {"headers": self._headers(message["headers"])}
+        await self._send(message)
+
+    def _headers(self, headers) -> list[tuple[bytes, bytes]]:
+        complete = list(headers)
+        complete.append((b"x-request-id", self.request_id.encode()))
+        instance_id = self._kernel.settings.instance.id
+        complete.append((b"x-instance", instance_id.encode()))
+        attempts = ATTEMPTS_HEADER.lower().encode()
+        if not any(name == attempts for name, _ in headers):
+            complete.append((attempts, b"0"))
+        return complete
+
+
+def _request_id(headers: Headers) -> str | None:
+    """Return the caller's id, None without one, or "" for one that is not valid."""
+    given = headers.get("x-request-id")
+    if given is None or _REQUEST_ID.fullmatch(given):
+        return given
+    return ""
+
+
+def _owns(holder: Holder, path: str) -> bool:
+    """Return whether a trainer's path names the trainer itself."""
+    if holder.role is not Role.TRAINER:
+        return True
+    return path.split("/")[3] == holder.name
+
+
+def _digest(token: str) -> bytes:
+    return hashlib.sha256(token.encode()).digest()
+
+
+def error_status(exc: BaseException | None) -> HTTPStatus:
+    """Return the status that fits a request which could not be parsed."""
+    hint = getattr(exc, "error_status_hint", HTTPStatus.BAD_REQUEST)
+    return HTTPStatus(hint)
--- /dev/null
+++ b/plantainstack/front/operators.py
@@ -0,0 +1,8 @@
+"""Routes for operators."""
+
+from starlette.routing import Route
+
+
+def routes(kernel) -> list[Route]:
+    """Return the routes, none so far."""
+    return []
--- /dev/null
+++ b/plantainstack/front/plugin.py
@@ -0,0 +1,57 @@
+"""The plug-in `front`, which serves callers, trainers and operators."""
+
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.routing import Route
+
+from plantainstack.front import callers, health, operators, trainers
+from plantainstack.front.answers import no_route
+from plantainstack.front.gate import Gate, TokenBook
+from plantainstack.front.server import FrontServer
+from plantainstack.plugins import Plugin
+
+
+class Front(Plugin):
+    """Listen on the instance's addresses and shut them down gracefully."""
+
+    name = "front"
+    requires = ("dispatch", "bookings")
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.gate: Gate | None = None
+        self.server: FrontServer | None = None
+        self.operator_server: FrontServer | None = None
+
+    async def start(self, tasks) -> None:
+        """Listen on both addresses."""
+        kernel = self.kernel
+        book = TokenBook(kernel.settings.tokens())
+        public = [
+            *health.routes(kernel),
+            *trainers.routes(kernel),
+            *callers.routes(kernel),
+        ]
+        self.gate = Gate(_application(public), kernel, book)
+        private = _application(operators.routes(kernel))
+        operator_gate = Gate(private, kernel, book, operators_only=True)
+        options = kernel.settings.instance
+        self.server = FrontServer(self.gate, options.listen)
+        self.operator_server = FrontServer(operator_gate, options.operator_listen)
+        for server in (self.server, self.operator_server):
+            tasks.start_soon(server.run_until_closed)
+
+    async def drain(self, deadline: float) -> None:
+        """Wait for running requests, while new work is answered with `draining`."""
+        await self.gate.drained(deadline)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self.server.close()
+        await self.operator_server.close()
+
+
+def _application(routes: list[Route]) -> Starlette:
+    app = Starlette(routes=routes, exception_handlers={HTTPException: no_route})
+    app.router.redirect_slashes = False
+    return app
--- /dev/null
+++ b/plantainstack/front/server.py
@@ -0,0 +1,91 @@
+"""The uvicorn server, run as one task of the kernel."""
+
+import contextlib
+import socket
+import sys
+
+import anyio
+import h11
+import uvicorn
+from starlette.responses import JSONResponse
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.front.answers import error_response
+from plantainstack.front.gate import error_status
+from plantainstack.settings.options import Address
+
+BACKLOG = 1024
+# Above the gate's limit, so that most oversized headers get the gate's answer.
+PARSER_LIMIT_BYTES = 64 * 1024
+
+
+class FrontProtocol(H11Protocol):
+    """Answer requests that cannot be parsed in the form of the error table."""
+
+    def send_400_response(self, msg: str) -> None:
+        """Send the error, unless an answer is under way on the connection."""
+        if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.transport.close()
+            return
+        answer = _unparsed(sys.exception())
+        event = h11.Response(
+            status_code=answer.status_code,
+            headers=[*answer.raw_headers, (b"connection", b"close")],
+        )
+        for part in (event, h11.Data(data=answer.body), h11.EndOfMessage()):
+            self.transport.write(self.conn.send(part))
+        self.transport.close()
+
+
+class FrontServer(uvicorn.Server):
+    """Serve one listening address, without signal handlers of its own."""
+
+    def __init__(self, app, address: Address):
+        config = uvicorn.Config(
+            app,
+            http=FrontProtocol,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            proxy_headers=False,
+            h11_max_incomplete_event_size=PARSER_LIMIT_BYTES,
+        )
+        super().__init__(config)
+        self._socket = _listen(address)
+        self.address = Address(*self._socket.getsockname()[:2])
+        self._ended = anyio.Event()
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leave signals to the kernel."""
+        yield
+
+    async def run_until_closed(self) -> None:
+        """Serve until `close`."""
+        try:
+            await self.serve([self._socket])
+        finally:
+            self._ended.set()
+
+    async def close(self) -> None:
+        """Stop listening, let running requests finish, and end."""
+        self.should_exit = True
+        await self._ended.wait()
+
+
+def _listen(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    return socket.create_server(
+        (address.host.strip("[]"), address.port), family=family, backlog=BACKLOG
+    )
+
+
+def _unparsed(exc: BaseException | None) -> JSONResponse:
+    if error_status(exc) == 431:
+        message = f"headers are limited to {PARSER_LIMIT_BYTES} bytes"
+        return error_response(Failure.of(ErrorKind.HEADERS_TOO_LARGE, message))
+    message = "the request is not valid HTTP"
+    return error_response(Failure.of(ErrorKind.BAD_REQUEST, message))
--- /dev/null
+++ b/plantainstack/links/endpoint.py
@@ -0,0 +1,421 @@
+"""HTTP adapters for endpoints, and the plug-in that owns their connections."""
+
+from collections.abc import AsyncIterator, Iterator
+from contextlib import aclosing
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+from result import Err, Ok, Result
+
+from plantainstack.clock import Clock
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.links.slots import (
+    ATTEMPT_HEADER,
+    Exchange,
+    Head,
+    SendRefused,
+    Slots,
+    Timeouts,
+)
+from plantainstack.platform.base import (
+    CacheEvent,
+    Engine,
+    EngineStatus,
+    GenerateRequest,
+    InstanceRecord,
+    Order,
+    Part,
+    PlainAnswer,
+    PlainRequest,
+    PlainService,
+)
+from plantainstack.plugins import Plugin
+from plantainstack.settings.fleet import FleetOptions, Scope
+
+CONTROL_TIMEOUT_S = 2.0
+END_OF_BODY_GRACE_S = 0.05
+DONE = "[DONE]"
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_CONNECTION_ERRORS = (
+    SendRefused,
+    TimeoutError,
+    OSError,
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+)
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = []
+    tokens: int = 0
+    weight_version: int | None = None
+    error: Any = None
+
+
+_CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
+
+
+class EventDecoder:
+    """Split a byte stream into the data of server-sent events."""
+
+    def __init__(self):
+        self._rest = b""
+        self._data: list[str] = []
+
+    def feed(self, chunk: bytes) -> Iterator[str]:
+        """Yield the data of each event that the chunk completes."""
+        *lines, self._rest = (self._rest + chunk).split(b"\n")
+        for raw in lines:
+            line = raw.rstrip(b"\r")
+            if line.startswith(b"data:"):
+                self._data.append(line[5:].lstrip(b" ").decode("utf-8", "replace"))
+            elif not line and self._data:
+                yield "\n".join(self._data)
+                self._data = []
+
+
+class _Endpoint:
+    """Send requests to one endpoint."""
+
+    def __init__(
+        self, slots: Slots, clock: Clock, options: FleetOptions, fresh: bool = False
+    ):
+        self._slots = slots
+        self._clock = clock
+        self._options = options
+        self._fresh = fresh
+
+    def _exchange(self, deadline: float) -> Exchange:
+        return Exchange(self._clock, deadline)
+
+    def _open(self, head: Head, exchange: Exchange):
+        remaining = max(0.0, exchange.remaining())
+        timeouts = Timeouts(
+            min(self._options.connect_timeout, remaining),
+            min(self._options.progress_timeout, remaining),
+        )
+        return self._slots.exchange(head, exchange, timeouts, self._fresh)
+
+    def _check_id(self, sent: str, headers, exchange: Exchange) -> Failure | None:
+        returned = _header(headers, ATTEMPT_HEADER)
+        if returned == sent:
+            return None
+        if returned is None and not self._options.echoes_request_id:
+            return None
+        message = "the answer carries the id of another attempt, or none"
+        return exchange.failure(ErrorKind.ANSWER_CROSSED, message)
+
+    async def _read(self, head: Head, exchange: Exchange, attempt_id: str | None):
+        answering = False
+        try:
+            with anyio.fail_after(max(0.0, exchange.remaining())):
+                async with self._open(head, exchange) as response:
+                    answering = True
+                    if attempt_id is not None:
+                        crossed = self._check_id(attempt_id, response.headers, exchange)
+                        if crossed:
+                            return Err(crossed)
+                    return Ok(PlainAnswer(*await _whole(response)))
+        except _CONNECTION_ERRORS as exc:
+            failure = exchange.from_exception(exc, answering)
+            if failure.kind is ErrorKind.ANSWER_TIMEOUT:
+                await self._slots.close_idle()
+            return Err(failure)
+
+
+class HttpPlainService(_Endpoint, PlainService):
+    """Call one endpoint of a plain service."""
+
+    async def call(
+        self, req: PlainRequest, deadline: float
+    ) -> Result[PlainAnswer, Failure]:
+        """Return the whole answer."""
+        headers = [
+            (name, value)
+            for name, value in req.headers
+            if name.lower() not in HOP_HEADERS
+        ]
+        headers.append((ATTEMPT_HEADER, req.attempt_id))
+        headers.append(("X-Deadline-Ms", _wall_ms(self._clock, deadline)))
+        head = Head(req.method, req.path, headers, req.body)
+        return await self._read(head, self._exchange(deadline), req.attempt_id)
+
+
+class HttpEngine(_Endpoint, Engine):
+    """Use one model engine."""
+
+    async def generate(
+        self, req: GenerateRequest, deadline: float
+    ) -> AsyncIterator[Result[Part, Failure]]:
+        """Yield parts until the end marker; a failure ends the stream."""
+        exchange = self._exchange(deadline)
+        head = Head(
+            "POST",
+            "/v1/chat/completions",
+            [
+                ("Content-Type", "application/json"),
+                (ATTEMPT_HEADER, req.attempt_id),
+                ("X-Deadline-Ms", _wall_ms(self._clock, deadline)),
+            ],
+            _completion_body(req),
+        )
+        answering = False
+        try:
+            async with self._open(head, exchange) as response:
+                answering = True
+                refused = self._refused(req, response, exchange)
+                if refused:
+                    yield Err(refused)
+                    return
+                async with aclosing(self._parts(response, exchange)) as parts:
+                    async for part in parts:
+                        yield part
+        except _CONNECTION_ERRORS as exc:
+            failure = exchange.from_exception(exc, answering)
+            if failure.kind is ErrorKind.ANSWER_TIMEOUT:
+                await self._slots.close_idle()
+            yield Err(failure)
+
+    def _refused(self, req, response, exchange: Exchange) -> Failure | None:
+        if response.status == 503:
+            message = "the engine refused the request"
+            return Failure.of(ErrorKind.ENDPOINT_REFUSED, message)
+        crossed = self._check_id(req.attempt_id, response.headers, exchange)
+        if crossed or response.status == 200:
+            return crossed
+        message = f"the engine answered with status {response.status}"
+        if 400 <= response.status < 500:
+            return Failure.of(ErrorKind.BAD_REQUEST, message)
+        return exchange.failure(ErrorKind.ENDPOINT_FAILED, message)
+
+    async def _parts(self, response, exchange: Exchange):
+        decoder = EventDecoder()
+        body = aiter(response.stream)
+        while True:
+            try:
+                with anyio.fail_after(max(0.0, exchange.remaining())):
+                    chunk = await anext(body)
+            except StopAsyncIteration:
+                message = "the stream ended without its end marker"
+                yield Err(exchange.failure(ErrorKind.ANSWER_TRUNCATED, message))
+                return
+            for data in decoder.feed(chunk):
+                if data == DONE:
+                    await _finish(body)
+                    return
+                part = _part(data, exchange)
+                yield part
+                if part.is_err():
+                    return
+
+    async def status(self) -> Result[EngineStatus, Failure]:
+        """Return the engine's report, which may lag."""
+        answer = await self._control("GET", "/load")
+        return answer.and_then(_engine_status)
+
+    async def order(self, order: Order) -> Result[EngineStatus, Failure]:
+        """Start to load a version; a refused fencing number is `lease_lost`."""
+        answer = await self._control("POST", "/orders", order._asdict())
+        return answer.and_then(_engine_status)
+
+    async def cancel(self, attempt_id: str) -> Result[None, Failure]:
+        """Stop a running completion."""
+        answer = await self._control("POST", "/cancel", {"attempt_id": attempt_id})
+        return answer.map(lambda _: None)
+
+    async def cache_events(self, after: int) -> Result[list[CacheEvent], Failure]:
+        """Return cache events behind a number; there may be gaps."""
+        answer = await self._control("GET", f"/cache/events?after={after}")
+        return answer.and_then(_cache_events)
+
+    async def export_kv(self, attempt_id: str) -> Result[bytes, Failure]:
+        """Return the KV cache of a running completion."""
+        return await self._control("GET", f"/kv/{attempt_id}")
+
+    async def import_kv(self, attempt_id: str, data: bytes) -> Result[None, Failure]:
+        """Load the KV cache of a completion that is to be resumed."""
+        answer = await self._control("PUT", f"/kv/{attempt_id}", data)
+        return answer.map(lambda _: None)
+
+    async def _control(
+        self, method: str, target: str, content: dict | bytes = b""
+    ) -> Result[bytes, Failure]:
+        body = content if isinstance(content, bytes) else msgspec.json.encode(content)
+        kind = "application/octet-stream" if content is body else "application/json"
+        head = Head(method, target, [("Content-Type", kind)], body)
+        exchange = self._exchange(self._clock.now() + CONTROL_TIMEOUT_S)
+        answer = await self._read(head, exchange, None)
+        return answer.and_then(_control_answer)
+
+
+class EndpointLinks(Plugin):
+    """Own the connections to all endpoints."""
+
+    name = "links"
+
+    def __init__(self, kernel, backend: httpcore.AsyncNetworkBackend | None = None):
+        super().__init__(kernel)
+        self._backend = backend or httpcore.AnyIOBackend()
+        self._slots: dict[tuple, Slots] = {}
+        self._tasks = None
+
+    async def start(self, tasks) -> None:
+        """Keep the task group, in which connections are closed."""
+        self._tasks = tasks
+
+    def engine(self, record: InstanceRecord) -> Engine:
+        """Return the adapter for a model engine."""
+        return HttpEngine(*self._parts_of(record))
+
+    def plain(self, record: InstanceRecord, fresh: bool = False) -> PlainService:
+        """Return the adapter for an endpoint of a plain service.
+
+        A fresh connection avoids idle ones whose state a component on the way
+        may have lost, at the price of one round trip.
+        """
+        return HttpPlainService(*self._parts_of(record), fresh=fresh)
+
+    def on_endpoints(self, records) -> None:
+        """Forget the connections to endpoints that are gone."""
+        present = {(record.id, record.address) for record in records}
+        for key in set(self._slots) - present:
+            slots = self._slots.pop(key)
+            if self._tasks is not None:
+                self._tasks.start_soon(slots.close_idle)
+
+    async def stop(self) -> None:
+        """Close all idle connections."""
+        for slots in self._slots.values():
+            await slots.close_idle()
+
+    def _parts_of(self, record: InstanceRecord):
+        key = (record.id, record.address)
+        if key not in self._slots:
+            self._slots[key] = Slots(record.address, self._backend)
+        scope = Scope(record.service, record.data_centre, record.id)
+        options = self.kernel.config.scoped(scope)
+        return self._slots[key], self.kernel.clock, options
+
+
+async def _whole(response) -> tuple[int, list[tuple[str, str]], bytes]:
+    body = b"".join([chunk async for chunk in response.stream])
+    headers = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in response.headers
+    ]
+    return response.status, headers, body
+
+
+async def _finish(body) -> None:
+    """Read what follows the end marker, so that the connection can be kept."""
+    with anyio.move_on_after(END_OF_BODY_GRACE_S):
+        async for _ in body:
+            pass
+
+
+def _header(headers, name: str) -> str | None:
+    wanted = name.lower().encode()
+    found = (value for key, value in headers if key.lower() == wanted)
+    value = next(found, None)
+    return None if value is None else value.decode("latin-1")
+
+
+def _wall_ms(clock: Clock, deadline: float) -> str:
+    return str(int(clock.wall_from_deadline(deadline) * 1000))
+
+
+def _completion_body(req: GenerateRequest) -> bytes:
+    content = req._asdict() | (req.sampling or {}) | {"stream": True}
+    del content["attempt_id"], content["sampling"]
+    return msgspec.json.encode(content)
+
+
+def _part(data: str, exchange: Exchange) -> Result[Part, Failure]:
+    try:
+        chunk = _CHUNK_DECODER.decode(data)
+    except msgspec.MsgspecError:
+        message = "the engine sent a chunk that is not valid"
+        return Err(exchange.failure(ErrorKind.ENDPOINT_FAILED, message))
+    if chunk.error is not None:
+        message = "the engine reported an error in its stream"
+        return Err(exchange.failure(ErrorKind.ENDPOINT_FAILED, message))
+    text = "".join(choice.delta.content or "" for choice in chunk.choices)
+    return Ok(Part(text, chunk.tokens, chunk.weight_version))
+
+
+def _control_answer(answer: PlainAnswer) -> Result[bytes, Failure]:
+    if 200 <= answer.status < 300:
+        return Ok(answer.body)
+    message = f"the engine answered with status {answer.status}"
+    kinds = {
+        503: ErrorKind.ENDPOINT_REFUSED,
+        409: ErrorKind.LEASE_LOST,
+        404: ErrorKind.NOT_FOUND,
+    }
+    return Err(Failure.of(kinds.get(answer.status, ErrorKind.ENDPOINT_FAILED), message))
+
+
+def _decode(body: bytes, kind) -> Result[Any, Failure]:
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError:
+        message = "the engine's answer is not valid"
+        return Err(Failure.of(ErrorKind.ENDPOINT_FAILED, message))
+
+
+class _Status(msgspec.Struct):
+    model: str
+    version: int
+    loading: int | None
+    running: int
+    queued: int
+    leaving: bool
+    fence: int
+
+
+class _Event(msgspec.Struct):
+    number: int
+    prefix_hash: str
+    stored: bool
+
+
+class _EventList(msgspec.Struct):
+    events: list[_Event]
+
+
+def _engine_status(body: bytes) -> Result[EngineStatus, Failure]:
+    decoded = _decode(body, _Status)
+    return decoded.map(lambda found: EngineStatus(*msgspec.structs.astuple(found)))
+
+
+def _cache_events(body: bytes) -> Result[list[CacheEvent], Failure]:
+    decoded = _decode(body, _EventList)
+    return decoded.map(
+        lambda found: [
+            CacheEvent(*msgspec.structs.astuple(event)) for event in found.events
+        ]
+    )
--- a/plantainstack/platform/base.py
+++ b/plantainstack/platform/base.py
@@ -144,7 +144,10 @@
 
 
 class GenerateRequest(NamedTuple):
-    """Ask an engine for a completion; `prefix` is text to resume from."""
+    """Ask an engine for a completion; `prefix` is text to resume from.
+
+    `sampling` holds the caller's further options, such as the temperature.
+    """
 
     attempt_id: str
     model: str
@@ -153,6 +156,7 @@
     priority: Priority
     seed: int = 0
     prefix: str = ""
+    sampling: dict[str, Any] | None = None
 
 
 class Part(NamedTuple):
--- a/plantainstack/requests.py
+++ b/plantainstack/requests.py
@@ -3,6 +3,7 @@
 import uuid
 from typing import NamedTuple
 
+from plantainstack.clock import Clock
 from plantainstack.platform.base import Priority
 
 
@@ -19,6 +20,28 @@
     group: str | None = None
 
 
+class DeadlineGuard:
+    """Check a deadline by the monotonic clock and by wall time.
+
+    The monotonic clock may stand still while a machine is suspended, so either
+    clock is enough to end a request.
+    """
+
+    def __init__(self, clock: Clock, deadline: float):
+        self._clock = clock
+        self._deadline = deadline
+        self._wall = clock.wall_from_deadline(deadline)
+
+    def expired(self) -> bool:
+        """Return whether the deadline has passed by either clock."""
+        return self.remaining() <= 0
+
+    def remaining(self) -> float:
+        """Return the seconds until the deadline, by the clock that shows fewer."""
+        monotonic = self._deadline - self._clock.now()
+        return min(monotonic, self._wall - self._clock.wall())
+
+
 def new_id() -> str:
     """Return a new id for a request or an attempt."""
     return uuid.uuid4().hex
--- /dev/null
+++ b/tests/links/test_endpoint.py
@@ -0,0 +1,194 @@
+"""Tests of the HTTP adapters for endpoints, against scripted connections."""
+
+import re
+
+import httpcore
+import pytest
+
+from plantainstack.clock import FakeClock
+from plantainstack.errors import ErrorKind, Outcome
+from plantainstack.kernel import Kernel
+from plantainstack.links.endpoint import EndpointLinks, EventDecoder
+from plantainstack.platform.base import (
+    EngineStatus,
+    GenerateRequest,
+    PlainRequest,
+    Priority,
+)
+from tests.fakes import ScriptedBackend, record
+
+pytestmark = pytest.mark.anyio
+
+CALL = PlainRequest("a1", "POST", "/book", [("Connection", "x")], b"{}")
+GENERATE = GenerateRequest("a1", "m", [], 8, Priority.CALLER)
+CHUNK = b'data: {"choices":[{"delta":{"content":"hi"}}],"tokens":1,"weight_version":3}'
+
+
+def answer(body=b"ok", attempt=None, status=200, length=None):
+    """Return a step that answers with the attempt id of the request."""
+
+    def step(sent):
+        sent_id = re.findall(rb"X-Attempt-Id: (\S+)", sent)[-1].decode()
+        size = len(body) if length is None else length
+        head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {attempt or sent_id}\r\n"
+        return f"{head}Content-Length: {size}\r\n\r\n".encode() + body
+
+    return step
+
+
+def links(*scripts):
+    """Return the plug-in with a scripted back end, a fake clock, and both."""
+    clock = FakeClock()
+    kernel = Kernel(None, [], clock)
+    backend = ScriptedBackend(*scripts)
+    return EndpointLinks(kernel, backend), backend, clock
+
+
+async def call(plugin, clock, req=CALL, seconds=5.0):
+    return await plugin.plain(record("p1")).call(req, clock.now() + seconds)
+
+
+@pytest.mark.parametrize(
+    ("script", "kind", "outcome"),
+    [
+        (httpcore.ConnectError(), ErrorKind.ENDPOINT_REFUSED, Outcome.NOT_RUN),
+        (httpcore.ConnectTimeout(), ErrorKind.ENDPOINT_REFUSED, Outcome.NOT_RUN),
+        ([b""], ErrorKind.ENDPOINT_FAILED, Outcome.MAY_HAVE_RUN),
+        ([httpcore.ReadError()], ErrorKind.ENDPOINT_FAILED, Outcome.MAY_HAVE_RUN),
+        ([httpcore.ReadTimeout()], ErrorKind.ANSWER_TIMEOUT, Outcome.MAY_HAVE_RUN),
+        ([b"nonsense\r\n\r\n"], ErrorKind.ENDPOINT_FAILED, Outcome.MAY_HAVE_RUN),
+        ([answer(length=9)], ErrorKind.ANSWER_TRUNCATED, Outcome.MAY_HAVE_RUN),
+        ([answer(attempt="b2")], ErrorKind.ANSWER_CROSSED, Outcome.MAY_HAVE_RUN),
+        (
+            [answer(length=9), httpcore.ReadTimeout()],
+            ErrorKind.ANSWER_TIMEOUT,
+            Outcome.MAY_HAVE_RUN,
+        ),
+        (
+            [b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"],
+            ErrorKind.ANSWER_CROSSED,
+            Outcome.MAY_HAVE_RUN,
+        ),
+    ],
+)
+async def test_failed_calls_name_their_kind_and_outcome(script, kind, outcome):
+    """Guards against a `not_run` after a byte was sent, and a wrong answer."""
+    plugin, backend, clock = links(script)
+    result = await call(plugin, clock)
+    assert (result.err_value.kind, result.err_value.outcome) == (kind, outcome)
+    assert all(stream.closed for stream in backend.streams)
+
+
+async def test_a_finished_exchange_leaves_its_connection_for_the_next():
+    plugin, backend, clock = links([answer(b"one"), answer(b"two")])
+    assert (await call(plugin, clock)).ok_value.body == b"one"
+    second = await call(plugin, clock, CALL._replace(attempt_id="a2"))
+    assert second.ok_value.body == b"two"
+    assert len(backend.streams) == 1
+
+
+async def test_an_abandoned_exchange_closes_its_connection():
+    """Guards against a late answer that reaches the next request."""
+    plugin, backend, clock = links(
+        [answer(length=9), httpcore.ReadTimeout()], [answer(b"two")]
+    )
+    assert (await call(plugin, clock)).is_err()
+    assert (await call(plugin, clock)).ok_value.body == b"two"
+    assert [stream.closed for stream in backend.streams] == [True, False]
+
+
+async def test_silence_closes_the_idle_connections_to_the_endpoint():
+    """Guards against further requests on connections that lost their state."""
+    plugin, backend, clock = links(
+        [answer()], [httpcore.ReadTimeout()], [answer(b"new")]
+    )
+    assert (await call(plugin, clock)).is_ok()
+    service = plugin.plain(record("p1"), fresh=True)
+    assert (await service.call(CALL, clock.now() + 5)).is_err()
+    assert (await call(plugin, clock)).ok_value.body == b"new"
+    assert [stream.closed for stream in backend.streams] == [True, True, False]
+
+
+@pytest.mark.parametrize("frozen_s", [6.0, 600.0])
+async def test_a_process_frozen_before_the_first_byte_sends_nothing(frozen_s):
+    """Guards against a call that a woken process sends after its deadline."""
+    plugin, backend, clock = links([answer()])
+    backend.on_connect = lambda: clock.jump(frozen_s)
+    failure = (await call(plugin, clock)).err_value
+    assert failure.kind is ErrorKind.DEADLINE_PASSED
+    assert failure.outcome is Outcome.NOT_RUN
+    assert backend.streams[0].sent == b""
+
+
+async def test_hop_by_hop_headers_are_not_forwarded():
+    plugin, backend, clock = links([answer()])
+    await call(plugin, clock)
+    assert b"Connection" not in backend.streams[0].sent
+    assert b"X-Attempt-Id: a1\r\n" in backend.streams[0].sent
+
+
+def stream(*lines, attempt=None, status=200):
+    """Return a step that answers with events, as a body that ends with them."""
+    body = b"".join(line + b"\n\n" for line in lines)
+    return answer(body, attempt, status)
+
+
+async def parts_of(plugin, clock):
+    engine = plugin.engine(record("e1"))
+    return [part async for part in engine.generate(GENERATE, clock.now() + 5)]
+
+
+async def test_a_stream_with_its_end_marker_is_complete():
+    plugin, backend, clock = links([stream(CHUNK, CHUNK, b"data: [DONE]")])
+    parts = await parts_of(plugin, clock)
+    assert [part.ok_value for part in parts] == [("hi", 1, 3)] * 2
+    assert not backend.streams[0].closed
+
+
+@pytest.mark.parametrize(
+    ("script", "kind"),
+    [
+        ([stream(CHUNK)], ErrorKind.ANSWER_TRUNCATED),
+        ([answer(CHUNK, length=999)], ErrorKind.ANSWER_TRUNCATED),
+        (
+            [answer(CHUNK, length=999), httpcore.ReadTimeout()],
+            ErrorKind.ANSWER_TIMEOUT,
+        ),
+        ([stream(CHUNK, attempt="b2")], ErrorKind.ANSWER_CROSSED),
+        ([stream(b"data: {")], ErrorKind.ENDPOINT_FAILED),
+        ([stream(b'data: {"error": "x"}')], ErrorKind.ENDPOINT_FAILED),
+        ([stream(status=503)], ErrorKind.ENDPOINT_REFUSED),
+        ([stream(status=422)], ErrorKind.BAD_REQUEST),
+        ([stream(status=500)], ErrorKind.ENDPOINT_FAILED),
+        (httpcore.ConnectError(), ErrorKind.ENDPOINT_REFUSED),
+    ],
+)
+async def test_a_stream_that_is_not_complete_ends_with_a_failure(script, kind):
+    """Guards against a truncated or foreign stream that looks complete."""
+    plugin, _backend, clock = links(script)
+    parts = await parts_of(plugin, clock)
+    assert parts[-1].err_value.kind is kind
+    assert all(part.is_ok() for part in parts[:-1])
+
+
+async def test_the_report_of_an_engine_is_checked():
+    body = (
+        b'{"model":"m","version":3,"loading":null,"running":1,"queued":0,'
+        b'"leaving":false,"fence":2,"more":1}'
+    )
+    head = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n"
+    plugin, _, _ = links([head % len(body) + body, head % 2 + b"{}"])
+    engine = plugin.engine(record("e1"))
+    assert (await engine.status()).ok_value == EngineStatus(
+        "m", 3, None, 1, 0, False, 2
+    )
+    assert (await engine.status()).err_value.kind is ErrorKind.ENDPOINT_FAILED
+
+
+@pytest.mark.parametrize("size", [1, 3, 100])
+def test_events_may_arrive_in_pieces_of_any_size(size):
+    data = b": ping\n\ndata: a\ndata: b\r\n\r\ndata: \xc3\xa6\n\n"
+    decoder = EventDecoder()
+    pieces = [data[at : at + size] for at in range(0, len(data), size)]
+    events = [event for piece in pieces for event in decoder.feed(piece)]
+    assert events == ["a\nb", "æ"]
--- /dev/null
+++ b/tests/services/test_dispatch.py
@@ -0,0 +1,203 @@
+"""Tests of dispatching: retries, resumption, admission and draining."""
+
+import anyio
+import pytest
+from result import Ok
+
+from plantainstack.clock import FakeClock
+from plantainstack.errors import ErrorKind, Outcome
+from plantainstack.kernel import PAUSE_LIMIT_S
+from plantainstack.platform.base import GenerateRequest, PlainRequest, Priority
+from plantainstack.policy.limits import OpenAdmission
+from plantainstack.policy.retries import FixedRetries
+from plantainstack.policy.routing import RoundRobinRouter
+from plantainstack.requests import RequestContext
+from plantainstack.services.dispatch import AttemptLog, Policies
+from tests.fakes import (
+    BROKEN,
+    CROSSED,
+    LATE,
+    REFUSED,
+    TRUNCATED,
+    endpoints,
+    serving_kernel,
+)
+
+pytestmark = pytest.mark.anyio
+
+CALL = PlainRequest("a1", "POST", "/book", [], b"body")
+GENERATE = GenerateRequest("a1", "m", [], 8, Priority.CALLER)
+
+
+def context(clock, service="booking-app", seconds=5.0):
+    now = clock.now()
+    return RequestContext("r1", "c", service, Priority.CALLER, now, now + seconds)
+
+
+def dispatching():
+    """Return a dispatch plug-in, its fake links and the fake clock."""
+    clock = FakeClock()
+    kernel = serving_kernel(clock)
+    return kernel.plugin("dispatch"), kernel.plugin("links"), clock
+
+
+@pytest.mark.parametrize(
+    ("script", "repeatable", "kind", "outcome", "attempts"),
+    [
+        ([], False, None, None, 1),
+        ([REFUSED], False, None, None, 2),
+        ([LATE], False, ErrorKind.ANSWER_TIMEOUT, Outcome.MAY_HAVE_RUN, 1),
+        ([BROKEN], False, ErrorKind.ENDPOINT_FAILED, Outcome.MAY_HAVE_RUN, 1),
+        ([CROSSED], False, ErrorKind.ANSWER_CROSSED, Outcome.MAY_HAVE_RUN, 1),
+        ([REFUSED, TRUNCATED], False, ErrorKind.ANSWER_TRUNCATED, None, 2),
+        ([REFUSED] * 3, False, ErrorKind.ENDPOINT_REFUSED, Outcome.NOT_RUN, 3),
+        ([LATE, CROSSED], True, None, None, 3),
+        # The last attempt did not run, but the first one may have.
+        ([LATE, REFUSED, REFUSED], True, ErrorKind.ENDPOINT_REFUSED, None, 3),
+    ],
+)
+async def test_calls_are_repeated_only_where_that_is_safe(
+    script, repeatable, kind, outcome, attempts
+):
+    """Guards against a second run, and against a `not_run` that is not true."""
+    dispatch, links, clock = dispatching()
+    links.fake_plain.script = list(script)
+    log = AttemptLog()
+    result = await dispatch.call_plain(context(clock), CALL, repeatable, log)
+    assert log.count == attempts
+    if kind is None:
+        assert result.ok_value.answer.body == b"body"
+    else:
+        expected = outcome or Outcome.MAY_HAVE_RUN
+        assert (result.err_value.kind, result.err_value.outcome) == (kind, expected)
+    assert len({call.attempt_id for call in links.fake_plain.calls}) == attempts
+    if not repeatable:
+        assert len(links.fake_plain.runs) <= 1
+
+
+@pytest.mark.parametrize("failed", [LATE, CROSSED, TRUNCATED, BROKEN])
+async def test_an_interrupted_stream_is_resumed_from_its_text(failed):
+    """Guards against a stream that is cut short, or begins anew."""
+    dispatch, links, clock = dispatching()
+    links.fake_engine.script = [["one ", failed], ["two"]]
+    parts = dispatch.generate(context(clock, "raadgiver-llm"), GENERATE)
+    assert [part.ok_value.text async for part in parts] == ["one ", "two"]
+    second = links.fake_engine.requests[1]
+    assert (second.prefix, second.max_tokens) == ("one ", 7)
+
+
+async def test_a_stream_that_cannot_be_resumed_ends_with_a_failure():
+    """Guards against a truncated answer that looks complete."""
+    dispatch, links, clock = dispatching()
+    links.fake_engine.script = [["one ", TRUNCATED], [REFUSED], [REFUSED]]
+    ctx = context(clock, "raadgiver-llm")
+    parts = [part async for part in dispatch.generate(ctx, GENERATE)]
+    assert parts[0].is_ok()
+    assert parts[1].err_value.kind is ErrorKind.ENDPOINT_REFUSED
+    assert parts[1].err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    ("frozen_s", "kind"),
+    [(PAUSE_LIMIT_S + 1, ErrorKind.NOT_READY), (9.0, ErrorKind.NOT_READY)],
+)
+async def test_a_process_that_was_frozen_admits_nothing(frozen_s, kind):
+    """Guards against work that is admitted with a stale configuration."""
+    dispatch, links, clock = dispatching()
+    ctx = context(clock)
+    clock.jump(frozen_s)
+    failure = (await dispatch.call_plain(ctx, CALL, False)).err_value
+    assert (failure.kind, failure.outcome) == (kind, Outcome.NOT_RUN)
+    assert links.fake_plain.calls == []
+
+
+async def test_an_abandoned_stream_stops_its_engine_and_frees_the_request():
+    dispatch, links, clock = dispatching()
+    parts = dispatch.generate(context(clock, "raadgiver-llm"), GENERATE)
+    assert (await anext(parts)).is_ok()
+    await parts.aclose()
+    assert (links.fake_engine.cancelled, dispatch.in_flight) == (1, 0)
+
+
+async def test_draining_waits_for_a_running_stream():
+    """Guards against a shutdown that interrupts a stream."""
+    dispatch, links, clock = dispatching()
+    links.fake_engine.gate = anyio.Event()
+    seen = []
+
+    async def read():
+        parts = dispatch.generate(context(clock, "raadgiver-llm"), GENERATE)
+        seen.extend([part async for part in parts])
+
+    async def drain():
+        await dispatch.drain(clock.now() + 60)
+        seen.append("drained")
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(read)
+        await anyio.wait_all_tasks_blocked()
+        tasks.start_soon(drain)
+        await anyio.wait_all_tasks_blocked()
+        assert seen == []
+        links.fake_engine.gate.set()
+    assert len(seen) == 3
+    assert seen[-1] == "drained"
+
+
+class QueueingAdmission(OpenAdmission):
+    """Queue every request until a test decides."""
+
+    def __init__(self):
+        self.queued = []
+        self.admitted = []
+        self.late = []
+        self.withdrawn = []
+        self.finished_count = 0
+
+    def offer(self, request_id, req, now):
+        self.queued.append(request_id)
+        return Ok(False)
+
+    def next_admitted(self, now):
+        return self.admitted
+
+    def expired(self, now):
+        return self.late
+
+    def withdraw(self, request_id):
+        self.withdrawn.append(request_id)
+
+    def finished(self, req, end, started_at, now):
+        self.finished_count += 1
+
+
+@pytest.mark.parametrize("verdict", ["admitted", "late", "cancelled"])
+async def test_queued_requests_are_admitted_refused_or_withdrawn(verdict):
+    """Guards against a request that waits for ever or leaks capacity."""
+    dispatch, _, clock = dispatching()
+    admission = QueueingAdmission()
+    policies = Policies(RoundRobinRouter(), admission, FixedRetries())
+    dispatch.router, dispatch.admission, dispatch.retries = policies
+    dispatch.on_endpoints(endpoints())
+    results = []
+
+    async def call():
+        results.append(await dispatch.call_plain(context(clock), CALL, False))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(call)
+        await anyio.wait_all_tasks_blocked()
+        if verdict == "cancelled":
+            tasks.cancel_scope.cancel()
+        else:
+            setattr(admission, verdict, list(admission.queued))
+            dispatch._decide()
+    expected = {
+        "admitted": (True, 1, []),
+        "late": (False, 0, []),
+        "cancelled": (None, 0, admission.queued),
+    }
+    ok = results[0].is_ok() if results else None
+    seen = (ok, admission.finished_count, admission.withdrawn)
+    assert seen == expected[verdict]
+    assert dispatch.in_flight == 0
