Add peer links, membership and the fleet's configuration

Cause: instances must share one configuration and know of each other without a coordination service. A new error kind peer_unavailable covers a peer that cannot be asked.

--- a/plantainstack/errors.py
+++ b/plantainstack/errors.py
@@ -53,6 +53,7 @@
     STEP_NOT_SEALED = "step_not_sealed"
     STEP_EXPIRED = "step_expired"
     PEER_REJECTED = "peer_rejected"
+    PEER_UNAVAILABLE = "peer_unavailable"
     LEASE_LOST = "lease_lost"
     INTERNAL = "internal"
 
@@ -119,6 +120,9 @@
     ErrorKind.STEP_NOT_SEALED: ErrorAnswer(HTTPStatus.CONFLICT, _LATER, _NOT_RUN),
     ErrorKind.STEP_EXPIRED: ErrorAnswer(HTTPStatus.GONE, _NEVER, _NOT_RUN),
     ErrorKind.PEER_REJECTED: ErrorAnswer(HTTPStatus.FORBIDDEN, _NEVER, _NOT_RUN),
+    ErrorKind.PEER_UNAVAILABLE: ErrorAnswer(
+        HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN
+    ),
     ErrorKind.LEASE_LOST: ErrorAnswer(HTTPStatus.CONFLICT, _LATER, _NOT_RUN),
     ErrorKind.INTERNAL: ErrorAnswer(HTTPStatus.INTERNAL_SERVER_ERROR, _KEY, _MAYBE),
 }
@@ -153,3 +157,7 @@
 
 class KernelError(PlantainstackError):
     """Report a plug-in that is missing or required in a cycle."""
+
+
+class PeerError(PlantainstackError):
+    """Report a frame or a handshake that ends a peer link."""
--- /dev/null
+++ b/plantainstack/policy/membership.py
@@ -0,0 +1,550 @@
+"""Track which entry instances are alive, with traffic that the fleet's size leaves.
+
+Each instance opens links to a fixed number of peers, monitors those, and passes
+on news about all members. A message holds a bounded number of items: first the
+news that the peer has not been told, then a part of a walk over all members,
+which repairs whatever was lost.
+
+News about an incarnation is ordered by its beat, a number that the incarnation
+itself raises over time. A suspicion names the newest beat that its author knew,
+so any later beat refutes it, whoever passes it on. A death is never passed on:
+each instance derives it from a suspicion that nobody refuted in time.
+"""
+
+import random
+from collections.abc import Iterable
+from enum import IntEnum, StrEnum
+from typing import Any, NamedTuple
+
+import msgspec
+import xxhash
+
+from plantainstack.settings.options import Address
+
+Message = dict[str, Any]
+
+# Times are in heartbeat intervals.
+SUSPECT_AFTER = 5
+SUSPICION = 6
+PROBE_EVERY = 5
+TOMBSTONE = 600
+WANT_AGAIN = 2
+WANTED_MAX = 1000
+EPOCH_RAISE_EVERY = 5
+PAUSE = 2
+BACKOFF_STEPS_MAX = 4
+
+URGENT_ITEMS_MAX = 8
+WALK_ITEMS = 4
+ENTRIES_MAX = 8
+REPEATS = 2
+
+
+class MemberState(StrEnum):
+    """Name the states of a member; dead ones are no members any more."""
+
+    ALIVE = "alive"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+
+
+class Member(NamedTuple):
+    """Describe an entry instance as its peers see it."""
+
+    id: str
+    incarnation: str
+    state: MemberState
+    data_centre: str
+    address: Address
+    config_version: int
+    load: int
+
+
+class MembershipView(NamedTuple):
+    """Hold the members, with this instance among them, by id."""
+
+    own_id: str
+    members: dict[str, Member]
+
+
+class Candidate(NamedTuple):
+    """Describe an entry instance of the platform's list."""
+
+    id: str
+    address: Address
+
+
+class Identity(NamedTuple):
+    """Describe one incarnation; a later one of the same id has a higher epoch."""
+
+    id: str
+    incarnation: str
+    epoch: int
+    data_centre: str
+    address: Address
+
+    def key(self) -> int:
+        """Return the number that stands for the incarnation in news."""
+        text = f"{self.id} {self.incarnation} {self.epoch}"
+        return xxhash.xxh32_intdigest(text.encode())
+
+
+class WireState(IntEnum):
+    """Number the states in news; at the same beat the higher one wins."""
+
+    ALIVE = 0
+    LEAVING = 1
+    SUSPECT = 2
+
+
+class News(NamedTuple):
+    """Hold what changes in the life of an incarnation."""
+
+    key: int
+    beat: int
+    state: WireState
+    config_version: int
+    load: int
+
+
+class Entry(NamedTuple):
+    """Introduce an incarnation to a peer that does not know its key."""
+
+    id: str
+    incarnation: str
+    epoch: int
+    data_centre: str
+    host: str
+    port: int
+    news: News
+
+
+class Gossip(msgspec.Struct):
+    """Check the fields that this module adds to messages."""
+
+    news: list[News] = []
+    entries: list[Entry] = []
+    want: list[int] = []
+    all: bool = False
+
+
+class Record:
+    """Hold what is known of one incarnation; times are monotonic seconds."""
+
+    def __init__(self, identity: Identity, news: News):
+        self.identity = identity
+        self.news = news
+        self.suspect_at: float | None = None
+        self.dead_at: float | None = None
+
+    def state(self) -> MemberState:
+        """Return the member's state in views."""
+        return MemberState[self.news.state.name]
+
+    def entry(self) -> Entry:
+        """Return the record as it is sent to a peer."""
+        identity = self.identity
+        return Entry(
+            identity.id,
+            identity.incarnation,
+            identity.epoch,
+            identity.data_centre,
+            identity.address.host,
+            identity.address.port,
+            self.news,
+        )
+
+
+class _PeerQueue:
+    """Hold what one linked peer has yet to be told."""
+
+    def __init__(self):
+        self.urgent: dict[int, int] = {}
+        self.entries: dict[int, None] = {}
+        self.want: dict[int, None] = {}
+
+
+class Membership:
+    """Decide what to tell peers, whom to monitor, and who is a member."""
+
+    def __init__(self, own: Identity, interval: float, links: int, now: float):
+        self.interval = interval
+        self.links = links
+        self._started = now
+        self._last_tick = now
+        self._beat_floor = 0
+        self._epoch_raised_at = float("-inf")
+        self._random = random.Random(f"{own.id} {own.epoch}")
+        self._own = Record(own, News(own.key(), 0, WireState.ALIVE, 0, 0))
+        self._records: dict[str, Record] = {own.id: self._own}
+        self._by_key: dict[int, Record] = {own.key(): self._own}
+        self._candidates: dict[str, Candidate] = {}
+        self._unheard: dict[str, float] = {}
+        self._queues: dict[str, _PeerQueue] = {}
+        self._heard: dict[str, float] = {}
+        self._targets: dict[str, float] = {}
+        self._probe: tuple[str, float] | None = None
+        self._backoff: dict[str, int] = {}
+        self._wanted: dict[int, float] = {}
+        self._walk: list[int] = []
+        self._asked_all = False
+        self._linked: set[str] = set()
+        self._choice: tuple[frozenset[str], list[str]] = (frozenset(), [])
+        self.changes = 0
+
+    # What the owner of this object reports
+
+    def update_own(self, config_version: int, load: int, now: float) -> None:
+        """Take over this instance's configuration version and load."""
+        beat = max(self._beat_floor, int((now - self._started) / self.interval))
+        self._own.news = self._own.news._replace(
+            beat=beat, config_version=config_version, load=load
+        )
+
+    def leave(self) -> None:
+        """Tell everyone that this instance takes no more work."""
+        self._own.news = self._own.news._replace(state=WireState.LEAVING)
+        self.changes += 1
+        self._announce(self._own)
+
+    def update_candidates(self, candidates: Iterable[Candidate]) -> None:
+        """Take over the platform's list of live entry instances."""
+        own_id = self._own.identity.id
+        self._candidates = {item.id: item for item in candidates if item.id != own_id}
+
+    def set_links(self, linked: set[str]) -> None:
+        """Take over which links are open; new ones start with an introduction."""
+        for peer_id in sorted(linked - self._linked):
+            queue = self._queues.setdefault(peer_id, _PeerQueue())
+            queue.entries[self._own.news.key] = None
+        for peer_id in set(self._queues) - linked:
+            del self._queues[peer_id]
+        self._linked = set(linked)
+
+    # Messages
+
+    def has_urgent(self, peer_id: str) -> bool:
+        """Return whether something for a peer should not wait for a heartbeat."""
+        queue = self._queues.get(peer_id)
+        return queue is not None and bool(queue.urgent or queue.entries or queue.want)
+
+    def message(self, peer_id: str, walk: bool = True) -> Message:
+        """Return the fields to send to a peer; their number is bounded."""
+        queue = self._queues.setdefault(peer_id, _PeerQueue())
+        news = [self._own.news, *self._take_urgent(queue)]
+        if walk:
+            news += self._next_of_walk()
+        entries = _take(queue.entries, ENTRIES_MAX)
+        want = _take(queue.want, ENTRIES_MAX)
+        fields: Message = {"news": _distinct(news)}
+        if entries:
+            fields["entries"] = self._entries(entries)
+        if want:
+            fields["want"] = want
+        if not self._asked_all:
+            self._asked_all = fields["all"] = True
+        return fields
+
+    def receive(self, peer_id: str, message: Message, now: float) -> None:
+        """Take over what a peer sent.
+
+        Raises msgspec.ValidationError.
+        """
+        gossip = msgspec.convert(message, Gossip)
+        self._heard[peer_id] = now
+        self._unheard.pop(peer_id, None)
+        self._backoff.pop(peer_id, None)
+        queue = self._queues.setdefault(peer_id, _PeerQueue())
+        for entry in gossip.entries:
+            self._take_entry(peer_id, entry, now)
+        for news in gossip.news:
+            self._take_news(peer_id, news, now)
+        keys = list(self._by_key) if gossip.all else gossip.want
+        queue.entries.update((key, None) for key in keys if key in self._by_key)
+
+    # Decisions
+
+    def targets(self, now: float) -> dict[str, Address]:
+        """Return the peers to keep links to: a fixed number in hash order, a probe."""
+        chosen = self._choose()
+        self._targets = {peer_id: self._targets.get(peer_id, now) for peer_id in chosen}
+        targets = {peer_id: self._address(peer_id) for peer_id in chosen}
+        probe = self._choose_probe(now)
+        if probe is not None:
+            targets[probe] = self._address(probe)
+        return targets
+
+    def tick(self, now: float) -> None:
+        """Raise suspicions of silent peers, and turn old suspicions into deaths."""
+        if now - self._last_tick > PAUSE * self.interval:
+            self._excuse_silence(now)
+        self._last_tick = now
+        for peer_id, since in self._targets.items():
+            self._check_target(peer_id, max(since, self._heard.get(peer_id, since)))
+        for record in list(self._records.values()):
+            self._age(record, now)
+
+    def view(self) -> MembershipView:
+        """Return the members that are not dead."""
+        members = {
+            record.identity.id: _member(record)
+            for record in self._records.values()
+            if record.dead_at is None
+        }
+        return MembershipView(self._own.identity.id, members)
+
+    # Taking over news
+
+    def _take_entry(self, peer_id: str, entry: Entry, now: float) -> None:
+        identity = Identity(*entry[:4], Address(entry.host, entry.port))
+        if identity.id == self._own.identity.id:
+            self._take_own_entry(identity, now)
+            return
+        known = self._records.get(identity.id)
+        if known is not None and known.identity == identity:
+            self._take_news(peer_id, entry.news._replace(key=identity.key()), now)
+        elif known is None or self._is_later(identity, known.identity):
+            self._add(peer_id, identity, entry.news)
+        elif known.dead_at is None:
+            self._queues[peer_id].entries[known.news.key] = None
+
+    def _add(self, peer_id: str, identity: Identity, news: News) -> None:
+        if news.state is WireState.SUSPECT:
+            return
+        known = self._records.get(identity.id)
+        if known is not None:
+            del self._by_key[known.news.key]
+        record = Record(identity, news._replace(key=identity.key()))
+        self._records[identity.id] = self._by_key[record.news.key] = record
+        self._unheard.pop(identity.id, None)
+        self.changes += 1
+        self._announce(record, except_for=peer_id)
+
+    def _take_own_entry(self, identity: Identity, now: float) -> None:
+        own = self._own.identity
+        if identity.incarnation == own.incarnation or identity.epoch < own.epoch:
+            return
+        if now - self._epoch_raised_at < EPOCH_RAISE_EVERY * self.interval:
+            return
+        self._epoch_raised_at = now
+        del self._by_key[self._own.news.key]
+        own = own._replace(epoch=identity.epoch + 1)
+        self._own.identity = own
+        self._own.news = self._own.news._replace(key=own.key())
+        self._by_key[own.key()] = self._own
+        for queue in self._queues.values():
+            queue.entries[own.key()] = None
+
+    def _take_news(self, peer_id: str, news: News, now: float) -> None:
+        record = self._by_key.get(news.key)
+        if record is None:
+            self._want(peer_id, news, now)
+        elif record is self._own:
+            self._refute(news)
+        elif self._is_newer(news, record.news):
+            self._apply(record, news, peer_id, now)
+        elif news[:3] == record.news[:3]:
+            self._queues[peer_id].urgent.pop(news.key, None)
+        elif news.state is WireState.SUSPECT and record.dead_at is None:
+            self._queues[peer_id].urgent[news.key] = REPEATS
+
+    def _apply(self, record: Record, news: News, peer_id: str, now: float) -> None:
+        changed = news.state is not record.news.state or record.dead_at is not None
+        record.news = news
+        if news.state is WireState.SUSPECT:
+            record.suspect_at = now if record.suspect_at is None else record.suspect_at
+        else:
+            self._clear_suspicion(record, peer_id)
+        if changed:
+            self.changes += 1
+            self._announce(record, except_for=peer_id)
+        else:
+            self._queues[peer_id].urgent.pop(news.key, None)
+
+    def _clear_suspicion(self, record: Record, peer_id: str) -> None:
+        member_id = record.identity.id
+        if record.suspect_at is not None and member_id != peer_id:
+            # Others hear a member that this instance cannot hear.
+            self._backoff[member_id] = self._backoff.get(member_id, 0) + 1
+        record.suspect_at = record.dead_at = None
+
+    def _refute(self, news: News) -> None:
+        if news.state is WireState.SUSPECT and news.beat >= self._own.news.beat:
+            self._beat_floor = news.beat + 1
+            self._own.news = self._own.news._replace(beat=self._beat_floor)
+        if news.state is WireState.SUSPECT:
+            self._announce(self._own)
+
+    def _want(self, peer_id: str, news: News, now: float) -> None:
+        asked = self._wanted.get(news.key, float("-inf"))
+        if now - asked < WANT_AGAIN * self.interval:
+            return
+        if news.state is not WireState.SUSPECT:
+            if len(self._wanted) >= WANTED_MAX:
+                self._wanted.clear()
+            self._wanted[news.key] = now
+            self._queues[peer_id].want[news.key] = None
+
+    @staticmethod
+    def _is_later(identity: Identity, known: Identity) -> bool:
+        return identity[1:3][::-1] > known[1:3][::-1]
+
+    @staticmethod
+    def _is_newer(news: News, known: News) -> bool:
+        return (news.beat, news.state) > (known.beat, known.state)
+
+    # Telling peers
+
+    def _announce(self, record: Record, except_for: str | None = None) -> None:
+        for peer_id, queue in self._queues.items():
+            if peer_id != except_for:
+                queue.urgent[record.news.key] = REPEATS
+            else:
+                queue.urgent.pop(record.news.key, None)
+
+    def _take_urgent(self, queue: _PeerQueue) -> list[News]:
+        keys = list(queue.urgent)[:URGENT_ITEMS_MAX]
+        for key in keys:
+            repeats = queue.urgent.pop(key) - 1
+            if repeats > 0:
+                queue.urgent[key] = repeats
+        return self._live_news(keys)
+
+    def _next_of_walk(self) -> list[News]:
+        if len(self._walk) < WALK_ITEMS:
+            self._walk = [key for key in self._by_key if key != self._own.news.key]
+            self._random.shuffle(self._walk)
+        keys, self._walk = self._walk[:WALK_ITEMS], self._walk[WALK_ITEMS:]
+        return self._live_news(keys)
+
+    def _live_news(self, keys: Iterable[int]) -> list[News]:
+        records = (self._by_key.get(key) for key in keys)
+        return [record.news for record in records if record and record.dead_at is None]
+
+    def _entries(self, keys: Iterable[int]) -> list[Entry]:
+        records = (self._by_key.get(key) for key in keys)
+        return [
+            record.entry() for record in records if record and record.dead_at is None
+        ]
+
+    # Monitoring
+
+    def _check_target(self, peer_id: str, heard_at: float) -> None:
+        steps = min(self._backoff.get(peer_id, 0), BACKOFF_STEPS_MAX)
+        limit = SUSPECT_AFTER * self.interval * 2**steps
+        if self._last_tick - heard_at <= limit:
+            return
+        record = self._records.get(peer_id)
+        if record is None:
+            self._unheard[peer_id] = self._last_tick
+        elif record.suspect_at is None:
+            record.suspect_at = self._last_tick
+            record.news = record.news._replace(state=WireState.SUSPECT)
+            self.changes += 1
+            self._announce(record)
+
+    def _age(self, record: Record, now: float) -> None:
+        if record.dead_at is not None:
+            if now - record.dead_at > TOMBSTONE * self.interval:
+                self._forget(record)
+            return
+        since = now if record.suspect_at is None else record.suspect_at
+        if now - since > SUSPICION * self.interval:
+            record.dead_at = now
+            self.changes += 1
+
+    def _forget(self, record: Record) -> None:
+        del self._records[record.identity.id]
+        del self._by_key[record.news.key]
+        self._heard.pop(record.identity.id, None)
+        self._backoff.pop(record.identity.id, None)
+
+    def _excuse_silence(self, now: float) -> None:
+        """Restart all timers, because this process was paused itself."""
+        self._heard = dict.fromkeys(self._heard, now)
+        self._targets = dict.fromkeys(self._targets, now)
+        for record in self._records.values():
+            if record.suspect_at is not None:
+                record.suspect_at = now
+
+    # Choosing links
+
+    def _choose(self) -> list[str]:
+        ring = frozenset(self._ring())
+        if ring != self._choice[0]:
+            self._choice = (ring, choose_peers(self._own.identity.id, ring))
+        return self._choice[1][: self.links]
+
+    def _ring(self) -> set[str]:
+        unknown = set(self._candidates) - set(self._records) - set(self._unheard)
+        return unknown | self._alive_ids()
+
+    def _alive_ids(self) -> set[str]:
+        return {
+            member_id
+            for member_id, record in self._records.items()
+            if record.dead_at is None
+        }
+
+    def _choose_probe(self, now: float) -> str | None:
+        """Try listed instances that are thought dead, one at a time."""
+        if self._probe is None or now >= self._probe[1]:
+            excluded = sorted(set(self._candidates) - self._ring())
+            if not excluded:
+                self._probe = None
+                return None
+            wait = PROBE_EVERY * self.interval * self._random.uniform(0.5, 1.5)
+            self._probe = (self._random.choice(excluded), now + wait)
+        return self._probe[0]
+
+    def _address(self, peer_id: str) -> Address:
+        record = self._records.get(peer_id)
+        listed = self._candidates.get(peer_id)
+        if record is None or (record.dead_at is not None and listed):
+            return listed.address
+        return record.identity.address
+
+
+def choose_peers(own_id: str, ids: Iterable[str]) -> list[str]:
+    """Return the peers to link to, the most important one first.
+
+    The first one is the successor on the hash ring: if each instance links to
+    its successor, the graph is connected. The others follow in an order that is
+    random for each instance, which keeps the paths short.
+    """
+    others = [peer_id for peer_id in ids if peer_id != own_id]
+    if not others:
+        return []
+    place = _hash(own_id)
+    successor = min(others, key=lambda peer_id: (_hash(peer_id) - place) % 2**64)
+    others.remove(successor)
+    others.sort(key=lambda peer_id: _hash(f"{own_id} {peer_id}"))
+    return [successor, *others]
+
+
+def _member(record: Record) -> Member:
+    identity, news = record.identity, record.news
+    return Member(
+        identity.id,
+        identity.incarnation,
+        record.state(),
+        identity.data_centre,
+        identity.address,
+        news.config_version,
+        news.load,
+    )
+
+
+def _take(queue: dict[int, None], limit: int) -> list[int]:
+    keys = list(queue)[:limit]
+    for key in keys:
+        del queue[key]
+    return keys
+
+
+def _distinct(news: Iterable[News]) -> list[News]:
+    return list({item.key: item for item in news}.values())
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/plantainstack/services/configuration.py
@@ -0,0 +1,392 @@
+"""The plug-in that changes and follows the fleet's configuration."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import anyio
+import msgspec
+from result import Err, Ok, Result
+
+from plantainstack import log, metrics
+from plantainstack.clock import Clock
+from plantainstack.errors import ConfigurationError, ErrorKind, Failure
+from plantainstack.platform.base import Mutation, MutationOutcome, Row, TableService
+from plantainstack.plugins import Plugin
+from plantainstack.policy.configuration import (
+    HEAD_KEY,
+    Change,
+    Follower,
+    HistoryItem,
+    Version,
+    change_key,
+    commit_of,
+    conflict,
+    earlier_outcome,
+    head_version,
+    history_items,
+    version_key,
+)
+from plantainstack.settings.fleet import FleetConfig, FleetContent, check_content
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+TICK_S = 0.25
+READ_TIMEOUT_S = 1.0
+COMMIT_TIMEOUT_S = 5.0
+COMMIT_ATTEMPTS = 4
+COMMIT_RETRY_S = 0.5
+PEER_TIMEOUT_S = 1.0
+HISTORY_MAX = 200
+
+
+class InForce(NamedTuple):
+    """Name the version in force here, and since when in Unix seconds."""
+
+    version: int
+    since: float
+
+
+class _Request(msgspec.Struct):
+    have: int
+
+
+class _Announcement(msgspec.Struct):
+    version: int
+
+
+class _Answer(msgspec.Struct):
+    version: int
+    learned: bool
+    content: FleetContent | None = None
+
+
+class Configuration(Plugin):
+    """Accept changes through the table, push them to peers, and poll the head."""
+
+    name = "configuration"
+    requires = ("platform", "peers", "membership")
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        now = kernel.clock.now()
+        self._follower = Follower(kernel.settings.instance.id, now)
+        self._in_force = InForce(0, kernel.clock.wall())
+        self._fetching: dict[int, list[str]] = {}
+        self._tasks: TaskGroup | None = None
+
+    # Interface for operators
+
+    async def change(
+        self, change_id: str, base_version: int, content: FleetContent, author: str
+    ) -> Result[int, Failure]:
+        """Replace the configuration, and return the version once it is accepted.
+
+        Sending the same change id again returns what became of the change.
+        """
+        problems = check_content(content)
+        if problems:
+            text = "; ".join(str(problem) for problem in problems)
+            return Err(Failure.of(ErrorKind.BAD_REQUEST, text))
+        change = Change(change_id, base_version, content, author)
+        outcome = await self._accept(change)
+        if outcome.is_ok():
+            self._apply(outcome.unwrap(), content)
+        return outcome
+
+    async def history(self, limit: int) -> Result[list[HistoryItem], Failure]:
+        """Return the newest accepted versions, newest first."""
+        limit = min(limit, HISTORY_MAX)
+        head = await self._read([HEAD_KEY])
+        if head.is_err():
+            return head
+        newest = head_version(head.unwrap()[HEAD_KEY])
+        numbers = range(max(1, newest - limit), newest + 1)
+        versions = await self._read_versions(numbers)
+        return versions.map(lambda found: history_items(list(found.values()), limit))
+
+    def in_force(self) -> InForce:
+        """Return the version in force on this instance, and since when."""
+        return self._in_force
+
+    def fleet_versions(self) -> dict[str, int]:
+        """Return the version in force on each member, as last heard."""
+        members = self.kernel.plugin("membership").view().members
+        versions = {member.id: member.config_version for member in members.values()}
+        return {**versions, self.kernel.settings.instance.id: self._in_force.version}
+
+    # Life
+
+    async def start(self, tasks: "TaskGroup") -> None:
+        """Learn the configuration in force, and follow it."""
+        self._tasks = tasks
+        self._table: TableService = self.kernel.plugin("platform").table
+        self._peers = self.kernel.plugin("peers")
+        self._peers.register("config", self._on_announcement)
+        self._peers.register("config_request", self._on_request)
+        tasks.start_soon(self._run)
+
+    def unready_reason(self) -> str | None:
+        """Return why the instance may not take work, or None."""
+        if not self._control():
+            return None if self._follower.learned else "configuration not read yet"
+        bound = self.kernel.config.defaults().config_bound
+        paused = self.kernel.pause.check()
+        return self._follower.unready_reason(paused, bound, self.kernel.clock.now())
+
+    async def _run(self) -> None:
+        clock, follower = self.kernel.clock, self._follower
+        while True:
+            if self.kernel.pause.check():
+                await self._refresh_after_pause()
+            elif clock.now() >= follower.poll_at:
+                await self._poll()
+                interval = self.kernel.config.defaults().config_poll_interval
+                follower.polled(clock.now(), interval)
+            if follower.learned and not self._control():
+                return
+            wake_at = min(follower.poll_at, clock.now() + TICK_S)
+            await clock.sleep_until(max(wake_at, clock.now() + TICK_S / 10))
+
+    async def _refresh_after_pause(self) -> None:
+        resumed_at = self.kernel.pause.resumed_at
+        if not await self._poll():
+            return
+        # A further pause during the refresh calls for another one.
+        if self.kernel.pause.check() and self.kernel.pause.resumed_at == resumed_at:
+            self.kernel.pause.clear()
+
+    # Following
+
+    async def _poll(self) -> bool:
+        """Refresh from the table, else from peers; return whether it succeeded."""
+        started = self.kernel.clock.now()
+        current = await self._poll_table() or await self._poll_peers()
+        if current:
+            self._follower.contact(started)
+            self._follower.learned = True
+        return current
+
+    async def _poll_table(self) -> bool:
+        try:
+            return await self._refresh_from_table()
+        except msgspec.ValidationError as exc:
+            log.event("config.invalid_row", reason=str(exc))
+            return False
+
+    async def _refresh_from_table(self) -> bool:
+        rows = await self._read([HEAD_KEY])
+        if rows.is_err():
+            return False
+        newest = head_version(rows.unwrap()[HEAD_KEY])
+        if newest <= self._in_force.version:
+            return True
+        found = await self._read_versions([newest])
+        if found.is_err() or newest not in found.unwrap():
+            return False
+        return self._apply(newest, found.unwrap()[newest].content)
+
+    async def _poll_peers(self) -> bool:
+        """Ask every linked peer, so that one that is behind does not decide."""
+        peers = self._linked_by_version()
+        answers: list[bool] = []
+
+        async def ask(peer_id: str) -> None:
+            answers.append(await self._fetch(peer_id))
+
+        async with anyio.create_task_group() as tasks:
+            for peer_id in peers:
+                tasks.start_soon(ask, peer_id)
+        return any(answers)
+
+    def _linked_by_version(self) -> list[str]:
+        versions = self.fleet_versions()
+        linked = {peer_id: versions.get(peer_id, 0) for peer_id in self._peers.linked()}
+        return self._follower.order_peers(linked)
+
+    async def _fetch(self, peer_id: str) -> bool:
+        """Take over a peer's configuration; return whether the peer is current."""
+        request = {"type": "config_request", "have": self._in_force.version}
+        deadline = self.kernel.clock.now() + PEER_TIMEOUT_S
+        reply = await self._peers.ask(peer_id, request, deadline)
+        if reply.is_err():
+            return False
+        try:
+            answer = msgspec.convert(reply.unwrap(), _Answer)
+        except msgspec.ValidationError as exc:
+            log.event("config.invalid_answer", peer=peer_id, reason=str(exc))
+            return False
+        if answer.content is not None:
+            self._apply(answer.version, answer.content, source=peer_id)
+        return answer.learned
+
+    async def _on_request(self, peer_id: str, message: dict) -> dict[str, Any]:
+        have = msgspec.convert(message, _Request).have
+        answer = {
+            "version": self._in_force.version,
+            "learned": self.unready_reason() is None,
+        }
+        if self._in_force.version > have:
+            answer["content"] = self.kernel.config.content
+        return answer
+
+    async def _on_announcement(self, peer_id: str, message: dict) -> None:
+        version = msgspec.convert(message, _Announcement).version
+        if version <= self._in_force.version:
+            return
+        announcers = self._fetching.setdefault(version, [])
+        announcers.append(peer_id)
+        if len(announcers) == 1:
+            self._tasks.start_soon(self._fetch_announced, version)
+
+    async def _fetch_announced(self, version: int) -> None:
+        """Fetch the content once, from the first announcer that gives it."""
+        announcers = self._fetching[version]
+        while announcers and self._in_force.version < version:
+            await self._fetch(announcers[0])
+            announcers.pop(0)
+        del self._fetching[version]
+
+    def _apply(
+        self, version: int, content: FleetContent, source: str | None = None
+    ) -> bool:
+        """Put a version in force and push it; return False if it is invalid."""
+        if not self._follower.accepts(version, self._in_force.version):
+            return True
+        try:
+            cfg = FleetConfig(version, content)
+        except ConfigurationError as exc:
+            log.event("config.invalid", version=version, reason=str(exc))
+            return False
+        self._in_force = InForce(version, self.kernel.clock.wall())
+        metrics.CONFIG_VERSION.set(version)
+        self.kernel.apply_config(cfg)
+        self._push(version, except_for=source)
+        return True
+
+    def _push(self, version: int, except_for: str | None) -> None:
+        """Announce a version to the peers, which fetch it and announce it on."""
+        for peer_id in sorted(self._peers.linked()):
+            if peer_id != except_for:
+                self._peers.send(peer_id, {"type": "config", "version": version})
+
+    # Changing
+
+    async def _accept(self, change: Change) -> Result[int, Failure]:
+        rows = await self._read([HEAD_KEY, change_key(change.id)])
+        if rows.is_err():
+            message = "the table service cannot be reached; nothing was changed"
+            return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
+        settled = await self._settle(change, rows.unwrap())
+        if settled is not None:
+            return settled
+        return await self._commit(change, rows.unwrap()[HEAD_KEY])
+
+    async def _settle(
+        self, change: Change, rows: dict[str, Row]
+    ) -> Result[int, Failure] | None:
+        """Return the outcome if the rows decide it, else None."""
+        outcome = earlier_outcome(change, rows[change_key(change.id)])
+        newest = head_version(rows[HEAD_KEY])
+        if outcome is None and newest != change.base_version:
+            return Err(await self._conflict(change, newest))
+        return outcome
+
+    async def _commit(self, change: Change, head: Row) -> Result[int, Failure]:
+        mutation = commit_of(change, head, self.kernel.clock.wall())
+        unknown = False
+        for attempt in range(COMMIT_ATTEMPTS):
+            if attempt:
+                await self._wait(COMMIT_RETRY_S * attempt)
+            outcome = await self._commit_once(mutation)
+            if outcome.is_ok() and outcome.unwrap().applied:
+                return Ok(change.base_version + 1)
+            if outcome.is_ok():
+                # An earlier attempt may have been applied and its answer lost.
+                return await self._accept_refused(change)
+            failure = outcome.unwrap_err()
+            if failure.kind is ErrorKind.TABLE_UNAVAILABLE and not unknown:
+                return Err(failure)
+            unknown = True
+        return _unknown(change)
+
+    async def _accept_refused(self, change: Change) -> Result[int, Failure]:
+        rows = await self._read([HEAD_KEY, change_key(change.id)])
+        if rows.is_err():
+            return _unknown(change)
+        return await self._settle(change, rows.unwrap()) or _unknown(change)
+
+    async def _conflict(self, change: Change, newest: int) -> Failure:
+        found = await self._read_versions([change.base_version, newest])
+        versions = found.unwrap_or({})
+        if newest not in versions:
+            message = f"the newest version is {newest}, not {change.base_version}"
+            return Failure.of(ErrorKind.CONFLICT, message)
+        base = versions.get(change.base_version)
+        empty = FleetContent(defaults={}, exceptions=[])
+        content = empty if base is None else base.content
+        return conflict(change.base_version, versions[newest], content)
+
+    # Table
+
+    async def _read(self, keys: Sequence[str]) -> Result[dict[str, Row], Failure]:
+        rows = await _within(self.kernel.clock, READ_TIMEOUT_S, self._table.read, keys)
+        if rows is None:
+            message = "the table service did not answer in time"
+            return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
+        return rows
+
+    async def _read_versions(
+        self, numbers: Sequence[int]
+    ) -> Result[dict[int, Version], Failure]:
+        rows = await self._read([version_key(number) for number in numbers])
+        return rows.map(
+            lambda found: {
+                number: msgspec.convert(found[version_key(number)].value, Version)
+                for number in numbers
+                if found[version_key(number)].value is not None
+            }
+        )
+
+    async def _commit_once(
+        self, mutation: Mutation
+    ) -> Result[MutationOutcome, Failure]:
+        outcomes = await _within(
+            self.kernel.clock, COMMIT_TIMEOUT_S, self._table.commit, [mutation]
+        )
+        if outcomes is None:
+            message = "the table service did not answer in time"
+            return Err(Failure.of(ErrorKind.TABLE_OUTCOME_UNKNOWN, message))
+        return outcomes.map(lambda found: found[0])
+
+    async def _wait(self, seconds: float) -> None:
+        await self.kernel.clock.sleep_until(self.kernel.clock.now() + seconds)
+
+    def _control(self) -> bool:
+        return self.kernel.settings.instance.control
+
+
+def _unknown(change: Change) -> Err[Failure]:
+    message = (
+        f"it is not known whether change {change.id!r} was accepted; "
+        "send it again with the same id to find out"
+    )
+    return Err(Failure.of(ErrorKind.TABLE_OUTCOME_UNKNOWN, message))
+
+
+async def _within(
+    clock: Clock, seconds: float, call: Callable[..., Awaitable], *args
+) -> Any:
+    """Return what the call returns, or None once the time is over."""
+    answer = None
+    deadline = clock.now() + seconds
+    async with anyio.create_task_group() as tasks:
+
+        async def expire() -> None:
+            await clock.sleep_until(deadline)
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(expire)
+        answer = await call(*args)
+        tasks.cancel_scope.cancel()
+    return answer
