Add the plug-in that follows the endpoints

Cause: dispatch, membership and weights need one list of endpoints and the engines' load reports. Change: the plug-in polls the instance list and the load reports with jitter, keeps the last list when a poll fails, emits an event on each change, and owns the router, the admission and the retry policy. The policies' interfaces gain optional methods (configure, in_subset) and the round trip of a report. New option: load_poll_interval. Conclusion: stands as the base for the policies.

--- a/plantainstack/policy/limits.py
+++ b/plantainstack/policy/limits.py
@@ -6,6 +6,7 @@
 
 from plantainstack.errors import Failure
 from plantainstack.policy.routing import AttemptEnd, RouteRequest
+from plantainstack.settings.fleet import FleetConfig
 
 
 class Admission(ABC):
@@ -42,6 +43,9 @@
     ) -> None:
         """Release the capacity of an admitted request."""
 
+    def configure(self, cfg: FleetConfig) -> None:
+        """Take over a new configuration."""
+
 
 class OpenAdmission(Admission):
     """Admit everything at once; the baseline of the benchmark."""
--- a/plantainstack/policy/retries.py
+++ b/plantainstack/policy/retries.py
@@ -2,6 +2,8 @@
 
 from abc import ABC, abstractmethod
 
+from plantainstack.settings.fleet import FleetConfig
+
 
 class RetryPolicy(ABC):
     """Decide on retries; times are monotonic seconds."""
@@ -16,6 +18,9 @@
     ) -> float | None:
         """Return when the next attempt may start, or None for no retry."""
 
+    def configure(self, cfg: FleetConfig) -> None:
+        """Take over a new configuration."""
+
 
 class FixedRetries(RetryPolicy):
     """Retry at once up to a fixed number of attempts; the baseline."""
--- a/plantainstack/policy/routing.py
+++ b/plantainstack/policy/routing.py
@@ -14,6 +14,7 @@
     InstanceState,
     Priority,
 )
+from plantainstack.settings.fleet import FleetConfig
 
 
 class RouteRequest(NamedTuple):
@@ -49,8 +50,17 @@
         """Take over a new list of endpoints of all services."""
 
     @abstractmethod
-    def update_load(self, endpoint_id: str, status: EngineStatus, now: float) -> None:
-        """Take over an endpoint's own report, which lags."""
+    def update_load(
+        self,
+        endpoint_id: str,
+        status: EngineStatus,
+        now: float,
+        round_trip: float | None = None,
+    ) -> None:
+        """Take over an endpoint's own report, which lags.
+
+        `round_trip` is the time that reading it took, in seconds.
+        """
 
     @abstractmethod
     def choose(self, req: RouteRequest, now: float) -> Result[InstanceRecord, Failure]:
@@ -66,6 +76,13 @@
     ) -> None:
         """Count an attempt that ended."""
 
+    def configure(self, cfg: FleetConfig) -> None:
+        """Take over a new configuration."""
+
+    def in_subset(self, endpoint_id: str) -> bool:
+        """Return whether this instance may use the endpoint."""
+        return True
+
 
 class RoundRobinRouter(Router):
     """Take live endpoints in turn; the baseline of the benchmark."""
@@ -80,7 +97,13 @@
         for record in records:
             self._services.setdefault(record.service, []).append(record)
 
-    def update_load(self, endpoint_id: str, status: EngineStatus, now: float) -> None:
+    def update_load(
+        self,
+        endpoint_id: str,
+        status: EngineStatus,
+        now: float,
+        round_trip: float | None = None,
+    ) -> None:
         """Ignore the report."""
 
     def choose(self, req: RouteRequest, now: float) -> Result[InstanceRecord, Failure]:
--- /dev/null
+++ b/plantainstack/services/endpoints.py
@@ -0,0 +1,122 @@
+"""Follow the instance list and the load reports, and feed the router."""
+
+import random
+from collections.abc import Sequence
+
+import anyio
+import xxhash
+from anyio.abc import TaskGroup
+
+from plantainstack import log
+from plantainstack.kernel import Kernel
+from plantainstack.platform.base import EngineStatus, InstanceKind, InstanceRecord
+from plantainstack.plugins import Plugin
+from plantainstack.policy.limits import Admission, OpenAdmission
+from plantainstack.policy.retries import FixedRetries, RetryPolicy
+from plantainstack.policy.routing import RoundRobinRouter, Router
+from plantainstack.settings.fleet import FleetConfig
+
+POLL_JITTER = 0.2
+LOAD_POLLS_MAX = 16
+
+
+class Endpoints(Plugin):
+    """Know the endpoints, and own the policies that share this knowledge."""
+
+    name = "endpoints"
+    requires = ("platform", "links")
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        self.records: tuple[InstanceRecord, ...] = ()
+        self.statuses: dict[str, EngineStatus] = {}
+        seed = xxhash.xxh3_64_intdigest(kernel.settings.instance.id.encode())
+        self.router: Router = RoundRobinRouter()
+        self.admission: Admission = OpenAdmission()
+        self.retries: RetryPolicy = FixedRetries()
+        self._random = random.Random(seed)
+        self._limiter = anyio.Semaphore(LOAD_POLLS_MAX)
+        self._polling: set[str] = set()
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Read the list once, then follow it."""
+        await self.poll_list()
+        tasks.start_soon(self._follow_list)
+        tasks.start_soon(self._follow_load, tasks)
+
+    def unready_reason(self) -> str | None:
+        """Return a reason until a list has been read."""
+        return None if self.records else "no endpoints known"
+
+    def on_config(self, cfg: FleetConfig) -> None:
+        """Pass the configuration on to the policies."""
+        for policy in (self.router, self.admission, self.retries):
+            policy.configure(cfg)
+
+    async def poll_list(self) -> None:
+        """Read the list; the last one stays in use when that fails."""
+        answer = await self.kernel.plugin("platform").instances.list()
+        if answer.is_err():
+            log.event("endpoints.list_failed", error=answer.unwrap_err().message)
+            return
+        records = tuple(sorted(answer.unwrap()))
+        if records != self.records:
+            self._take_over(records)
+
+    def _take_over(self, records: tuple[InstanceRecord, ...]) -> None:
+        self.records = records
+        known = {record.id for record in records}
+        self.statuses = {
+            name: status for name, status in self.statuses.items() if name in known
+        }
+        self.router.update_endpoints(records, self.kernel.clock.now())
+        log.event("endpoints.changed", endpoints=len(records))
+        self.kernel.emit("endpoints", records)
+
+    def polled(self) -> Sequence[InstanceRecord]:
+        """Return the engines whose load this instance follows."""
+        return [
+            record
+            for record in self.records
+            if record.kind is InstanceKind.ENGINE and self.router.in_subset(record.id)
+        ]
+
+    async def poll_load(self, record: InstanceRecord) -> None:
+        """Read one engine's report, unless an earlier read is still under way."""
+        if record.id in self._polling:
+            return
+        self._polling.add(record.id)
+        try:
+            async with self._limiter:
+                await self._read_load(record)
+        finally:
+            self._polling.discard(record.id)
+
+    async def _read_load(self, record: InstanceRecord) -> None:
+        cfg = self.kernel.config.defaults()
+        started_at = self.kernel.clock.now()
+        with anyio.move_on_after(cfg.connect_timeout):
+            answer = await self.kernel.plugin("links").engine(record).status()
+            if answer.is_ok():
+                now = self.kernel.clock.now()
+                status = answer.unwrap()
+                self.statuses[record.id] = status
+                self.router.update_load(
+                    record.id, status, now, round_trip=now - started_at
+                )
+
+    async def _follow_list(self) -> None:
+        while True:
+            await self._wait(self.kernel.config.defaults().list_poll_interval)
+            await self.poll_list()
+
+    async def _follow_load(self, tasks: TaskGroup) -> None:
+        while True:
+            for record in self.polled():
+                tasks.start_soon(self.poll_load, record)
+            await self._wait(self.kernel.config.defaults().load_poll_interval)
+
+    async def _wait(self, interval: float) -> None:
+        factor = self._random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+        clock = self.kernel.clock
+        await clock.sleep_until(clock.now() + interval * factor)
--- a/plantainstack/settings/fleet.py
+++ b/plantainstack/settings/fleet.py
@@ -42,6 +42,7 @@
     config_bound = Duration("7 s", "Longest time until a change is in force.")
     # Endpoints
     list_poll_interval = Duration("1 s", "Time between reads of the instance list.")
+    load_poll_interval = Duration("1 s", "Time between reads of a load report.")
     leaving_bound = Duration("5 s", "Longest time a leaving endpoint gets work.")
     checks_fencing = Boolean("no", "Whether engines refuse old fencing numbers.")
     # Leases
--- /dev/null
+++ b/tests/services/test_endpoints.py
@@ -0,0 +1,157 @@
+"""Tests of the plug-in that follows the endpoints."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+from result import Err, Ok
+
+from plantainstack.clock import FakeClock
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.platform.base import (
+    EngineStatus,
+    InstanceKind,
+    InstanceRecord,
+    InstanceState,
+    Priority,
+)
+from plantainstack.policy.routing import AttemptEnd, RoundRobinRouter, RouteRequest
+from plantainstack.services.endpoints import Endpoints
+from plantainstack.settings.fleet import FleetConfig
+from plantainstack.settings.options import Address
+
+pytestmark = pytest.mark.anyio
+
+
+def make_record(name, state=InstanceState.LIVE, kind=InstanceKind.ENGINE):
+    address = Address("127.0.0.1", 1)
+    return InstanceRecord(name, "llm", kind, "bergen-a", address, state)
+
+
+def make_status(leaving=False):
+    return EngineStatus("llm", 1, None, 1, 0, leaving, 0)
+
+
+class Platform:
+    """Answer from attributes that the test sets."""
+
+    def __init__(self):
+        self.answer = Ok([make_record("e1"), make_record("e2")])
+        self.instances = self
+
+    async def list(self):
+        return self.answer
+
+
+class Links:
+    """Serve load reports and count those under way."""
+
+    def __init__(self):
+        self.reports = {}
+        self.running = self.peak = 0
+
+    def engine(self, record):
+        async def status():
+            self.running += 1
+            self.peak = max(self.peak, self.running)
+            await anyio.lowlevel.checkpoint()
+            self.running -= 1
+            return Ok(self.reports.get(record.id, make_status()))
+
+        return SimpleNamespace(status=status)
+
+
+class Kernel:
+    """Stand in for the kernel with a fake clock."""
+
+    def __init__(self):
+        self.clock = FakeClock()
+        self.config = FleetConfig.builtin()
+        instance = SimpleNamespace(id="entry-1", data_centre="bergen-a")
+        self.settings = SimpleNamespace(instance=instance)
+        self.plugins = {"platform": Platform(), "links": Links()}
+        self.emitted = []
+
+    def plugin(self, name):
+        return self.plugins[name]
+
+    def emit(self, event, *args):
+        self.emitted.append((event, *args))
+
+
+@pytest.fixture
+def kernel():
+    return Kernel()
+
+
+async def test_last_list_stays_in_use_when_polling_fails(kernel):
+    """Guards against an outage of the list that takes all endpoints away."""
+    plugin = Endpoints(kernel)
+    await plugin.poll_list()
+    before = plugin.records
+    failure = Failure.of(ErrorKind.TABLE_UNAVAILABLE, "down")
+    kernel.plugins["platform"].answer = Err(failure)
+    await plugin.poll_list()
+    assert plugin.records == before != ()
+
+
+async def test_event_is_emitted_only_for_a_changed_list(kernel):
+    """Guards against work in every plug-in at every poll."""
+    plugin = Endpoints(kernel)
+    await plugin.poll_list()
+    await plugin.poll_list()
+    assert len(kernel.emitted) == 1
+    leaving = make_record("e2", InstanceState.LEAVING)
+    kernel.plugins["platform"].answer = Ok([make_record("e1"), leaving])
+    await plugin.poll_list()
+    assert kernel.emitted[-1] == ("endpoints", (make_record("e1"), leaving))
+
+
+async def test_load_polls_are_bounded(kernel):
+    """Guards against a burst of reports that delays the requests."""
+    records = [make_record(f"e{number:03}") for number in range(100)]
+    kernel.plugins["platform"].answer = Ok(records)
+    plugin = Endpoints(kernel)
+    async with anyio.create_task_group() as tasks:
+        await plugin.start(tasks)
+        await anyio.wait_all_tasks_blocked()
+        tasks.cancel_scope.cancel()
+    assert set(plugin.statuses) == {record.id for record in records}
+    assert kernel.plugins["links"].peak <= 16
+
+
+REQ = RouteRequest("llm", Priority.CALLER, "member", deadline=1e9)
+
+
+async def seconds_of_work_after_leaving(kernel, plugin, refuses):
+    """Return for how long a leaving endpoint still gets work.
+
+    The instance list lags for good; only the report or a refusal tells.
+    """
+    clock = kernel.clock
+    async with anyio.create_task_group() as tasks:
+        await plugin.start(tasks)
+        await clock.advance(10)
+        if not refuses:
+            kernel.plugins["links"].reports["e1"] = make_status(leaving=True)
+        left_at = clock.now()
+        last_work = 0.0
+        while clock.now() - left_at < 20:
+            await clock.advance(0.1)
+            record = plugin.router.choose(REQ, clock.now()).unwrap()
+            plugin.router.started(record.id, REQ, clock.now())
+            end = AttemptEnd.OK
+            if record.id == "e1":
+                last_work = clock.now() - left_at
+                end = AttemptEnd.REFUSED if refuses else end
+            plugin.router.finished(record.id, REQ, end, clock.now())
+        tasks.cancel_scope.cancel()
+    return last_work
+
+
+async def test_naive_router_breaks_the_leaving_bound(kernel):
+    """Shows that the check of the leaving bound can fail."""
+    plugin = Endpoints(kernel)
+    plugin.router = RoundRobinRouter()
+    bound = kernel.config.defaults().leaving_bound
+    assert await seconds_of_work_after_leaving(kernel, plugin, False) > bound
