Route by load, affinity, data centre, version and health

Cause: round robin ignores load, lagging lists and sick endpoints. Change: LoadAwareRouter with own in-flight counts corrected by load reports, prefix affinity with bounded load, own data centre first with a measured cost of crossing, a subset of endpoints for each instance by rendezvous hashing, adaptive limits, and outlier detection that ejects a bounded share and does not count silence of connections opened before the first silence.

--- a/plantainstack/services/endpoints.py
+++ b/plantainstack/services/endpoints.py
@@ -13,7 +13,7 @@
 from plantainstack.plugins import Plugin
 from plantainstack.policy.limits import Admission, OpenAdmission
 from plantainstack.policy.retries import FixedRetries, RetryPolicy
-from plantainstack.policy.routing import RoundRobinRouter, Router
+from plantainstack.policy.routing import LoadAwareRouter, Router
 from plantainstack.settings.fleet import FleetConfig
 
 POLL_JITTER = 0.2
@@ -31,7 +31,7 @@
         self.records: tuple[InstanceRecord, ...] = ()
         self.statuses: dict[str, EngineStatus] = {}
         seed = xxhash.xxh3_64_intdigest(kernel.settings.instance.id.encode())
-        self.router: Router = RoundRobinRouter()
+        self.router: Router = LoadAwareRouter(kernel.settings, kernel.config, seed)
         self.admission: Admission = OpenAdmission()
         self.retries: RetryPolicy = FixedRetries()
         self._random = random.Random(seed)
--- a/plantainstack/settings/fleet.py
+++ b/plantainstack/settings/fleet.py
@@ -35,6 +35,19 @@
     retry_ratio = Number("0.1", "Retries allowed for each request.", maximum=1.0)
     concurrency_min = Integer("2", "Smallest limit for one endpoint.", minimum=1)
     concurrency_max = Integer("64", "Largest limit for one endpoint.", minimum=1)
+    # Routing
+    subset_local = Integer(
+        "8", "Instances of its centre that use an endpoint.", minimum=1
+    )
+    subset_remote = Integer("4", "Other instances that use an endpoint.")
+    affinity_bound = Number(
+        "1.25", "Load over the mean that affinity may cause.", minimum=1.0
+    )
+    crossing_cost = Number("0.25", "Share of load saved that pays for crossing.")
+    version_weight = Number("0.5", "Load that one version less is worth to rollouts.")
+    ejected_share_max = Number(
+        "0.5", "Largest share of endpoints ejected.", maximum=1.0
+    )
     # Membership and configuration
     heartbeat_interval = Duration("1 s", "Time between heartbeats on a peer link.")
     peer_links = Integer("4", "Links that an instance opens to peers.", minimum=1)
--- a/tests/services/test_endpoints.py
+++ b/tests/services/test_endpoints.py
@@ -123,35 +123,53 @@
 REQ = RouteRequest("llm", Priority.CALLER, "member", deadline=1e9)
 
 
-async def seconds_of_work_after_leaving(kernel, plugin, refuses):
-    """Return for how long a leaving endpoint still gets work.
+async def work_after_leaving(kernel, plugin, refuses=False):
+    """Return the times, in seconds, at which a leaving endpoint still gets work.
 
     The instance list lags for good; only the report or a refusal tells.
     """
     clock = kernel.clock
+    times = []
     async with anyio.create_task_group() as tasks:
         await plugin.start(tasks)
         await clock.advance(10)
         if not refuses:
             kernel.plugins["links"].reports["e1"] = make_status(leaving=True)
         left_at = clock.now()
-        last_work = 0.0
         while clock.now() - left_at < 20:
             await clock.advance(0.1)
             record = plugin.router.choose(REQ, clock.now()).unwrap()
             plugin.router.started(record.id, REQ, clock.now())
             end = AttemptEnd.OK
             if record.id == "e1":
-                last_work = clock.now() - left_at
+                times.append(clock.now() - left_at)
                 end = AttemptEnd.REFUSED if refuses else end
             plugin.router.finished(record.id, REQ, end, clock.now())
         tasks.cancel_scope.cancel()
-    return last_work
+    return times
+
+
+async def holds_leaving_bound(kernel, plugin):
+    """Return whether a leaving endpoint gets no work after the bound."""
+    bound = kernel.config.defaults().leaving_bound
+    return max(await work_after_leaving(kernel, plugin), default=0.0) <= bound
+
+
+async def test_leaving_endpoint_gets_no_work_after_the_bound(kernel):
+    """Guards against work for an endpoint that the lagging list still shows."""
+    assert await holds_leaving_bound(kernel, Endpoints(kernel))
 
 
 async def test_naive_router_breaks_the_leaving_bound(kernel):
     """Shows that the check of the leaving bound can fail."""
     plugin = Endpoints(kernel)
     plugin.router = RoundRobinRouter()
+    assert not await holds_leaving_bound(kernel, plugin)
+
+
+async def test_refusing_endpoint_is_only_probed(kernel):
+    """Guards against attempts spent on an endpoint that reports nothing."""
     bound = kernel.config.defaults().leaving_bound
-    assert await seconds_of_work_after_leaving(kernel, plugin, False) > bound
+    times = await work_after_leaving(kernel, Endpoints(kernel), refuses=True)
+    late = [time for time in times if time > bound]
+    assert len(late) <= 1 + 15 / (0.75 * bound)
