Add admission by priority and retries under a budget

Cause: rollouts delay callers, and retries multiply the load of a failure. Change: PriorityAdmission (callers first, fair shares between trainers, early refusal with overloaded) and BudgetedRetries (a moving window of 10 s on each instance, jitter that grows with the failures of the last second). The plug-in endpoints owns router, admission and retries, since they share their state. New options: caller_reserve, queue_max. retry_at has the optional parameters priority and hedge.

--- a/plantainstack/policy/retries.py
+++ b/plantainstack/policy/retries.py
@@ -1,8 +1,19 @@
 """Decide whether and when an attempt is repeated."""
 
+import math
+import random
 from abc import ABC, abstractmethod
+from bisect import bisect_right, insort
+from collections import deque
 
-from plantainstack.settings.fleet import FleetConfig
+from plantainstack.platform.base import Priority
+from plantainstack.settings.fleet import FleetConfig, FleetOptions, Scope
+
+WINDOW_S = 10.0
+BACKOFF_BASE_S = 0.05
+BACKOFF_MAX_S = 5.0
+BURST_WINDOW_S = 1.0
+ROLLOUT_SHARE = 0.5
 
 
 class RetryPolicy(ABC):
@@ -14,9 +25,18 @@
 
     @abstractmethod
     def retry_at(
-        self, service: str, attempts: int, deadline: float, now: float
+        self,
+        service: str,
+        attempts: int,
+        deadline: float,
+        now: float,
+        priority: Priority = Priority.CALLER,
+        hedge: bool = False,
     ) -> float | None:
-        """Return when the next attempt may start, or None for no retry."""
+        """Return when the next attempt may start, or None for no retry.
+
+        A hedge runs beside a slow attempt, and so starts without a delay.
+        """
 
     def configure(self, cfg: FleetConfig) -> None:
         """Take over a new configuration."""
@@ -32,9 +52,124 @@
         """Ignore the request."""
 
     def retry_at(
-        self, service: str, attempts: int, deadline: float, now: float
+        self,
+        service: str,
+        attempts: int,
+        deadline: float,
+        now: float,
+        priority: Priority = Priority.CALLER,
+        hedge: bool = False,
     ) -> float | None:
         """Return the present time until the attempts are used up."""
         if attempts >= self._max_attempts or now >= deadline:
             return None
         return now
+
+
+class _Budget:
+    """Count the requests and retries of one service in a moving window."""
+
+    def __init__(self, rng: random.Random):
+        self._random = rng
+        self._requests: deque[float] = deque()
+        self._retries: list[float] = []
+        self._failures: deque[float] = deque()
+        self._phase = rng.random()
+        self._phase_until = 0.0
+
+    def request_started(self, now: float) -> None:
+        """Count a request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def failures_now(self, now: float) -> int:
+        """Count a failure and return how many there were within a second."""
+        self._failures.append(now)
+        while self._failures[0] <= now - BURST_WINDOW_S:
+            self._failures.popleft()
+        return len(self._failures)
+
+    def reserve(self, at: float, ratio: float, now: float) -> bool:
+        """Reserve a retry at a time, if the windows that hold it allow it.
+
+        Retries reserved for later times count too, so that these stay allowed.
+        Requests that may arrive until then are not counted in advance. The
+        share is rounded up or down by chance, so that many instances with less
+        than one retry each keep to the ratio together.
+        """
+        self._forget(now)
+        latest = max(at, self._retries[-1]) if self._retries else at
+        begin = latest - WINDOW_S
+        requests = len(self._requests) - bisect_right(self._requests, begin)
+        allowed = math.floor(ratio * requests + self._current_phase(now))
+        later = len(self._retries) - bisect_right(self._retries, at - WINDOW_S)
+        if later + 1 > allowed:
+            return False
+        insort(self._retries, at)
+        return True
+
+    def _current_phase(self, now: float) -> float:
+        if now >= self._phase_until:
+            self._phase = self._random.random()
+            self._phase_until = now + WINDOW_S
+        return self._phase
+
+    def _forget(self, now: float) -> None:
+        while self._requests and self._requests[0] <= now - WINDOW_S:
+            self._requests.popleft()
+        del self._retries[: bisect_right(self._retries, now - WINDOW_S)]
+
+
+class BudgetedRetries(RetryPolicy):
+    """Retry within the deadline and a budget, after a random delay.
+
+    Each instance earns retries by its own requests, so the sum holds over the
+    fleet without messages. The delay grows with the attempts and with the
+    failures of the last second, so that one event does not return as one wave.
+    """
+
+    def __init__(self, cfg: FleetConfig, seed: int):
+        self._cfg = cfg
+        self._random = random.Random(seed)
+        self._budgets: dict[str, _Budget] = {}
+
+    def configure(self, cfg: FleetConfig) -> None:
+        """Take over a new configuration."""
+        self._cfg = cfg
+
+    def request_started(self, service: str, now: float) -> None:
+        """Count a request, which earns a part of a retry."""
+        self._budget(service).request_started(now)
+
+    def retry_at(
+        self,
+        service: str,
+        attempts: int,
+        deadline: float,
+        now: float,
+        priority: Priority = Priority.CALLER,
+        hedge: bool = False,
+    ) -> float | None:
+        """Return when the next attempt may start, or None for no retry."""
+        opts = self._options(service)
+        if attempts >= opts.max_attempts:
+            return None
+        budget = self._budget(service)
+        at = now if hedge else now + self._delay(budget, attempts, now)
+        if at >= deadline:
+            return None
+        share = ROLLOUT_SHARE if priority is Priority.ROLLOUT else 1.0
+        return at if budget.reserve(at, share * opts.retry_ratio, now) else None
+
+    def _delay(self, budget: _Budget, attempts: int, now: float) -> float:
+        spread = BACKOFF_BASE_S * 2 ** min(attempts - 1, 10)
+        spread *= budget.failures_now(now)
+        return self._random.uniform(0, min(BACKOFF_MAX_S, spread))
+
+    def _budget(self, service: str) -> _Budget:
+        if service not in self._budgets:
+            self._budgets[service] = _Budget(self._random)
+        return self._budgets[service]
+
+    def _options(self, service: str) -> FleetOptions:
+        return self._cfg.scoped(Scope(service=service))
--- a/plantainstack/services/endpoints.py
+++ b/plantainstack/services/endpoints.py
@@ -11,8 +11,8 @@
 from plantainstack.kernel import Kernel
 from plantainstack.platform.base import EngineStatus, InstanceKind, InstanceRecord
 from plantainstack.plugins import Plugin
-from plantainstack.policy.limits import Admission, OpenAdmission
-from plantainstack.policy.retries import FixedRetries, RetryPolicy
+from plantainstack.policy.limits import Admission, PriorityAdmission
+from plantainstack.policy.retries import BudgetedRetries, RetryPolicy
 from plantainstack.policy.routing import LoadAwareRouter, Router
 from plantainstack.settings.fleet import FleetConfig
 
@@ -32,8 +32,8 @@
         self.statuses: dict[str, EngineStatus] = {}
         seed = xxhash.xxh3_64_intdigest(kernel.settings.instance.id.encode())
         self.router: Router = LoadAwareRouter(kernel.settings, kernel.config, seed)
-        self.admission: Admission = OpenAdmission()
-        self.retries: RetryPolicy = FixedRetries()
+        self.admission: Admission = PriorityAdmission(kernel.config, self.router)
+        self.retries: RetryPolicy = BudgetedRetries(kernel.config, seed)
         self._random = random.Random(seed)
         self._limiter = anyio.Semaphore(LOAD_POLLS_MAX)
         self._polling: set[str] = set()
--- a/plantainstack/settings/fleet.py
+++ b/plantainstack/settings/fleet.py
@@ -35,6 +35,8 @@
     retry_ratio = Number("0.1", "Retries allowed for each request.", maximum=1.0)
     concurrency_min = Integer("2", "Smallest limit for one endpoint.", minimum=1)
     concurrency_max = Integer("64", "Largest limit for one endpoint.", minimum=1)
+    caller_reserve = Number("0.1", "Share of capacity kept for callers.", maximum=1.0)
+    queue_max = Integer("16384", "Most requests queued on an instance.", minimum=1)
     # Routing
     subset_local = Integer(
         "8", "Instances of its centre that use an endpoint.", minimum=1
