Join the front, the policies and the operators' routes

Cause: dispatch still used the naive policies, the operators' routes checked tokens a second time, and nothing counted answers for the burn report. Change: dispatch takes router, admission and retries from the plug-in that owns them; the gate alone checks tokens; each answer counts as good if it is whole and on time. A drained endpoint is listed as leaving, and a drained entry instance is not ready. Conclusion: the routes are tested through the real front on loopback.

--- a/plantainstack/front/operators.py
+++ b/plantainstack/front/operators.py
@@ -1,7 +1,5 @@
 """HTTP for operators, on an address of its own."""
 
-import functools
-import hmac
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -11,7 +9,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from plantainstack.errors import ERROR_TABLE, ConfigurationError, ErrorKind, Failure
+from plantainstack.errors import ConfigurationError, ErrorKind, Failure
+from plantainstack.front.answers import error_response
 from plantainstack.kernel import Kernel
 from plantainstack.settings.fleet import (
     OPTIONS,
@@ -49,9 +48,8 @@
         ("/operator/burn", "GET", show_burn),
         ("/operator/trace/{id}", "GET", show_trace),
     ]
-    operators = kernel.settings.tokens().operators
     return [
-        Route(path, _guarded(kernel, operators, handler), methods=[method])
+        Route(path, _endpoint_of(kernel, handler), methods=[method])
         for path, method, handler in table
     ]
 
@@ -82,27 +80,27 @@
     """Accept a change, or refuse it with all its mistakes."""
     body = await request.body()
     if len(body) > BODY_MAX_BYTES:
-        return failed(Failure.of(ErrorKind.BODY_TOO_LARGE, "the change is too large"))
+        return error_response(
+            Failure.of(ErrorKind.BODY_TOO_LARGE, "the change is too large")
+        )
     try:
         change = msgspec.json.decode(body, type=ChangeRequest)
         exceptions = msgspec.convert(
             change.exceptions, type=FleetContent.__annotations__["exceptions"]
         )
-    except msgspec.ValidationError as exc:
-        return failed(Failure.of(ErrorKind.BAD_REQUEST, str(exc)))
-    except msgspec.DecodeError as exc:
-        return failed(Failure.of(ErrorKind.BAD_REQUEST, str(exc)))
+    except msgspec.DecodeError as exc:  # also the base of ValidationError
+        return error_response(Failure.of(ErrorKind.BAD_REQUEST, str(exc)))
     content = FleetContent(defaults=change.defaults, exceptions=exceptions)
     problems = check_content(content)
     if problems:
-        return failed(
+        return error_response(
             Failure.of(ErrorKind.BAD_REQUEST, str(ConfigurationError(problems)))
         )
     outcome = await kernel.plugin("configuration").change(
         change.change_id, change.base_version, content, operator
     )
     if outcome.is_err():
-        return failed(outcome.unwrap_err())
+        return error_response(outcome.unwrap_err())
     return JSONResponse({"version": outcome.unwrap()})
 
 
@@ -110,10 +108,12 @@
     """List the last changes."""
     limit = request.query_params.get("limit", "20")
     if not limit.isdigit():
-        return failed(Failure.of(ErrorKind.BAD_REQUEST, "limit is not a whole number"))
+        return error_response(
+            Failure.of(ErrorKind.BAD_REQUEST, "limit is not a whole number")
+        )
     outcome = await kernel.plugin("configuration").history(int(limit))
     if outcome.is_err():
-        return failed(outcome.unwrap_err())
+        return error_response(outcome.unwrap_err())
     return JSONResponse({"history": outcome.unwrap()})
 
 
@@ -139,7 +139,7 @@
     trainer = request.query_params.get("trainer", "")
     outcome = await kernel.plugin("steps").overview(trainer)
     if outcome.is_err():
-        return failed(outcome.unwrap_err())
+        return error_response(outcome.unwrap_err())
     return JSONResponse({"steps": outcome.unwrap()})
 
 
@@ -188,40 +188,11 @@
     return answers, sorted(missing)
 
 
-def failed(failure: Failure) -> JSONResponse:
-    """Build the answer to a failure."""
-    answer = ERROR_TABLE[failure.kind]
-    error = {
-        "kind": failure.kind,
-        "message": failure.message,
-        "outcome": failure.outcome,
-        "retry": answer.retry,
-    }
-    return JSONResponse({"error": error}, status_code=answer.status)
-
-
-def _guarded(kernel: Kernel, operators: dict[str, str], handler: Handler):
-    @functools.wraps(handler)
-    async def guarded(request: Request) -> Response:
-        operator = _holder(operators, request.headers.get("authorization", ""))
-        if operator is None:
-            message = "an operator's token is needed"
-            return failed(Failure.of(ErrorKind.UNAUTHENTICATED, message))
-        return await handler(kernel, request, operator)
-
-    return guarded
+def _endpoint_of(kernel: Kernel, handler: Handler):
+    async def serve(request: Request) -> Response:
+        return await handler(kernel, request, request.state.holder.name)
 
-
-def _holder(tokens: dict[str, str], header: str) -> str | None:
-    scheme, _, given = header.partition(" ")
-    if scheme.lower() != "bearer":
-        return None
-    matches = [
-        name
-        for token, name in tokens.items()
-        if hmac.compare_digest(token.encode(), given.encode())
-    ]
-    return matches[0] if matches else None
+    return serve
 
 
 def _own_events(kernel: Kernel, trace_id: str) -> list[dict]:
--- a/plantainstack/front/plugin.py
+++ b/plantainstack/front/plugin.py
@@ -15,7 +15,7 @@
     """Listen on the instance's addresses and shut them down gracefully."""
 
     name = "front"
-    requires = ("dispatch", "bookings")
+    requires = ("dispatch", "bookings", "peers", "membership")
 
     def __init__(self, kernel):
         super().__init__(kernel)
@@ -26,6 +26,7 @@
     async def start(self, tasks) -> None:
         """Listen on both addresses."""
         kernel = self.kernel
+        operators.register_queries(kernel)
         book = TokenBook(kernel.settings.tokens())
         public = [
             *health.routes(kernel),
--- a/plantainstack/services/dispatch.py
+++ b/plantainstack/services/dispatch.py
@@ -19,14 +19,9 @@
     PlainRequest,
 )
 from plantainstack.plugins import Plugin
-from plantainstack.policy.limits import Admission, OpenAdmission
-from plantainstack.policy.retries import FixedRetries, RetryPolicy
-from plantainstack.policy.routing import (
-    AttemptEnd,
-    RoundRobinRouter,
-    Router,
-    RouteRequest,
-)
+from plantainstack.policy.limits import Admission
+from plantainstack.policy.retries import RetryPolicy
+from plantainstack.policy.routing import AttemptEnd, Router, RouteRequest
 from plantainstack.requests import DeadlineGuard, RequestContext, new_id
 
 ADMISSION_TICK_S = 0.02
@@ -40,6 +35,9 @@
         ErrorKind.ANSWER_TIMEOUT,
     }
 )
+_CALLER_KINDS = frozenset(
+    {ErrorKind.BAD_REQUEST, ErrorKind.UNKNOWN_SERVICE, "cancelled"}
+)
 _ENDS = {
     ErrorKind.ENDPOINT_REFUSED: AttemptEnd.REFUSED,
     ErrorKind.ANSWER_TIMEOUT: AttemptEnd.SILENT,
@@ -48,19 +46,6 @@
 }
 
 
-class Policies(NamedTuple):
-    """Hold the decision code that dispatching uses."""
-
-    router: Router
-    admission: Admission
-    retries: RetryPolicy
-
-
-def build_policies() -> Policies:
-    """Build the policies of the daemon."""
-    return Policies(RoundRobinRouter(), OpenAdmission(), FixedRetries())
-
-
 class AttemptLog:
     """Count a request's attempts and keep whether one may have run."""
 
@@ -118,24 +103,34 @@
     """Send requests to endpoints within their deadlines."""
 
     name = "dispatch"
-    requires = ("links",)
+    requires = ("links", "endpoints")
 
-    def __init__(self, kernel, policies: Policies | None = None):
+    def __init__(self, kernel):
         super().__init__(kernel)
-        self.router, self.admission, self.retries = policies or build_policies()
         self.in_flight = 0
         self._idle = anyio.Event()
         self._waiting: dict[str, _Waiter] = {}
         self._queued = anyio.Event()
 
+    @property
+    def router(self) -> Router:
+        """Return the router that all requests share."""
+        return self.kernel.plugin("endpoints").router
+
+    @property
+    def admission(self) -> Admission:
+        """Return the admission that all requests share."""
+        return self.kernel.plugin("endpoints").admission
+
+    @property
+    def retries(self) -> RetryPolicy:
+        """Return the retry policy that all requests share."""
+        return self.kernel.plugin("endpoints").retries
+
     async def start(self, tasks) -> None:
         """Start the task that decides on queued requests."""
         tasks.start_soon(self._decide_queued)
 
-    def on_endpoints(self, records) -> None:
-        """Give the router a new list of endpoints."""
-        self.router.update_endpoints(records, self.kernel.clock.now())
-
     async def drain(self, deadline: float) -> None:
         """Wait for every running request, streams included."""
         with anyio.move_on_after(max(0.0, deadline - self.kernel.clock.now())):
@@ -415,6 +410,7 @@
         metrics.REQUESTS.labels(service, kind, outcome).inc()
         elapsed = self.kernel.clock.now() - run.ctx.arrived_at
         metrics.REQUEST_SECONDS.labels(service).observe(elapsed)
+        self._count_burn(run, kind)
         self.kernel.trace.record(
             run.ctx.request_id,
             "request.ended",
@@ -424,6 +420,14 @@
             attempts=run.log.count,
         )
 
+    def _count_burn(self, run: _Run, kind: str) -> None:
+        """Count against the objective, but for what the caller itself caused."""
+        if kind in _CALLER_KINDS:
+            return
+        on_time = self.kernel.clock.now() <= run.ctx.deadline
+        good = kind == "ok" and on_time
+        self.kernel.burn.count(run.ctx.service, good, self.kernel.clock.wall())
+
 
 _REFUSAL = Failure.of(ErrorKind.ENDPOINT_REFUSED, "the endpoint refused the call")
 
--- a/plantainstack/services/endpoints.py
+++ b/plantainstack/services/endpoints.py
@@ -9,12 +9,17 @@
 
 from plantainstack import log
 from plantainstack.kernel import Kernel
-from plantainstack.platform.base import EngineStatus, InstanceKind, InstanceRecord
+from plantainstack.platform.base import (
+    EngineStatus,
+    InstanceKind,
+    InstanceRecord,
+    InstanceState,
+)
 from plantainstack.plugins import Plugin
 from plantainstack.policy.limits import Admission, PriorityAdmission
 from plantainstack.policy.retries import BudgetedRetries, RetryPolicy
 from plantainstack.policy.routing import LoadAwareRouter, Router
-from plantainstack.settings.fleet import FleetConfig
+from plantainstack.settings.fleet import FleetConfig, Scope
 
 POLL_JITTER = 0.2
 LOAD_POLLS_MAX = 16
@@ -30,6 +35,7 @@
         super().__init__(kernel)
         self.records: tuple[InstanceRecord, ...] = ()
         self.statuses: dict[str, EngineStatus] = {}
+        self._listed: Sequence[InstanceRecord] = ()
         seed = xxhash.xxh3_64_intdigest(kernel.settings.instance.id.encode())
         self.router: Router = LoadAwareRouter(kernel.settings, kernel.config, seed)
         self.admission: Admission = PriorityAdmission(kernel.config, self.router)
@@ -45,13 +51,18 @@
         tasks.start_soon(self._follow_load, tasks)
 
     def unready_reason(self) -> str | None:
-        """Return a reason until a list has been read."""
+        """Return a reason while the instance is drained or knows no endpoints."""
+        own = self.kernel.settings.instance
+        scope = Scope(data_centre=own.data_centre, endpoint=own.id)
+        if self.kernel.config.scoped(scope).drain:
+            return "drained by the configuration"
         return None if self.records else "no endpoints known"
 
     def on_config(self, cfg: FleetConfig) -> None:
         """Pass the configuration on to the policies."""
         for policy in (self.router, self.admission, self.retries):
             policy.configure(cfg)
+        self._take_over(self._listed)
 
     async def poll_list(self) -> None:
         """Read the list; the last one stays in use when that fails."""
@@ -59,11 +70,13 @@
         if answer.is_err():
             log.event("endpoints.list_failed", error=answer.unwrap_err().message)
             return
-        records = tuple(sorted(answer.unwrap()))
-        if records != self.records:
-            self._take_over(records)
+        self._take_over(answer.unwrap())
 
-    def _take_over(self, records: tuple[InstanceRecord, ...]) -> None:
+    def _take_over(self, listed: Sequence[InstanceRecord]) -> None:
+        self._listed = listed
+        records = tuple(sorted(self._with_drains(record) for record in listed))
+        if records == self.records:
+            return
         self.records = records
         known = {record.id for record in records}
         self.statuses = {
@@ -73,6 +86,13 @@
         log.event("endpoints.changed", endpoints=len(records))
         self.kernel.emit("endpoints", records)
 
+    def _with_drains(self, record: InstanceRecord) -> InstanceRecord:
+        """Return the record as leaving if the configuration drains it."""
+        scope = Scope(record.service, record.data_centre, record.id)
+        if self.kernel.config.scoped(scope).drain:
+            return record._replace(state=InstanceState.LEAVING)
+        return record
+
     def polled(self) -> Sequence[InstanceRecord]:
         """Return the engines whose load this instance follows."""
         return [
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,7 @@
 """In-memory fakes of the platform's interfaces, shared by several tests."""
 
+from types import SimpleNamespace
+
 import httpcore
 from result import Err, Ok
 
@@ -15,6 +17,10 @@
     PlainAnswer,
     PlainService,
 )
+from plantainstack.plugins import Plugin
+from plantainstack.policy.limits import OpenAdmission
+from plantainstack.policy.retries import FixedRetries
+from plantainstack.policy.routing import RoundRobinRouter
 from plantainstack.services.dispatch import Dispatch
 from plantainstack.settings.options import Address
 
@@ -101,6 +107,42 @@
         return self.fake_plain
 
 
+class FakeEndpoints(Plugin):
+    """Hold naive policies, unless a test sets others."""
+
+    name = "endpoints"
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.router = RoundRobinRouter()
+        self.admission = OpenAdmission()
+        self.retries = FixedRetries()
+
+    def on_endpoints(self, records):
+        self.router.update_endpoints(records, self.kernel.clock.now())
+
+
+class FakePeers(Plugin):
+    """Be alone, without peers."""
+
+    name = "peers"
+
+    def register(self, type, handler):
+        pass
+
+    async def ask(self, peer_id, message, deadline):
+        return Err(Failure.of(ErrorKind.ANSWER_TIMEOUT, "silent"))
+
+
+class FakeMembership(Plugin):
+    """Know one other member, which does not answer."""
+
+    name = "membership"
+
+    def view(self):
+        return SimpleNamespace(members={"entry-1": None, "entry-2": None})
+
+
 def endpoints():
     """Return two endpoints of each service."""
     plain = [record(name) for name in ("p1", "p2")]
@@ -110,7 +152,7 @@
     return plain + engines
 
 
-def serving_kernel(clock, settings=None, plugins=(FakeLinks, Dispatch)):
+def serving_kernel(clock, settings=None, plugins=(FakeLinks, FakeEndpoints, Dispatch)):
     """Return a kernel that counts as serving, with endpoints, without tasks."""
     kernel = Kernel(settings, plugins, clock)
     kernel.emit("endpoints", endpoints())
--- a/tests/front/harness.py
+++ b/tests/front/harness.py
@@ -13,7 +13,13 @@
 from plantainstack.services.bookings import Bookings
 from plantainstack.services.dispatch import Dispatch
 from plantainstack.settings.instance import parse_instance
-from tests.fakes import FakeLinks, endpoints
+from tests.fakes import (
+    FakeEndpoints,
+    FakeLinks,
+    FakeMembership,
+    FakePeers,
+    endpoints,
+)
 
 TOKENS = """\
 [callers]
@@ -40,7 +46,15 @@
 tokens = {tokens}
 peer_key = {tokens}
 """
-PLUGINS = (FakeLinks, Dispatch, Bookings, Front)
+PLUGINS = (
+    FakeLinks,
+    FakeEndpoints,
+    FakePeers,
+    FakeMembership,
+    Dispatch,
+    Bookings,
+    Front,
+)
 
 
 class Reply(NamedTuple):
--- a/tests/front/test_operators.py
+++ b/tests/front/test_operators.py
@@ -1,21 +1,17 @@
 """Tests of the operators' HTTP."""
 
-from types import SimpleNamespace
-from typing import NamedTuple
+import json
 
 import pytest
 from result import Err, Ok
-from starlette.applications import Starlette
-from starlette.testclient import TestClient
 
-from plantainstack.clock import FakeClock
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.front.operators import routes
-from plantainstack.kernel import Kernel
 from plantainstack.plugins import Plugin
-from plantainstack.settings.instance import Tokens
+from tests.front.harness import PLUGINS, running
 
-HEADERS = {"Authorization": "Bearer op-token"}
+pytestmark = pytest.mark.anyio
+
+OPERATOR = {"token": "operator-token", "operator": True}
 CHANGE = {"change_id": "c1", "base_version": 0, "defaults": {}, "exceptions": []}
 EXCEPTION = {
     "name": "x",
@@ -26,33 +22,6 @@
 }
 
 
-class FakeSettings(NamedTuple):
-    """Hold just what the operators' HTTP needs."""
-
-    instance: SimpleNamespace
-
-    def tokens(self):
-        return Tokens({"caller-token": "member"}, {}, {"op-token": "night"})
-
-
-class FakeMembership(Plugin):
-    """Know one other member."""
-
-    name = "membership"
-
-    def view(self):
-        return SimpleNamespace(members={"entry-1": None, "entry-2": None})
-
-
-class FakePeers(Plugin):
-    """Answer every query as a silent instance would."""
-
-    name = "peers"
-
-    async def ask(self, peer_id, message, deadline):
-        return Err(Failure.of(ErrorKind.ANSWER_TIMEOUT, "silent"))
-
-
 class FakeConfiguration(Plugin):
     """Accept changes that are based on version 0."""
 
@@ -65,24 +34,24 @@
 
 
 @pytest.fixture
-def client():
-    plugins = [FakeMembership, FakePeers, FakeConfiguration]
-    settings = FakeSettings(SimpleNamespace(id="entry-1"))
-    kernel = Kernel(settings, plugins, FakeClock())
-    kernel.trace.record("r1", "request.answered", attempts=1)
-    kernel.burn.count("booking-app", True, kernel.clock.wall())
-    return TestClient(Starlette(routes=routes(kernel)))
+async def client(tmp_path):
+    async with running(tmp_path, (*PLUGINS, FakeConfiguration)) as client:
+        kernel = client.kernel
+        kernel.trace.record("r1", "request.answered", attempts=1)
+        kernel.burn.count("booking-app", True, kernel.clock.wall())
+        yield client
 
 
 @pytest.mark.parametrize(
-    "headers", [{}, {"Authorization": "Bearer caller-token"}, {"Authorization": "x"}]
+    ("token", "status"),
+    [(None, 401), ("unknown", 401), ("caller-token", 403), ("trainer-token", 403)],
 )
 @pytest.mark.parametrize("path", ["/operator/config", "/operator/burn"])
-def test_only_operators_get_in(client, headers, path):
+async def test_only_operators_get_in(client, token, status, path):
     """Guards against a caller's credential that opens the operators' paths."""
-    answer = client.get(path, headers=headers)
-    assert answer.status_code == 401
-    assert answer.json()["error"]["outcome"] == "not_run"
+    answer = await client.send("GET", path, token=token, operator=True)
+    assert answer.status == status
+    assert answer.error()["outcome"] == "not_run"
 
 
 @pytest.mark.parametrize(
@@ -94,19 +63,21 @@
         (CHANGE | {"exceptions": [EXCEPTION]}, 400, "written reason"),
         (CHANGE | {"extra": 1}, 400, "extra"),
         ([], 400, "object"),
+        (b"{", 400, "truncated"),
     ],
 )
-def test_changes(client, change, status, message):
-    answer = client.put("/operator/config", json=change, headers=HEADERS)
-    assert answer.status_code == status
-    assert message is None or message in answer.json()["error"]["message"]
+async def test_changes(client, change, status, message):
+    answer = await client.send("PUT", "/operator/config", change, **OPERATOR)
+    assert answer.status == status
+    assert message is None or message in answer.error()["message"]
 
 
-def test_a_silent_instance_is_named_and_does_not_hide_the_rest(client):
+async def test_a_silent_instance_is_named_and_does_not_hide_the_rest(client):
     """Guards against a report that looks complete without an instance."""
-    trace = client.get("/operator/trace/r1", headers=HEADERS).json()
+    answer = await client.send("GET", "/operator/trace/r1", **OPERATOR)
+    trace = json.loads(answer.body)
     assert [event["name"] for event in trace["events"]] == ["request.answered"]
     assert trace["missing"] == ["entry-2"]
-    burn = client.get("/operator/burn", headers=HEADERS).json()
+    burn = (await client.send("GET", "/operator/burn", **OPERATOR)).json()
     assert burn["services"][0]["burns"][0]["good"] == 1
     assert burn["missing"] == ["entry-2"]
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -9,17 +9,14 @@
 from plantainstack.kernel import PAUSE_LIMIT_S
 from plantainstack.platform.base import GenerateRequest, PlainRequest, Priority
 from plantainstack.policy.limits import OpenAdmission
-from plantainstack.policy.retries import FixedRetries
-from plantainstack.policy.routing import RoundRobinRouter
 from plantainstack.requests import RequestContext
-from plantainstack.services.dispatch import AttemptLog, Policies
+from plantainstack.services.dispatch import AttemptLog
 from tests.fakes import (
     BROKEN,
     CROSSED,
     LATE,
     REFUSED,
     TRUNCATED,
-    endpoints,
     serving_kernel,
 )
 
@@ -176,9 +173,7 @@
     """Guards against a request that waits for ever or leaks capacity."""
     dispatch, _, clock = dispatching()
     admission = QueueingAdmission()
-    policies = Policies(RoundRobinRouter(), admission, FixedRetries())
-    dispatch.router, dispatch.admission, dispatch.retries = policies
-    dispatch.on_endpoints(endpoints())
+    dispatch.kernel.plugin("endpoints").admission = admission
     results = []
 
     async def call():
