--- a/standins/engine.py
+++ b/standins/engine.py
@@ -124,7 +124,7 @@
             async for chunk in stream.chunks:
                 yield _event(stream.attempt_id, model, chunk, None)
             if stream.finished:
-                last = Chunk("", 0, self._batch.version)
+                last = Chunk("", 0, stream.version or self._batch.version)
                 yield _event(stream.attempt_id, model, last, "stop")
                 yield DONE
         finally:
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,93 @@
+"""Start processes for the demo, and stop exactly these."""
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from plantainstack.settings.options import Address
+
+ROOT = Path(__file__).parent.parent
+STOP_LIMIT_S = 4.0
+STOP_POLL_S = 0.05
+# Below the range from which the system takes ports for outgoing connections, so
+# that no other process can take a port between its choice and its use.
+PORTS = range(20_000, 32_000)
+
+
+class Processes:
+    """Keep the processes that were started, by name."""
+
+    def __init__(self, directory: Path):
+        self._directory = directory
+        self._started: dict[str, subprocess.Popen] = {}
+
+    def start(self, name: str, *args: str) -> None:
+        """Run a Python module; its output goes to a file named after the process."""
+        with (self._directory / f"{name}.out").open("wb") as output:
+            self._started[name] = subprocess.Popen(
+                [sys.executable, "-m", *args],
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": str(ROOT)},
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def kill(self, name: str) -> None:
+        """End a process at once, without a chance to clean up."""
+        process = self._started[name]
+        process.kill()
+        process.wait()
+
+    def ended(self) -> list[str]:
+        """Return the names of the processes that are not running."""
+        return [
+            name
+            for name, process in self._started.items()
+            if process.poll() is not None
+        ]
+
+    def output(self, name: str, lines: int = 5) -> str:
+        """Return the end of what a process printed."""
+        text = (self._directory / f"{name}.out").read_text(errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+    def stop_all(self) -> list[str]:
+        """Stop what still runs; return the names that had to be killed."""
+        running = {
+            name: process
+            for name, process in self._started.items()
+            if process.poll() is None
+        }
+        for process in running.values():
+            process.send_signal(signal.SIGTERM)
+        deadline = time.monotonic() + STOP_LIMIT_S
+        while time.monotonic() < deadline:
+            if all(process.poll() is not None for process in running.values()):
+                break
+            time.sleep(STOP_POLL_S)
+        killed = [name for name, process in running.items() if process.poll() is None]
+        for name in killed:
+            self.kill(name)
+        return killed
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Return loopback addresses that no process listens on."""
+    found: list[Address] = []
+    for port in random.sample(PORTS, len(PORTS)):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(Address("127.0.0.1", port))
+        if len(found) == count:
+            return found
+    raise OSError("too few free ports on loopback")
