--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,8 @@
 """In-memory fakes of the platform's interfaces, shared by several tests."""
 
+from types import SimpleNamespace
+
+import anyio
 import httpcore
 from result import Err, Ok
 
@@ -11,10 +14,15 @@
     InstanceKind,
     InstanceRecord,
     InstanceState,
+    MutationOutcome,
+    ObjectStore,
     Part,
     PlainAnswer,
     PlainService,
+    Row,
+    TableService,
 )
+from plantainstack.plugins import Plugin
 from plantainstack.services.dispatch import Dispatch
 from plantainstack.settings.options import Address
 
@@ -86,6 +94,126 @@
     status = order = cancel = cache_events = export_kv = import_kv = _unused
 
 
+UNAVAILABLE = failure(ErrorKind.TABLE_UNAVAILABLE)
+UNKNOWN = failure(ErrorKind.TABLE_OUTCOME_UNKNOWN)
+
+
+class FakeTable(TableService):
+    """Keep rows in memory; `faults` lists what happens to the next requests.
+
+    A fault is `down` (refused), `lost` (takes effect, but the response is lost)
+    or `dropped` (never arrives, but the sender cannot know).
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.faults = []
+        self.always = None
+
+    async def read(self, keys):
+        fault = await self._enter()
+        if fault:
+            return UNAVAILABLE
+        return Ok({key: self._row(key) for key in keys})
+
+    async def scan(self, prefix, after="", limit=1000):
+        if await self._enter():
+            return UNAVAILABLE
+        keys = sorted(k for k in self.rows if k.startswith(prefix) and k > after)
+        return Ok([self.rows[key] for key in keys[:limit]])
+
+    async def commit(self, mutations):
+        fault = await self._enter()
+        if fault == "down":
+            return UNAVAILABLE
+        if fault == "dropped":
+            return UNKNOWN
+        outcomes = [self.apply(mutation) for mutation in mutations]
+        return UNKNOWN if fault == "lost" else Ok(outcomes)
+
+    async def _enter(self):
+        await anyio.sleep(0)
+        return self.faults.pop(0) if self.faults else self.always
+
+    def apply(self, mutation):
+        """Apply one mutation, or return the rows that conflict with it."""
+        rows = [self._row(check.key) for check in mutation.checks]
+        pairs = zip(rows, mutation.checks, strict=True)
+        conflicts = tuple(row for row, check in pairs if row.version != check.version)
+        if conflicts:
+            return MutationOutcome(False, conflicts)
+        for write in mutation.writes:
+            row = Row(write.key, self._row(write.key).version + 1, write.value)
+            if write.value is None:
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = row
+        return MutationOutcome(True)
+
+    def _row(self, key):
+        return self.rows.get(key, Row(key, 0, None))
+
+
+class FakeObjects(ObjectStore):
+    """Keep objects in memory; `down` refuses everything."""
+
+    def __init__(self):
+        self.data = {}
+        self.down = False
+
+    async def put(self, name, data):
+        if self.down:
+            return failure(ErrorKind.STORE_UNAVAILABLE)
+        self.data[name] = data
+        return Ok(None)
+
+    async def get(self, name):
+        if self.down:
+            return failure(ErrorKind.STORE_UNAVAILABLE)
+        if name not in self.data:
+            return failure(ErrorKind.NOT_FOUND)
+        return Ok(self.data[name])
+
+
+class FakePlatform(Plugin):
+    """Offer a fake table service and object store."""
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.table = FakeTable()
+        self.objects = FakeObjects()
+
+
+class FakePeers(Plugin):
+    """Call the handlers of other fakes directly; `network` maps ids to them."""
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.handlers = {}
+        self.network = {}
+
+    def register(self, kind, handler):
+        self.handlers[kind] = handler
+
+    async def ask(self, peer_id, message, deadline):
+        peer = self.network.get(peer_id)
+        if peer is None:
+            return failure(ErrorKind.ENDPOINT_REFUSED)
+        own_id = self.kernel.settings.instance.id
+        return Ok(await peer.handlers[message["type"]](own_id, message))
+
+
+class FakeMembership(Plugin):
+    """Show the instances that a test names as members."""
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.members = {}
+
+    def view(self):
+        return SimpleNamespace(members=self.members)
+
+
 class FakeLinks(EndpointLinks):
     """Reach one fake engine and one fake plain service by any record."""
 
@@ -101,6 +229,13 @@
         return self.fake_plain
 
 
+# Set late, so that the fakes do not replace the registered plug-ins.
+FakePlatform.name = "platform"
+FakePeers.name = "peers"
+FakeMembership.name = "membership"
+PLATFORM_FAKES = (FakeLinks, FakePlatform, FakePeers, FakeMembership)
+
+
 def endpoints():
     """Return two endpoints of each service."""
     plain = [record(name) for name in ("p1", "p2")]
--- a/tests/front/harness.py
+++ b/tests/front/harness.py
@@ -13,7 +13,7 @@
 from plantainstack.services.bookings import Bookings
 from plantainstack.services.dispatch import Dispatch
 from plantainstack.settings.instance import parse_instance
-from tests.fakes import FakeLinks, endpoints
+from tests.fakes import PLATFORM_FAKES, endpoints
 
 TOKENS = """\
 [callers]
@@ -40,7 +40,7 @@
 tokens = {tokens}
 peer_key = {tokens}
 """
-PLUGINS = (FakeLinks, Dispatch, Bookings, Front)
+PLUGINS = (*PLATFORM_FAKES, Dispatch, Bookings, Front)
 
 
 class Reply(NamedTuple):
