--- a/tests/front/test_operators.py
+++ b/tests/front/test_operators.py
@@ -38,6 +38,7 @@
     async with running(tmp_path, (*PLUGINS, FakeConfiguration)) as client:
         kernel = client.kernel
         kernel.trace.record("r1", "request.answered", attempts=1)
+        kernel.plugin("membership").members = {"entry-1": None, "entry-2": None}
         kernel.burn.count("booking-app", True, kernel.clock.wall())
         yield client
 
