Hash the name of a group as bytes

Cause: the affinity of a group's samples was the hash of a str, which xxhash refuses; the exception ended the whole daemon, and then the next owner's. Ruled out: the leases and the routing, which had done their part by then. Change: the name is encoded first; a test generates a sample of a group.

--- a/plantainstack/services/dispatch.py
+++ b/plantainstack/services/dispatch.py
@@ -446,5 +446,6 @@
 
 def _affinity(ctx: RequestContext, req: GenerateRequest) -> int:
     """Hash the group, or else the first message, which prompts often share."""
-    shared = ctx.group or msgspec.json.encode(req.messages[:1])
+    group = ctx.group.encode() if ctx.group else None
+    shared = group or msgspec.json.encode(req.messages[:1])
     return xxhash.xxh64_intdigest(shared)
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -196,3 +196,11 @@
     seen = (ok, admission.finished_count, admission.withdrawn)
     assert seen == expected[verdict]
     assert dispatch.in_flight == 0
+
+
+async def test_samples_of_a_group_can_be_generated():
+    """Guards against a group's name that cannot be hashed for its affinity."""
+    dispatch, _, clock = dispatching()
+    ctx = context(clock, "raadgiver-llm")._replace(group="g1")
+    parts = [part async for part in dispatch.generate(ctx, GENERATE)]
+    assert [part.ok_value.text for part in parts] == ["one ", "two"]
