Test the demo's verdict and the stopping of its processes

Cause: a demo that exits with 0 whatever happened, or that leaves a process behind, would go unnoticed.

Change: tests feed the verdict one broken guarantee each, and stop real processes, one of which ignores the signal. Traffic now ends on time while the step goes on, and the report names the version that each engine serves.

Conclusion: the demo tells kept from broken guarantees.

--- /dev/null
+++ b/tests/tools/stubborn.py
@@ -0,0 +1,11 @@
+"""A process that ignores the request to stop."""
+
+import signal
+import time
+
+LIFETIME_S = 60
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    print("ready", flush=True)
+    time.sleep(LIFETIME_S)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -15,8 +15,8 @@
 import anyio
 import click
 
-from tools.demo_fleet import LATEST_VERSION, TRAINER_MODEL, DemoError, Fleet
-from tools.demo_traffic import BOOKED, NOT_RUN, Traffic
+from tools.demo_fleet import ENDPOINTS, LATEST_VERSION, TRAINER_MODEL, DemoError, Fleet
+from tools.demo_traffic import BOOKED, CALLS, NOT_RUN, Traffic
 
 TOTAL_LIMIT_S = 52.0
 STEP_AT_S = 2.0
@@ -24,9 +24,10 @@
 PUBLISH_AT_S = 4.5
 KILL_AT_S = 8.0
 TRAFFIC_S = 14.0
-STEP_LIMIT_S = 12.0
+STEP_LIMIT_S = 30.0
 POLL_INTERVAL_S = 0.1
 IN_FORCE_BOUND_S = 7.0
+CALLS_OF_DEMO = tuple(kind.name for kind in CALLS)
 VICTIM = "entry-2"
 CHANGED_THROUGH = "entry-1"
 CHANGE = {
@@ -47,57 +48,61 @@
     """Carry out the demo, and gather what it shows."""
 
     def __init__(self, fleet: Fleet):
-        self._fleet = fleet
-        self._traffic = Traffic(fleet)
+        self.fleet = fleet
+        self.traffic = Traffic(fleet)
         self._started = time.monotonic()
         self._accepted_at = 0.0
         self._changed_to: int | None = None
-        self._in_force_s: dict[str, float] = {}
+        self.in_force_s: dict[str, float] = {}
         self._seen: dict[str, int] = {}
-        self._steps: list[dict] = []
+        self.steps: list[dict] = []
         self._idle_s = 0.0
-        self._runs: Counter[str] = Counter()
-        self._broken: list[str] = []
+        self.runs: Counter[str] = Counter()
+        self.engines: dict[str, dict] = {}
+        self.broken: list[str] = []
 
     async def run(self) -> None:
         """Start everything, send traffic, and interfere with it."""
         self._say("starting 14 stand-ins and 3 entry instances")
-        await self._fleet.start()
+        await self.fleet.start()
         self._say("all processes are ready; traffic starts")
         begin = time.monotonic()
         async with anyio.create_task_group() as tasks:
             async with anyio.create_task_group() as watchers:
                 watchers.start_soon(self._watch_versions)
-                tasks.start_soon(self._traffic.run)
+                tasks.start_soon(self.traffic.run)
                 await self._interfere(begin)
+                self.traffic.stop()
+                self._say("traffic ends; waiting for calls and the step under way")
                 await self._wait_for_step()
                 watchers.cancel_scope.cancel()
-            self._traffic.stop()
-            self._say("traffic ends; waiting for the calls under way")
-        self._runs = await self._traffic.runs()
-        state = await self._fleet.state("trainer")
-        self._steps = state.get("steps", [])
+        self.runs = await self.traffic.runs()
+        for each in ENDPOINTS:
+            if each.kind == "engine":
+                self.engines[each.name] = await self.fleet.state(each.name)
+        state = await self.fleet.state("trainer")
+        self.steps = state.get("steps", [])
         self._idle_s = state.get("idle_s", 0.0)
 
     async def _interfere(self, begin: float) -> None:
         await _sleep_until(begin + STEP_AT_S)
-        await self._fleet.want_steps(1)
+        await self.fleet.want_steps(1)
         self._say("the trainer opens a step of 8 groups with 4 samples each")
         await _sleep_until(begin + CHANGE_AT_S)
         await self._change_config()
         await _sleep_until(begin + PUBLISH_AT_S)
-        await self._fleet.publish(TRAINER_MODEL, LATEST_VERSION + 1)
+        await self.fleet.publish(TRAINER_MODEL, LATEST_VERSION + 1)
         self._say(f"version {LATEST_VERSION + 1} of {TRAINER_MODEL} is published")
         await _sleep_until(begin + KILL_AT_S)
-        self._fleet.kill_entry(VICTIM)
+        self.fleet.kill_entry(VICTIM)
         self._say(f"{VICTIM} is killed with SIGKILL")
         await _sleep_until(begin + TRAFFIC_S)
 
     async def _change_config(self) -> None:
         change_id = uuid.uuid4().hex
-        reply = await self._fleet.operators.change(CHANGED_THROUGH, change_id, CHANGE)
+        reply = await self.fleet.operators.change(CHANGED_THROUGH, change_id, CHANGE)
         if not reply.ok:
-            self._broken.append(f"the change was refused: {reply.content}")
+            self.broken.append(f"the change was refused: {reply.content}")
             return
         self._accepted_at = time.monotonic()
         self._changed_to = reply.content["version"]
@@ -105,22 +110,23 @@
 
     async def _watch_versions(self) -> None:
         while True:
-            for name in self._fleet.living():
-                version = await self._fleet.operators.version(name)
+            for name in self.fleet.living():
+                version = await self.fleet.operators.version(name)
                 if version is not None:
-                    self._note_version(name, version)
+                    self.note_version(name, version)
             await anyio.sleep(POLL_INTERVAL_S)
 
-    def _note_version(self, name: str, version: int) -> None:
+    def note_version(self, name: str, version: int) -> None:
+        """Take over the version that an instance reports."""
         if version < self._seen.get(name, 0):
-            self._broken.append(f"{name} reverted to configuration {version}")
+            self.broken.append(f"{name} reverted to configuration {version}")
         self._seen[name] = version
         if self._changed_to is not None and version >= self._changed_to:
-            self._in_force_s.setdefault(name, time.monotonic() - self._accepted_at)
+            self.in_force_s.setdefault(name, time.monotonic() - self._accepted_at)
 
     async def _wait_for_step(self) -> None:
         with anyio.move_on_after(STEP_LIMIT_S):
-            while not (await self._fleet.state("trainer")).get("steps"):
+            while not (await self.fleet.state("trainer")).get("steps"):
                 await anyio.sleep(POLL_INTERVAL_S)
 
     def report(self) -> bool:
@@ -130,53 +136,59 @@
         self._report_bookings()
         self._report_config()
         self._report_steps()
-        for problem in self._broken:
+        self._report_engines()
+        self.broken += [
+            f"{name} ended by itself"
+            for name in self.fleet.processes.ended()
+            if name not in self.fleet.killed
+        ]
+        for problem in self.broken:
             click.echo(f"BROKEN: {problem}")
-        if not self._broken:
+        if not self.broken:
             click.echo("every guarantee was kept")
-        return not self._broken
+        return not self.broken
 
     def _report_answers(self) -> None:
-        traffic = self._traffic
+        traffic = self.traffic
         for name, sent in traffic.sent.items():
             click.echo(f"{name}s: {sent} sent, {traffic.on_time[name]} on time")
             if traffic.on_time[name] == 0:
-                self._broken.append(f"no {name} was answered on time")
+                self.broken.append(f"no {name} was answered on time")
         for error, count in sorted(traffic.errors.items()):
             click.echo(f"  repeated or given up after {error}: {count}")
-        self._broken += [f"wrong answer to {wrong}" for wrong in traffic.wrong]
+        self.broken += [f"wrong answer to {wrong}" for wrong in traffic.wrong]
 
     def _report_bookings(self) -> None:
-        ends = self._traffic.bookings
+        ends = self.traffic.bookings
         counts = ", ".join(f"{n} {end}" for end, n in Counter(ends.values()).items())
         click.echo(
-            f"bookings: {len(ends)} sent, {self._traffic.repeated} repeats with the "
-            f"same key, {sum(self._runs.values())} runs; ends: {counts}"
+            f"bookings: {len(ends)} sent, {self.traffic.repeated} repeats with the "
+            f"same key, {sum(self.runs.values())} runs; ends: {counts}"
         )
         for reference, end in ends.items():
-            runs = self._runs[reference]
+            runs = self.runs[reference]
             if runs > 1:
-                self._broken.append(f"booking {reference} ran {runs} times")
+                self.broken.append(f"booking {reference} ran {runs} times")
             if end == BOOKED and runs == 0:
-                self._broken.append(f"booking {reference} was confirmed but lost")
+                self.broken.append(f"booking {reference} was confirmed but lost")
             if end == NOT_RUN and runs > 0:
-                self._broken.append(f"booking {reference} ran in spite of not_run")
+                self.broken.append(f"booking {reference} ran in spite of not_run")
 
     def _report_config(self) -> None:
-        for name, seconds in sorted(self._in_force_s.items()):
+        for name, seconds in sorted(self.in_force_s.items()):
             click.echo(f"configuration in force on {name} after {seconds:.2f} s")
             if seconds > IN_FORCE_BOUND_S:
-                self._broken.append(f"the change took {seconds:.1f} s on {name}")
-        for name in self._fleet.living():
-            if name not in self._in_force_s:
-                self._broken.append(f"the change never came into force on {name}")
+                self.broken.append(f"the change took {seconds:.1f} s on {name}")
+        for name in self.fleet.living():
+            if name not in self.in_force_s:
+                self.broken.append(f"the change never came into force on {name}")
 
     def _report_steps(self) -> None:
-        if not self._steps:
-            self._broken.append("the trainer got no step")
-        for step in self._steps:
+        if not self.steps:
+            self.broken.append("the trainer got no step")
+        for step in self.steps:
             if "failed" in step:
-                self._broken.append(f"{step['step']} failed: {step['failed']}")
+                self.broken.append(f"{step['step']} failed: {step['failed']}")
             else:
                 self._report_step(step)
         click.echo(f"trainer idle for {self._idle_s:.2f} s")
@@ -200,10 +212,16 @@
             "a sample is over the bound": max(staleness, default=0) <= 1,
             "a second fetch differs": step["same_when_fetched_again"],
         }
-        self._broken += [
+        self.broken += [
             f"{step['step']}: {text}" for text, ok in checks.items() if not ok
         ]
 
+    def _report_engines(self) -> None:
+        for name, state in self.engines.items():
+            orders = len(state.get("orders", []))
+            version = state.get("version")
+            click.echo(f"{name} serves version {version} after {orders} orders")
+
     def _say(self, text: str) -> None:
         click.echo(f"[{time.monotonic() - self._started:5.1f} s] {text}")
 
--- a/tools/demo_fleet.py
+++ b/tools/demo_fleet.py
@@ -19,6 +19,8 @@
 POLL_INTERVAL_S = 0.1
 STANDIN_START_LIMIT_S = 10.0
 ENTRY_START_LIMIT_S = 15.0
+# Long enough that some calls are under way when an instance is killed.
+PLAIN_DELAY_S = "0.2"
 ENGINE_RATES = ("--token-rate", "1500", "--stream-rate", "60")
 
 
@@ -153,7 +155,8 @@
 
     def _start_endpoint(self, each: Endpoint) -> None:
         if each.kind == "plain":
-            self._start_standin(each.name, "plain", "--name", each.name)
+            options = ("--name", each.name, "--delay", PLAIN_DELAY_S)
+            self._start_standin(each.name, "plain", *options)
             return
         model = ("--model", each.service, "--version", str(each.version))
         self._start_standin(each.name, "engine", *model, *ENGINE_RATES)
