--- a/plantainstack/platform/batching.py
+++ b/plantainstack/platform/batching.py
@@ -17,14 +17,17 @@
 
 BATCH_MUTATIONS_MAX = 128
 BATCH_KEYS_MAX = 512
+BATCH_BYTES_MAX = 1024**2
 QUEUE_CALLS_MAX = 4096
 
 Send = Callable[[list], Awaitable[Result[list, Failure]]]
+Size = Callable[[Any], int]
 
 
 class _Call:
-    def __init__(self, items: Sequence, deadline: float):
+    def __init__(self, items: Sequence, size: int, deadline: float):
         self.items = items
+        self.size = size
         self.deadline = deadline
         self.done = anyio.Event()
         self.outcome: Result[list, Failure] | None = None
@@ -41,8 +44,9 @@
     leaves the others' outcomes intact.
     """
 
-    def __init__(self, send: Send, limit: int, clock: Clock):
+    def __init__(self, send: Send, size: Size, limit: int, clock: Clock):
         self._send = send
+        self._size = size
         self._limit = limit
         self._clock = clock
         self._waiting: deque[_Call] = deque()
@@ -55,7 +59,8 @@
             return Err(not_applied("the process is stopping"))
         if len(self._waiting) >= QUEUE_CALLS_MAX:
             return Err(not_applied("too many calls are waiting"))
-        call = _Call(items, self._clock.now() + REQUEST_TIMEOUT_S)
+        size = sum(self._size(item) for item in items)
+        call = _Call(items, size, self._clock.now() + REQUEST_TIMEOUT_S)
         self._waiting.append(call)
         self._arrived.set()
         try:
@@ -81,17 +86,20 @@
 
     def _next_batch(self) -> list[_Call]:
         batch: list[_Call] = []
-        size = 0
+        count = size = 0
         while self._waiting:
             call = self._waiting[0]
-            if batch and size + len(call.items) > self._limit:
+            count += len(call.items)
+            size += call.size
+            if batch and (count > self._limit or size > BATCH_BYTES_MAX):
                 break
             self._waiting.popleft()
             if call.deadline <= self._clock.now():
+                count -= len(call.items)
+                size -= call.size
                 call.finish(Err(not_applied("the deadline passed before sending")))
                 continue
             batch.append(call)
-            size += len(call.items)
         return batch
 
     async def _run_batch(self, batch: list[_Call]) -> None:
@@ -112,6 +120,13 @@
         start = end
 
 
+def _mutation_size(mutation: Mutation) -> int:
+    """Return the size of the texts in a mutation, which outweigh the rest."""
+    values = (write.value for write in mutation.writes if write.value is not None)
+    fields = (field for value in values for field in value.values())
+    return sum(len(field) for field in fields if isinstance(field, str))
+
+
 class BatchingTable(TableService):
     """Gather concurrent commits, and concurrent reads, into one request each.
 
@@ -120,8 +135,10 @@
 
     def __init__(self, table: TableService, clock: Clock):
         self._table = table
-        self._commits = _Batcher(table.commit, BATCH_MUTATIONS_MAX, clock)
-        self._reads = _Batcher(self._read_rows, BATCH_KEYS_MAX, clock)
+        self._commits = _Batcher(
+            table.commit, _mutation_size, BATCH_MUTATIONS_MAX, clock
+        )
+        self._reads = _Batcher(self._read_rows, len, BATCH_KEYS_MAX, clock)
 
     def start(self, tasks: TaskGroup) -> None:
         """Run the two workers in a task group."""
--- a/tests/platform/test_batching.py
+++ b/tests/platform/test_batching.py
@@ -109,6 +109,23 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_batches_are_bounded_in_bytes(monkeypatch):
+    """Guards against a request that grows with the size of stored answers."""
+    monkeypatch.setattr(batching, "BATCH_BYTES_MAX", 10)
+    table = GatedTable()
+    table.gate.set()
+    async with anyio.create_task_group() as tasks:
+        batched = BatchingTable(table, SystemClock())
+        for name, length in (("a", 5), ("b", 5), ("c", 1), ("d", 50)):
+            write = Write(name, {"answer": "x" * length, "state": 1})
+            tasks.start_soon(batched.commit, [Mutation(name, (), (write,))])
+        await anyio.wait_all_tasks_blocked()
+        batched.start(tasks)
+        await anyio.wait_all_tasks_blocked()
+        assert table.batches == [["a", "b"], ["c"], ["d"]]
+        tasks.cancel_scope.cancel()
+
+
 async def test_concurrent_reads_ask_for_each_key_once():
     table = GatedTable()
     table.gate.set()
@@ -229,7 +246,7 @@
     """Send each batch from the task of its first caller."""
 
     async def submit(self, items):
-        call = _Call(items, self._clock.now() + REQUEST_TIMEOUT_S)
+        call = _Call(items, 0, self._clock.now() + REQUEST_TIMEOUT_S)
         self._waiting.append(call)
         if len(self._waiting) == 1:
             await anyio.lowlevel.checkpoint()
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -38,6 +38,10 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self._started[name].send_signal(number)
+
     def kill(self, name: str) -> None:
         """End a process at once, without a chance to clean up."""
         process = self._started[name]
