Test the stand-in trainer against a small steps service

Change: one step through two entry instances, without a fault, with a lost answer and with a refusal; the step keeps its id and is acknowledged once.

Conclusion: the trainer repeats a call through the next instance.

--- /dev/null
+++ b/tests/standins/test_trainer.py
@@ -0,0 +1,112 @@
+"""Contract tests of the stand-in trainer, against a small steps service."""
+
+import json
+
+import anyio
+import pytest
+from starlette.routing import Route
+
+from plantainstack.clock import SystemClock
+from plantainstack.platform.http import HttpClient
+from standins.base import Standin, reply
+from standins.faults import Action, Fault
+from standins.server import serving
+from standins.trainer import TrainerOptions, TrainerStandin
+from standins.weights import WeightsStandin
+
+pytestmark = pytest.mark.anyio
+
+BASE = "/v1/trainers/t/steps"
+SAMPLES = [
+    {"group": 0, "index": 0, "spans": [{"version": 1, "tokens": 3}]},
+    {
+        "group": 0,
+        "index": 1,
+        "spans": [{"version": 1, "tokens": 3}, {"version": 2, "tokens": 4}],
+    },
+]
+
+
+class StepsStandin(Standin):
+    """Serve steps that are sealed when their state is asked for the second time."""
+
+    def __init__(self):
+        super().__init__()
+        self.opened = []
+        self.asked = 0
+        self.acknowledged = []
+
+    def routes(self):
+        return [
+            Route(BASE, self._open, methods=["POST"]),
+            Route(f"{BASE}/{{step}}", self._status, methods=["GET"]),
+            Route(f"{BASE}/{{step}}/samples", self._samples, methods=["GET"]),
+            Route(f"{BASE}/{{step}}/ack", self._ack, methods=["POST"]),
+        ]
+
+    def state(self):
+        return {}
+
+    async def _open(self, request):
+        assert request.headers["authorization"] == "Bearer token"
+        self.opened.append(json.loads(await request.body()))
+        return reply({"state": "open"})
+
+    async def _status(self, request):
+        self.asked += 1
+        return reply({"state": "open" if self.asked < 2 else "sealed"})
+
+    async def _samples(self, request):
+        return reply({"samples": SAMPLES})
+
+    async def _ack(self, request):
+        self.acknowledged.append(request.path_params["step"])
+        return reply({"state": "acked"})
+
+
+async def run_step(faults: list[Fault]):
+    """Run one step through two entry instances, with faults in the first."""
+    first, second, weights = StepsStandin(), StepsStandin(), WeightsStandin()
+    first.faults.replace(faults)
+    async with serving(first) as one, serving(second) as two:
+        async with serving(weights) as store:
+            publisher = HttpClient(store, SystemClock())
+            await publisher.exchange("POST", "/models/m/versions/2")
+            options = TrainerOptions(
+                "t", "token", "m", [one, two], store, groups=1, samples=2
+            )
+            trainer = TrainerStandin(options)
+            async with serving(trainer) as address:
+                client = HttpClient(address, SystemClock())
+                await client.exchange("POST", "/_steps", b'{"steps": 1}')
+                for _ in range(200):
+                    if trainer.state()["steps"]:
+                        break
+                    await anyio.sleep(0.05)
+                await client.aclose()
+            await publisher.aclose()
+    return first, second, trainer.state()
+
+
+async def test_step_is_recorded_with_its_versions_and_staleness():
+    first, _, state = await run_step([])
+    (step,) = state["steps"]
+    assert [sample["versions"] for sample in step["samples"]] == [[1], [1, 2]]
+    assert [sample["staleness"] for sample in step["samples"]] == [1, 1]
+    assert step["policy_version"] == 2 and step["same_when_fetched_again"]
+    assert state["idle_s"] == step["idle_s"] > 0
+    assert first.acknowledged == ["step-0001"]
+    (request,) = first.opened
+    assert len(request["groups"]) == 1 and request["samples_per_group"] == 2
+
+
+@pytest.mark.parametrize("action", [Action.DROP_AFTER_EFFECT, Action.REFUSE])
+async def test_step_is_opened_again_through_the_next_instance(action):
+    """Guards against a trainer that stops, or opens another step, after a fault."""
+    first, second, state = await run_step([Fault(BASE, action)])
+    assert [step["step"] for step in state["steps"]] == ["step-0001"]
+    assert {request["step"] for request in first.opened + second.opened} == {
+        "step-0001"
+    }
+    assert second.acknowledged == ["step-0001"]
+    assert state["refusals"].total() >= 1
