--- /dev/null
+++ b/plantainstack/front/trainers.py
@@ -0,0 +1,234 @@
+"""The trainers' HTTP API."""
+
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Annotated, Any
+
+import msgspec
+from result import Err, Ok, Result
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, RetryAdvice
+from plantainstack.policy.samples import StepRecord
+from plantainstack.requests import new_id
+from plantainstack.services.steps import OpenRequest, StepDesk
+from plantainstack.settings.fleet import Scope
+
+if TYPE_CHECKING:
+    from plantainstack.kernel import Kernel
+
+BODY_MAX_BYTES = 64 * 1024**2
+SAMPLES_MAX = 65_536
+MAX_TOKENS_DEFAULT = 1024
+RETRY_AFTER_S = 1
+
+StepId = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+
+
+class Message(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold a message of a prompt in the chat form."""
+
+    role: str
+    content: str
+
+
+class Group(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold the prompt of a group, as text or as messages."""
+
+    prompt: str | list[Message]
+
+    def messages(self) -> list[dict[str, str]]:
+        """Return the prompt as messages."""
+        if isinstance(self.prompt, str):
+            return [{"role": "user", "content": self.prompt}]
+        return msgspec.to_builtins(self.prompt)
+
+
+class OpenBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold the body that opens a step; `deadline` is in Unix milliseconds."""
+
+    step: StepId
+    model: str
+    policy_version: int
+    groups: list[Group]
+    samples_per_group: int
+    version_bound: int | None = None
+    max_tokens: int = MAX_TOKENS_DEFAULT
+    deadline: int | None = None
+
+
+def routes(kernel: "Kernel") -> list[Route]:
+    """Return the routes of the trainers' API."""
+    api = TrainerApi(kernel)
+    base = "/v1/trainers/{trainer}/steps"
+    return [
+        Route(base, api.open, methods=["POST"]),
+        Route(f"{base}/{{step}}", api.status, methods=["GET"]),
+        Route(f"{base}/{{step}}/samples", api.samples, methods=["GET"]),
+        Route(f"{base}/{{step}}/ack", api.ack, methods=["POST"]),
+    ]
+
+
+class TrainerApi:
+    """Check trainers' requests and pass them to the plug-in `steps`."""
+
+    def __init__(self, kernel: "Kernel"):
+        self._kernel = kernel
+        self._tokens = kernel.settings.tokens().trainers
+
+    async def open(self, request: Request) -> Response:
+        """Open a step."""
+
+        async def run(trainer: str) -> Result[Any, Failure]:
+            read = await _body(request)
+            checked = read.and_then(lambda data: self._check(trainer, data))
+            if checked.is_err():
+                return checked
+            return (await self._desk().open(trainer, checked.unwrap())).map(_view)
+
+        return await self._answer(request, run)
+
+    async def status(self, request: Request) -> Response:
+        """Return the state of a step."""
+
+        async def run(trainer: str) -> Result[Any, Failure]:
+            step = request.path_params["step"]
+            return (await self._desk().status(trainer, step)).map(_view)
+
+        return await self._answer(request, run)
+
+    async def samples(self, request: Request) -> Response:
+        """Return the samples of a sealed step."""
+
+        async def run(trainer: str) -> Result[Any, Failure]:
+            step = request.path_params["step"]
+            found = await self._desk().samples(trainer, step)
+            return found.map(lambda samples: {"step": step, "samples": samples})
+
+        return await self._answer(request, run)
+
+    async def ack(self, request: Request) -> Response:
+        """End a delivered step."""
+
+        async def run(trainer: str) -> Result[Any, Failure]:
+            step = request.path_params["step"]
+            return (await self._desk().ack(trainer, step)).map(_view)
+
+        return await self._answer(request, run)
+
+    def _desk(self) -> StepDesk:
+        return self._kernel.plugin("steps").desk
+
+    async def _answer(
+        self,
+        request: Request,
+        run: Callable[[str], Awaitable[Result[Any, Failure]]],
+    ) -> Response:
+        trainer = self._authenticate(request)
+        try:
+            result = trainer if trainer.is_err() else await run(trainer.unwrap())
+        except ClientDisconnect:
+            failure = Failure.of(ErrorKind.BAD_REQUEST, "the client closed the request")
+            result = Err(failure)
+        headers = {
+            "X-Request-Id": request.headers.get("X-Request-Id") or new_id(),
+            "X-Instance": self._kernel.settings.instance.id,
+        }
+        return _response(result, headers)
+
+    def _authenticate(self, request: Request) -> Result[str, Failure]:
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        holder = None
+        for known, name in self._tokens.items():
+            if secrets.compare_digest(known.encode(), token.encode()):
+                holder = name
+        if scheme.lower() != "bearer" or holder is None:
+            return Err(Failure.of(ErrorKind.UNAUTHENTICATED, "no valid trainer token"))
+        if holder != request.path_params["trainer"]:
+            message = "the token belongs to another trainer"
+            return Err(Failure.of(ErrorKind.FORBIDDEN, message))
+        return Ok(holder)
+
+    def _check(self, trainer: str, data: bytes) -> Result[OpenRequest, Failure]:
+        try:
+            body = msgspec.json.decode(data, type=OpenBody)
+        except msgspec.DecodeError as exc:
+            return _bad(str(exc))
+        count = len(body.groups) * body.samples_per_group
+        if body.samples_per_group < 1 or not 1 <= count <= SAMPLES_MAX:
+            return _bad(f"a step has from 1 to {SAMPLES_MAX} samples")
+        if body.max_tokens < 1 or body.policy_version < 0:
+            return _bad("max_tokens or policy_version is too small")
+        if body.version_bound is not None and body.version_bound < 0:
+            return _bad("version_bound is negative")
+        return Ok(self._open_request(trainer, body))
+
+    def _open_request(self, trainer: str, body: OpenBody) -> OpenRequest:
+        scope = Scope(service=body.model, trainer=trainer)
+        options = self._kernel.config.scoped(scope)
+        # The operators' values are limits: a trainer may ask for stricter ones only.
+        bound = options.version_bound
+        if body.version_bound is not None:
+            bound = min(bound, body.version_bound)
+        deadline = self._kernel.clock.wall() + options.step_timeout
+        if body.deadline is not None:
+            deadline = min(deadline, body.deadline / 1000)
+        return OpenRequest(
+            step=body.step,
+            model=body.model,
+            policy_version=body.policy_version,
+            version_bound=bound,
+            prompts=[group.messages() for group in body.groups],
+            samples_per_group=body.samples_per_group,
+            max_tokens=body.max_tokens,
+            deadline=deadline,
+        )
+
+
+async def _body(request: Request) -> Result[bytes, Failure]:
+    data = bytearray()
+    async for chunk in request.stream():
+        data += chunk
+        if len(data) > BODY_MAX_BYTES:
+            message = f"the body is larger than {BODY_MAX_BYTES} bytes"
+            return Err(Failure.of(ErrorKind.BODY_TOO_LARGE, message))
+    return Ok(bytes(data))
+
+
+def _bad(message: str) -> Err[Failure]:
+    return Err(Failure.of(ErrorKind.BAD_REQUEST, message))
+
+
+def _view(record: StepRecord) -> dict[str, Any]:
+    return {
+        "step": record.step,
+        "state": record.state,
+        "model": record.model,
+        "policy_version": record.policy_version,
+        "version_bound": record.version_bound,
+        "samples": record.groups * record.samples_per_group,
+        "deadline": int(record.deadline * 1000),
+    }
+
+
+def _response(result: Result[Any, Failure], headers: dict[str, str]) -> Response:
+    if result.is_ok():
+        status, content = 200, result.unwrap()
+    else:
+        failure = result.unwrap_err()
+        answer = ERROR_TABLE[failure.kind]
+        status = answer.status
+        content = {
+            "error": {
+                "kind": failure.kind,
+                "message": failure.message,
+                "outcome": failure.outcome,
+                "retry": answer.retry,
+            }
+        }
+        if answer.retry is RetryAdvice.LATER:
+            headers["Retry-After"] = str(RETRY_AFTER_S)
+    data = msgspec.json.encode(content)
+    return Response(data, status, headers, "application/json")
--- /dev/null
+++ b/plantainstack/policy/leases.py
@@ -0,0 +1,213 @@
+"""Leases with fencing numbers, and the ranking that spreads them over instances."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from plantainstack.platform.base import Check, Mutation, Row, Value, Write
+
+RENEWAL_SHARE = 1 / 3
+
+
+def rank(name: str, members: Iterable[str]) -> list[str]:
+    """Order members by rendezvous hashing; each name has an order of its own."""
+    return sorted(
+        members,
+        key=lambda member: (
+            xxhash.xxh64_intdigest(f"{name}\0{member}".encode()),
+            member,
+        ),
+        reverse=True,
+    )
+
+
+class LeaseTerms(NamedTuple):
+    """Hold the duration of a lease and the holder's margin, in seconds."""
+
+    duration: float
+    margin: float
+
+
+class Held(NamedTuple):
+    """Describe a lease held by this process; `valid_until` is monotonic."""
+
+    key: str
+    nonce: str
+    fence: int
+    row_version: int
+    fence_key: str | None
+    fence_version: int
+    valid_until: float
+    sent_at: float
+    data: Value
+
+
+class _Seen(NamedTuple):
+    version: int
+    since: float
+
+
+class LeaseBook:
+    """Decide when leases may be taken, used and renewed by one process.
+
+    Only this process's monotonic clock counts. A holder counts from the time at
+    which it sent the write, an observer from the time at which it first saw the
+    row's version, which is later, so the holder always stops first. The row holds
+    the duration, since the two may have different configurations in force.
+    """
+
+    def __init__(self, holder: str, terms: LeaseTerms):
+        self.holder = holder
+        self.terms = terms
+        self._held: dict[str, Held] = {}
+        self._seen: dict[str, _Seen] = {}
+
+    def observe(self, row: Row, now: float) -> None:
+        """Note a row as read; `now` is the time after the answer."""
+        seen = self._seen.get(row.key)
+        if seen is None or seen.version != row.version:
+            self._seen[row.key] = _Seen(row.version, now)
+
+    def may_take(self, row: Row, now: float, wait: float = 0.0) -> bool:
+        """Return whether a lease is free, or expired for `wait` seconds."""
+        if row.value is None or row.value["released"]:
+            return True
+        seen = self._seen.get(row.key)
+        if seen is None or seen.version != row.version:
+            return False
+        return now >= seen.since + row.value["duration"] + wait
+
+    def seen_for(self, row: Row, now: float) -> float:
+        """Return for how many seconds a row has been seen unchanged."""
+        seen = self._seen.get(row.key)
+        return 0.0 if seen is None or seen.version != row.version else now - seen.since
+
+    def take(
+        self,
+        row: Row,
+        nonce: str,
+        fence_row: Row | None = None,
+        data: Value | None = None,
+    ) -> Mutation:
+        """Build the mutation that takes a lease and raises its fencing number."""
+        previous = row.value or {"fence": 0, "data": {}}
+        fence = previous["fence"] + 1
+        value = self._value(
+            nonce, fence, data if data is not None else previous["data"]
+        )
+        checks = [Check(row.key, row.version)]
+        writes = [Write(row.key, value)]
+        if fence_row is not None:
+            checks.append(Check(fence_row.key, fence_row.version))
+            writes.append(Write(fence_row.key, {"fence": fence, "holder": self.holder}))
+        return Mutation(f"{row.key}/{nonce}", tuple(checks), tuple(writes))
+
+    def taken(
+        self, row: Row, fence_row: Row | None, sent_at: float, now: float
+    ) -> Held:
+        """Note that a take was applied; the rows are those that it wrote."""
+        held = Held(
+            key=row.key,
+            nonce=row.value["nonce"],
+            fence=row.value["fence"],
+            row_version=row.version,
+            fence_key=fence_row.key if fence_row else None,
+            fence_version=fence_row.version if fence_row else 0,
+            valid_until=self._valid_until(sent_at),
+            sent_at=sent_at,
+            data=row.value["data"],
+        )
+        self._held[row.key] = held
+        self.observe(row, now)
+        return held
+
+    def held(self, key: str) -> Held | None:
+        """Return a lease that was taken and is not known to be lost."""
+        return self._held.get(key)
+
+    def holds(self, key: str, now: float) -> bool:
+        """Return whether the holder may still act on its lease."""
+        held = self._held.get(key)
+        return held is not None and now < held.valid_until
+
+    def due(self, now: float) -> list[Held]:
+        """Return the leases to be renewed now."""
+        interval = self.terms.duration * RENEWAL_SHARE
+        return [held for held in self._held.values() if now >= held.sent_at + interval]
+
+    def renewal(self, held: Held) -> Mutation:
+        """Build the mutation that renews a lease."""
+        return self._update(held, self._value(held.nonce, held.fence, held.data))
+
+    def renewed(self, held: Held, sent_at: float) -> None:
+        """Note that a renewal was applied."""
+        self._held[held.key] = held._replace(
+            row_version=held.row_version + 1,
+            sent_at=sent_at,
+            valid_until=self._valid_until(sent_at),
+        )
+
+    def conflicted(self, row: Row) -> bool:
+        """Take over the row that refused a renewal; return whether it is still ours.
+
+        An earlier renewal whose answer was lost leaves a higher version with the
+        same nonce.
+        """
+        held = self._held.get(row.key)
+        if held is None:
+            return False
+        value = row.value
+        if value is None or value["nonce"] != held.nonce or value["released"]:
+            self.drop(row.key)
+            return False
+        self._held[row.key] = held._replace(row_version=row.version)
+        return True
+
+    def release(self, held: Held, data: Value | None = None) -> Mutation:
+        """Build the mutation that frees a lease for any other holder."""
+        value = self._value(held.nonce, held.fence, held.data)
+        value["released"] = True
+        if data is not None:
+            value["data"] = data
+        return self._update(held, value)
+
+    def drop(self, key: str) -> None:
+        """Forget a lease that was released or lost."""
+        self._held.pop(key, None)
+
+    def forget(self, keys: Iterable[str]) -> None:
+        """Forget when rows were seen, once they no longer exist."""
+        for key in keys:
+            self._seen.pop(key, None)
+
+    def all_held(self) -> list[Held]:
+        """Return all leases held."""
+        return list(self._held.values())
+
+    def _valid_until(self, sent_at: float) -> float:
+        return sent_at + self.terms.duration - self.terms.margin
+
+    def _value(self, nonce: str, fence: int, data: Value) -> Value:
+        return {
+            "holder": self.holder,
+            "nonce": nonce,
+            "fence": fence,
+            "released": False,
+            "duration": self.terms.duration,
+            "data": data,
+        }
+
+    @staticmethod
+    def _update(held: Held, value: Value) -> Mutation:
+        checks = (Check(held.key, held.row_version),)
+        name = f"{held.key}/{held.nonce}/{held.row_version}"
+        return Mutation(name, checks, (Write(held.key, value),))
+
+
+class NaiveLeaseBook(LeaseBook):
+    """Trust a lease until told otherwise; the naive version for tests."""
+
+    def holds(self, key: str, now: float) -> bool:
+        """Return whether the lease was ever taken."""
+        return key in self._held
--- /dev/null
+++ b/plantainstack/services/leases.py
@@ -0,0 +1,150 @@
+"""Plug-in `leases`: takes, renews and releases this instance's leases."""
+
+import anyio
+from result import Err, Ok, Result
+
+from plantainstack import log
+from plantainstack.clock import Clock
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.platform.base import Mutation, Row, TableService, Value
+from plantainstack.plugins import Plugin
+from plantainstack.policy.leases import Held, LeaseBook, LeaseTerms
+from plantainstack.requests import new_id
+
+RENEWAL_TICK_S = 0.5
+
+
+class LeaseClient:
+    """Keep leases in the table service, with renewals in one batch."""
+
+    def __init__(self, table: TableService, clock: Clock, book: LeaseBook):
+        self.table = table
+        self.clock = clock
+        self.book = book
+
+    async def take(
+        self,
+        key: str,
+        fence_key: str | None = None,
+        wait: float = 0.0,
+        data: Value | None = None,
+        holder_gone: bool = False,
+    ) -> Result[Held, Failure]:
+        """Take a lease that is free or expired, else fail with `lease_lost`.
+
+        `holder_gone` skips the wait for expiry; it is safe only for a lease whose
+        every use is checked against its fencing row.
+        """
+        read = await self._read(key, fence_key)
+        if read.is_err():
+            return read
+        row, fence_row = read.unwrap()
+        if not holder_gone and not self.book.may_take(row, self.clock.now(), wait):
+            return Err(Failure.of(ErrorKind.LEASE_LOST, f"{key} is held elsewhere"))
+        nonce = new_id()
+        sent_at = self.clock.now()
+        mutation = self.book.take(row, nonce, fence_row, data)
+        committed = await self.table.commit([mutation])
+        if committed.is_err():
+            if committed.unwrap_err().kind is not ErrorKind.TABLE_OUTCOME_UNKNOWN:
+                return committed
+            return await self._confirm(key, fence_key, nonce, sent_at)
+        if not committed.unwrap()[0].applied:
+            return Err(Failure.of(ErrorKind.LEASE_LOST, f"{key} was taken elsewhere"))
+        return Ok(self._taken(mutation, row, fence_row, sent_at))
+
+    async def renew(self) -> None:
+        """Renew all leases that are due, in one commit."""
+        due = self.book.due(self.clock.now())
+        if not due:
+            return
+        sent_at = self.clock.now()
+        committed = await self.table.commit([self.book.renewal(held) for held in due])
+        if committed.is_err():
+            log.event("leases.renewal_failed", kind=committed.unwrap_err().kind.value)
+            return
+        for held, outcome in zip(due, committed.unwrap(), strict=True):
+            current = self.book.held(held.key)
+            if current is None or current.nonce != held.nonce:
+                continue
+            if outcome.applied:
+                self.book.renewed(held, sent_at)
+            elif not self.book.conflicted(_conflict(outcome, held.key)):
+                log.event("leases.lost", key=held.key, fence=held.fence)
+
+    async def release(self, held: Held, data: Value | None = None) -> None:
+        """Free a lease; without an answer it expires by itself."""
+        self.book.drop(held.key)
+        await self.table.commit([self.book.release(held, data)])
+
+    async def _read(self, key: str, fence_key: str | None):
+        read = await self.table.read([key, fence_key] if fence_key else [key])
+        if read.is_err():
+            return read
+        rows = read.unwrap()
+        self.book.observe(rows[key], self.clock.now())
+        return Ok((rows[key], rows[fence_key] if fence_key else None))
+
+    async def _confirm(
+        self, key: str, fence_key: str | None, nonce: str, sent_at: float
+    ) -> Result[Held, Failure]:
+        read = await self._read(key, fence_key)
+        if read.is_err():
+            return read
+        row, fence_row = read.unwrap()
+        if row.value is None or row.value["nonce"] != nonce:
+            return Err(Failure.of(ErrorKind.LEASE_LOST, f"{key} was not taken"))
+        return Ok(self.book.taken(row, fence_row, sent_at, self.clock.now()))
+
+    def _taken(self, mutation: Mutation, row: Row, fence_row: Row | None, sent_at):
+        written = [
+            Row(old.key, old.version + 1, write.value)
+            for old, write in zip((row, fence_row), mutation.writes, strict=False)
+        ]
+        fence_written = written[1] if fence_row else None
+        return self.book.taken(written[0], fence_written, sent_at, self.clock.now())
+
+
+class Leases(Plugin):
+    """Hold the leases of this instance for the plug-ins that use them."""
+
+    name = "leases"
+    requires = ("platform",)
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.client: LeaseClient | None = None
+
+    async def start(self, tasks) -> None:
+        """Start to renew leases."""
+        holder = f"{self.kernel.settings.instance.id}/{self.kernel.incarnation}"
+        book = LeaseBook(holder, self._terms())
+        table = self.kernel.plugin("platform").table
+        self.client = LeaseClient(table, self.kernel.clock, book)
+        tasks.start_soon(self._renew)
+
+    def on_config(self, cfg) -> None:
+        """Take over new terms, which hold from the next renewal on."""
+        if self.client is not None:
+            self.client.book.terms = self._terms()
+
+    async def stop(self) -> None:
+        """Free the leases that are still held."""
+        with anyio.move_on_after(1.0):
+            for held in self.client.book.all_held():
+                await self.client.release(held)
+
+    def _terms(self) -> LeaseTerms:
+        options = self.kernel.config.defaults()
+        return LeaseTerms(options.lease_duration, options.lease_margin)
+
+    async def _renew(self) -> None:
+        clock = self.kernel.clock
+        while True:
+            await self.client.renew()
+            await clock.sleep_until(clock.now() + RENEWAL_TICK_S)
+
+
+def _conflict(outcome, key: str) -> Row:
+    rows = (row for row in outcome.conflicts if row.key == key)
+    return next(rows, Row(key, 0, None))
--- /dev/null
+++ b/tests/front/test_trainers.py
@@ -0,0 +1,117 @@
+"""Tests of the trainers' HTTP API."""
+
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from starlette.applications import Starlette
+
+from plantainstack.front.trainers import routes
+from plantainstack.settings.fleet import FleetConfig
+from plantainstack.settings.instance import Tokens
+from tests.services.fleet import MODEL, TRAINER, Fleet
+
+pytestmark = pytest.mark.anyio
+
+BODY = {
+    "step": "step-1",
+    "model": MODEL,
+    "policy_version": 7,
+    "groups": [{"prompt": "text"}, {"prompt": [{"role": "user", "content": "text"}]}],
+    "samples_per_group": 2,
+}
+
+
+@pytest.fixture
+def app():
+    fleet = Fleet()
+    steps = SimpleNamespace(desk=fleet.instance("a").desk)
+    settings = SimpleNamespace(
+        tokens=lambda: Tokens({"c": "caller"}, {"t": TRAINER, "u": "other"}, {}),
+        instance=SimpleNamespace(id="entry-1"),
+    )
+    kernel = SimpleNamespace(
+        settings=settings,
+        config=FleetConfig.builtin(),
+        clock=fleet.clock,
+        plugin=lambda name: steps,
+    )
+    return Starlette(routes=routes(kernel))
+
+
+async def send(app, method, path, body=None, token="t"):
+    """Send one request to the application; return status, headers and content."""
+    headers = [(b"authorization", f"Bearer {token}".encode())]
+    path = f"/v1/trainers/{TRAINER}/steps{path}"
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "raw_path": path.encode(),
+        "query_string": b"",
+        "headers": headers,
+    }
+    data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    sent = []
+
+    async def receive():
+        return {"type": "http.request", "body": data, "more_body": False}
+
+    async def respond(message):
+        sent.append(message)
+
+    await app(scope, receive, respond)
+    answer_headers = {key.decode(): value.decode() for key, value in sent[0]["headers"]}
+    return sent[0]["status"], answer_headers, msgspec.json.decode(sent[1]["body"])
+
+
+async def test_a_step_is_opened_and_shown(app):
+    """Guards against an API that differs from the design."""
+    status, headers, opened = await send(app, "POST", "", BODY)
+    assert status == 200 and opened["samples"] == 4
+    assert headers["x-instance"] == "entry-1" and headers["x-request-id"]
+    assert (await send(app, "GET", "/step-1"))[2] == opened
+    status, headers, content = await send(app, "GET", "/step-1/samples")
+    assert status == 409 and headers["retry-after"]
+    assert content["error"]["kind"] == "step_not_sealed"
+    assert content["error"]["outcome"] == "not_run"
+    assert (await send(app, "GET", "/step-2"))[0] == 404
+    assert (await send(app, "POST", "/step-1/ack"))[0] == 409
+
+
+async def test_a_trainer_cannot_loosen_the_operators_bound(app):
+    """Guards against drafts older than the fleet's bound."""
+    loose = {**BODY, "version_bound": 9}
+    assert (await send(app, "POST", "", loose))[2]["version_bound"] == 1
+    strict = {**BODY, "step": "step-2", "version_bound": 0}
+    assert (await send(app, "POST", "", strict))[2]["version_bound"] == 0
+
+
+@pytest.mark.parametrize(
+    ("token", "status"), [("", 401), ("c", 401), ("x", 401), ("u", 403)]
+)
+async def test_only_the_holder_of_the_trainers_token_is_served(app, token, status):
+    """Guards against samples that another trainer, or a caller, can read."""
+    for method, path in (("POST", ""), ("GET", "/s"), ("GET", "/s/samples")):
+        assert (await send(app, method, path, BODY, token))[0] == status
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"step": "a/b"},
+        {"step": 5},
+        {"groups": []},
+        {"groups": [{"text": "x"}]},
+        {"samples_per_group": 0},
+        {"samples_per_group": 10**6},
+        {"max_tokens": 0},
+        {"version_bound": -1},
+        {"unknown": 1},
+    ],
+)
+async def test_malformed_requests_are_refused(app, change):
+    """Guards against a malformed request that reaches the table service."""
+    status, _, content = await send(app, "POST", "", {**BODY, **change})
+    assert status == 400
+    assert content["error"]["kind"] == "bad_request"
