--- a/plantainstack/services/leases.py
+++ b/plantainstack/services/leases.py
@@ -61,7 +61,10 @@
         sent_at = self.clock.now()
         committed = await self.table.commit([self.book.renewal(held) for held in due])
         if committed.is_err():
-            log.event("leases.renewal_failed", kind=committed.unwrap_err().kind.value)
+            failure = committed.unwrap_err()
+            log.event(
+                "leases.renewal_failed", kind=failure.kind, message=failure.message
+            )
             return
         for held, outcome in zip(due, committed.unwrap(), strict=True):
             current = self.book.held(held.key)
