Learn weight versions and order engines in waves

Cause: engines must follow the weight store within seconds without a moment at which callers find no engine, and a paused holder must not order an old version. Change: the weight head is raised by compare-and-set and never lowered; one holder per service orders the least busy engines first, at most half at a time, with a permit for each load, reads them back and orders failed ones again. For engines that ignore fencing numbers the holder's own clock and a wait of order_timeout after a takeover decide. Conclusion: orders of a frozen holder have no effect under the gate, and do under the naive gate; waves keep half of the engines serving, the baseline of swapping all at once does not.

--- a/plantainstack/services/leases.py
+++ b/plantainstack/services/leases.py
@@ -1,6 +1,5 @@
 """Plug-in `leases`: takes, renews and releases this instance's leases."""
 
-import anyio
 from result import Err, Ok, Result
 
 from plantainstack import log
@@ -53,6 +52,11 @@
             return Err(Failure.of(ErrorKind.LEASE_LOST, f"{key} was taken elsewhere"))
         return Ok(self._taken(mutation, row, fence_row, sent_at))
 
+    async def observe(self, key: str) -> Result[Row, Failure]:
+        """Read a lease's row and note when it was seen."""
+        read = await self._read(key, None)
+        return read.map(lambda rows: rows[0])
+
     async def renew(self) -> None:
         """Renew all leases that are due, in one commit."""
         due = self.book.due(self.clock.now())
@@ -128,12 +132,6 @@
         if self.client is not None:
             self.client.book.terms = self._terms()
 
-    async def stop(self) -> None:
-        """Free the leases that are still held."""
-        with anyio.move_on_after(1.0):
-            for held in self.client.book.all_held():
-                await self.client.release(held)
-
     def _terms(self) -> LeaseTerms:
         options = self.kernel.config.defaults()
         return LeaseTerms(options.lease_duration, options.lease_margin)
--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -46,7 +46,7 @@
 )
 from plantainstack.requests import RequestContext, new_id
 from plantainstack.services.leases import LeaseClient
-from plantainstack.services.weights import WeightHeads, head_version
+from plantainstack.services.weights import WeightHeads, head_version, live_members
 from plantainstack.trace import TraceRing
 
 SCAN_LIMIT = 1000
@@ -62,7 +62,6 @@
 SCORE_TIMEOUT_S = 30.0
 HAND_OVER_LIMIT_S = 5.0
 TRANSITIONS_MAX = 5
-LIVE_STATES = frozenset({"live", "alive"})
 
 Generate = Callable[
     [RequestContext, GenerateRequest], AsyncIterator[Result[Part, Failure]]
@@ -719,7 +718,7 @@
     def _shards(self) -> list[tuple[int, int]]:
         """Return the shards to look into, with this instance's rank for each."""
         me = self.kernel.settings.instance.id
-        members = {me} | self._live_members()
+        members = {me} | live_members(self.kernel)
         ranked = [(shard, rank(f"steps/{shard}", members)) for shard in range(SHARDS)]
         return [
             (shard, order.index(me))
@@ -727,10 +726,6 @@
             if me in order[:SCANNERS]
         ]
 
-    def _live_members(self) -> set[str]:
-        members = self.kernel.plugin("membership").view().members.values()
-        return {member.id for member in members if str(member.state) in LIVE_STATES}
-
     async def _look(self, shard: int, place: int) -> None:
         rows = await scan_all(self._ports.table, lease_prefix(shard))
         if rows.is_err():
--- a/plantainstack/services/weights.py
+++ b/plantainstack/services/weights.py
@@ -1,20 +1,44 @@
 """Plug-in `weights`: learns new versions and orders engines to load them."""
 
+from collections.abc import Awaitable, Callable, Iterable
+from typing import NamedTuple, TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
 from plantainstack import log
+from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.platform.base import (
     Check,
+    Engine,
+    InstanceKind,
+    InstanceRecord,
+    InstanceState,
     Mutation,
+    Order,
     Row,
     TableService,
     WeightStore,
     Write,
 )
 from plantainstack.plugins import Plugin
+from plantainstack.policy.leases import rank
+from plantainstack.policy.weights import OrderGate, SwapPlan
+from plantainstack.services.leases import LeaseClient
+from plantainstack.settings.fleet import FleetConfig, FleetOptions, Scope
+
+T = TypeVar("T")
 
 CONFLICTS_MAX = 5
+HEAD_INTERVAL_S = 1.0
+ROUND_INTERVAL_S = 0.25
+STANDBY_INTERVAL_S = 1.0
+STANDBYS = 3
+FAN_OUT = 64
+CALL_LIMIT_S = 5.0
+LIVE_STATES = frozenset({"live", "alive"})
 
 
 def head_key(model: str) -> str:
@@ -70,17 +94,257 @@
         return Err(Failure.of(ErrorKind.CONFLICT, f"{head_key(model)} keeps changing"))
 
 
+class OrderPorts(NamedTuple):
+    """Hold what the order holder uses of the outside."""
+
+    heads: WeightHeads
+    store: WeightStore
+    leases: LeaseClient
+    clock: Clock
+    engine: Callable[[InstanceRecord], Engine]
+    options: Callable[[InstanceRecord], FleetOptions]
+
+
+class OrderHolder:
+    """Order the engines of one service while this instance holds its lease.
+
+    The name of the service is also the name of its model.
+    """
+
+    def __init__(
+        self,
+        ports: OrderPorts,
+        service: str,
+        plan: SwapPlan | None = None,
+        gate: OrderGate | None = None,
+    ):
+        self.ports = ports
+        self.service = service
+        self.plan = plan or SwapPlan()
+        self.gate = gate or OrderGate()
+        self.lease_key = f"lease/weights/{service}"
+        self._records: dict[str, InstanceRecord] = {}
+        self._head_due = 0.0
+        self._uncertain_until = 0.0
+        self._active: set[str] = set()
+        self._ordering = 0
+        self._releasing = False
+        self._limiter = anyio.CapacityLimiter(FAN_OUT)
+
+    def update_engines(self, records: Iterable[InstanceRecord]) -> None:
+        """Take over the live engines of the service."""
+        live = (r for r in records if r.state is InstanceState.LIVE)
+        self._records = {record.id: record for record in live}
+        self.plan.update_engines(self._records)
+
+    async def round(self, tasks: TaskGroup, may_take: bool) -> None:
+        """Take the lease if it is free, then start the polls and orders due."""
+        held = self.ports.leases.book.held(self.lease_key)
+        if held is None and (not may_take or not await self._take()):
+            return
+        await self._refresh_target()
+        for id in self.plan.due_polls(self.ports.clock.now()):
+            self._start(tasks, self._poll, id)
+        for id in self.plan.due_orders(self.ports.clock.now()):
+            if self._start(tasks, self._order, id):
+                self.plan.ordered(id, self.ports.clock.now())
+
+    async def release(self) -> None:
+        """Give the lease back, unless an order may still be under way."""
+        clock = self.ports.clock
+        self._releasing = True
+        while self._ordering:
+            await clock.sleep_until(clock.now() + ROUND_INTERVAL_S)
+        held = self.ports.leases.book.held(self.lease_key)
+        if held is not None and clock.now() >= self._uncertain_until:
+            await self.ports.leases.release(held)
+
+    def _start(
+        self, tasks: TaskGroup, call: Callable[[str], Awaitable[None]], id: str
+    ) -> bool:
+        if id in self._active or self._releasing:
+            return False
+        self._active.add(id)
+        tasks.start_soon(self._run, call, id)
+        return True
+
+    async def _run(self, call: Callable[[str], Awaitable[None]], id: str) -> None:
+        try:
+            async with self._limiter:
+                await call(id)
+        finally:
+            self._active.discard(id)
+
+    async def _take(self) -> bool:
+        read = await self.ports.leases.observe(self.lease_key)
+        if read.is_err():
+            return False
+        row = read.unwrap()
+        released = row.value is None or row.value["released"]
+        taken = await self.ports.leases.take(self.lease_key)
+        if taken.is_err():
+            return False
+        records = self._records.values()
+        timeouts = (self.ports.options(record).order_timeout for record in records)
+        longest = max(timeouts, default=FleetConfig.builtin().defaults().order_timeout)
+        self.gate.taken(released, longest, self.ports.clock.now())
+        fence = taken.unwrap().fence
+        log.event("weights.lease_taken", service=self.service, fence=fence)
+        return True
+
+    async def _refresh_target(self) -> None:
+        now = self.ports.clock.now()
+        if now < self._head_due:
+            return
+        self._head_due = now + HEAD_INTERVAL_S
+        head = await self.ports.heads.refresh(self.service)
+        if head.is_ok():
+            self.plan.set_target(head_version(head.unwrap()), self.ports.clock.now())
+
+    async def _poll(self, id: str) -> None:
+        record = self._records.get(id)
+        if record is None:
+            return
+        status = await self._limited(self.ports.engine(record).status())
+        known = status is not None and status.is_ok()
+        report = status.unwrap() if known else None
+        self.plan.reported(id, report, self.ports.clock.now())
+
+    async def _order(self, id: str) -> None:
+        record = self._records.get(id)
+        if record is None or not self._may_order(record):
+            self.plan.deferred(id, self.ports.clock.now())
+            return
+        version = self.plan.target
+        permit = await self.ports.store.acquire(self.service, version)
+        # The lease is checked again after the wait for the permit.
+        held = self.ports.leases.book.held(self.lease_key)
+        if permit.is_err() or held is None or not self._may_order(record):
+            self.plan.deferred(id, self.ports.clock.now())
+            return
+        self.plan.ordered(id, self.ports.clock.now())
+        await self._send(record, Order(self.service, version, held.fence))
+
+    async def _send(self, record: InstanceRecord, order: Order) -> None:
+        self._ordering += 1
+        try:
+            result = await self._limited(self.ports.engine(record).order(order))
+        finally:
+            self._ordering -= 1
+        if result is None or result.is_err():
+            self._order_failed(record, result)
+            return
+        log.event(
+            "weights.ordered",
+            endpoint=record.id,
+            version=order.version,
+            fence=order.fence,
+        )
+
+    def _order_failed(self, record: InstanceRecord, result) -> None:
+        now = self.ports.clock.now()
+        self.plan.refused(record.id, now)
+        if result is not None and result.unwrap_err().kind is ErrorKind.LEASE_LOST:
+            self.ports.leases.book.drop(self.lease_key)
+            return
+        timeout = self.ports.options(record).order_timeout
+        self._uncertain_until = max(self._uncertain_until, now + timeout)
+
+    def _may_order(self, record: InstanceRecord) -> bool:
+        now = self.ports.clock.now()
+        checks = self.ports.options(record).checks_fencing
+        valid = self.ports.leases.book.holds(self.lease_key, now)
+        return self.gate.allows(checks, valid, now)
+
+    async def _limited(self, call: Awaitable[T]) -> T | None:
+        """Wait for a call to an engine, at most for the time limit."""
+        clock = self.ports.clock
+        answer = None
+
+        async def limit(scope: anyio.CancelScope) -> None:
+            await clock.sleep_until(clock.now() + CALL_LIMIT_S)
+            scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(limit, tasks.cancel_scope)
+            answer = await call
+            tasks.cancel_scope.cancel()
+        return answer
+
+
 class Weights(Plugin):
-    """Keep the weight heads of the models that the fleet serves."""
+    """Keep the weight heads, and order engines where this instance ranks first."""
 
     name = "weights"
-    requires = ("platform",)
+    requires = ("platform", "leases", "links", "membership", "endpoints")
 
     def __init__(self, kernel):
         super().__init__(kernel)
         self.heads: WeightHeads | None = None
+        self.holders: dict[str, OrderHolder] = {}
+        self._tasks = None
+        self._draining = False
 
     async def start(self, tasks) -> None:
         """Connect to the table service and the weight store."""
         platform = self.kernel.plugin("platform")
         self.heads = WeightHeads(platform.table, platform.weights)
+        self._tasks = tasks
+
+    def on_endpoints(self, records) -> None:
+        """Take over the engines, and start to serve services that are new."""
+        if self._tasks is None or self._draining:
+            return
+        services: dict[str, list[InstanceRecord]] = {name: [] for name in self.holders}
+        for record in records:
+            if record.kind is InstanceKind.ENGINE:
+                services.setdefault(record.service, []).append(record)
+        for service, engines in services.items():
+            if service not in self.holders:
+                self.holders[service] = OrderHolder(self._ports(), service)
+                self._tasks.start_soon(self._serve, service)
+            self.holders[service].update_engines(engines)
+
+    async def drain(self, deadline: float) -> None:
+        """Give the order leases back."""
+        self._draining = True
+        for holder in self.holders.values():
+            await holder.release()
+
+    def _ports(self) -> OrderPorts:
+        return OrderPorts(
+            heads=self.heads,
+            store=self.kernel.plugin("platform").weights,
+            leases=self.kernel.plugin("leases").client,
+            clock=self.kernel.clock,
+            engine=self.kernel.plugin("links").engine,
+            options=self._options,
+        )
+
+    def _options(self, record: InstanceRecord) -> FleetOptions:
+        scope = Scope(
+            service=record.service, data_centre=record.data_centre, endpoint=record.id
+        )
+        return self.kernel.config.scoped(scope)
+
+    async def _serve(self, service: str) -> None:
+        clock = self.kernel.clock
+        holder = self.holders[service]
+        while not self._draining:
+            place = self._place(service)
+            held = self.kernel.plugin("leases").client.book.held(holder.lease_key)
+            if held is not None or place < STANDBYS:
+                await holder.round(self._tasks, may_take=place < STANDBYS)
+            interval = ROUND_INTERVAL_S if held else STANDBY_INTERVAL_S * (place + 1)
+            await clock.sleep_until(clock.now() + interval)
+
+    def _place(self, service: str) -> int:
+        me = self.kernel.settings.instance.id
+        members = live_members(self.kernel) | {me}
+        return rank(f"weights/{service}", members).index(me)
+
+
+def live_members(kernel) -> set[str]:
+    """Return the ids of the entry instances that are alive."""
+    members = kernel.plugin("membership").view().members.values()
+    return {member.id for member in members if str(member.state) in LIVE_STATES}
--- a/tests/services/test_steps.py
+++ b/tests/services/test_steps.py
@@ -80,6 +80,14 @@
         return FakePlatform.fleet.engines.generate(ctx, req)
 
 
+class FakeLinks(Plugin):
+    name = "links"
+
+
+class FakeEndpoints(Plugin):
+    name = "endpoints"
+
+
 class FakeMembership(Plugin):
     name = "membership"
     state = "live"
@@ -98,7 +106,8 @@
 def kernels():
     """Return a function that builds the kernel of an instance."""
     fleet = FakePlatform.fleet = Fleet()
-    plugins = (FakePlatform, FakeDispatch, FakeMembership, Leases, Weights, Steps)
+    fakes = (FakePlatform, FakeDispatch, FakeMembership, FakeLinks, FakeEndpoints)
+    plugins = (*fakes, Leases, Weights, Steps)
 
     def build(name):
         instance = SimpleNamespace(id=name)
--- /dev/null
+++ b/tests/services/test_weights.py
@@ -0,0 +1,226 @@
+"""Tests of weight heads, orders in waves, and orders under lapsed leases."""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+from result import Err, Ok
+
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.platform.base import (
+    EngineStatus,
+    InstanceKind,
+    InstanceRecord,
+    InstanceState,
+)
+from plantainstack.policy.leases import LeaseBook, NaiveLeaseBook
+from plantainstack.policy.weights import AllAtOnce, NaiveOrderGate, OrderGate, SwapPlan
+from plantainstack.services.weights import (
+    ROUND_INTERVAL_S,
+    OrderHolder,
+    OrderPorts,
+    head_version,
+)
+from plantainstack.settings.options import Address
+from tests.services.fleet import MODEL, Fleet
+
+pytestmark = pytest.mark.anyio
+
+ORDER_TIMEOUT_S = 30.0
+
+
+class FakeEngine:
+    """Load versions, with delayed orders and loads that fail partway."""
+
+    def __init__(self, clock, checks):
+        self.clock, self.checks = clock, checks
+        self.version, self.loading, self.fence = 7, None, 0
+        self.swap_seconds, self.order_delay, self.failing_loads = 3.0, 0.0, 0
+        self.applied = []
+
+    async def status(self):
+        await anyio.lowlevel.checkpoint()
+        report = EngineStatus(MODEL, self.version, self.loading, 0, 0, False, 0)
+        return Ok(report)
+
+    async def order(self, order):
+        with anyio.CancelScope(shield=self.order_delay > 0):
+            await self.clock.sleep_until(self.clock.now() + self.order_delay)
+            if self.checks and order.fence < self.fence:
+                return Err(Failure.of(ErrorKind.LEASE_LOST, "old fencing number"))
+            self.fence = order.fence
+            self.applied.append(order)
+            self.loading = order.version
+        return await self.status()
+
+    async def load(self):
+        while True:
+            await self.clock.sleep_until(self.clock.now() + 0.05)
+            if self.loading is not None:
+                await self.clock.sleep_until(self.clock.now() + self.swap_seconds)
+                if self.failing_loads:
+                    self.failing_loads -= 1
+                else:
+                    self.version = self.loading
+                self.loading = None
+
+
+class Orders:
+    """Hold engines, and instances that may order them."""
+
+    def __init__(self, count=1, checks=True, book=LeaseBook):
+        self.fleet = Fleet(book=book)
+        self.checks = checks
+        names = [f"engine-{number}" for number in range(count)]
+        self.engines = {name: FakeEngine(self.fleet.clock, checks) for name in names}
+        self.records = [
+            InstanceRecord(
+                name,
+                MODEL,
+                InstanceKind.ENGINE,
+                "bergen-a",
+                Address("127.0.0.1", 1),
+                InstanceState.LIVE,
+            )
+            for name in names
+        ]
+
+    def holder(self, name, plan=SwapPlan, gate=OrderGate):
+        instance = self.fleet.instance(name)
+        options = SimpleNamespace(
+            checks_fencing=self.checks, order_timeout=ORDER_TIMEOUT_S
+        )
+        ports = OrderPorts(
+            heads=instance.ports.heads,
+            store=self.fleet.store,
+            leases=instance.leases,
+            clock=self.fleet.clock,
+            engine=lambda record: self.engines[record.id],
+            options=lambda record: options,
+        )
+        holder = OrderHolder(ports, MODEL, plan(), gate())
+        holder.update_engines(self.records)
+        return holder
+
+    async def run(self, tasks, holder, seconds):
+        """Run rounds and renewals of a holder, which is frozen afterwards."""
+        end = self.fleet.clock.now() + seconds
+        while self.fleet.clock.now() < end:
+            await holder.ports.leases.renew()
+            await holder.round(tasks, may_take=True)
+            await self.fleet.clock.advance(ROUND_INTERVAL_S)
+
+    def start_loading(self, tasks):
+        for engine in self.engines.values():
+            tasks.start_soon(engine.load)
+
+    def versions(self):
+        return {engine.version for engine in self.engines.values()}
+
+
+async def test_the_weight_head_never_goes_down():
+    """Guards against a head lowered by a lagging reader of the weight store."""
+    fleet = Fleet(version=9)
+    assert head_version((await fleet.heads.refresh(MODEL)).unwrap()) == 9
+    fleet.store.version = 8
+    assert head_version((await fleet.heads.refresh(MODEL)).unwrap()) == 9
+    fleet.store.down = True
+    assert head_version((await fleet.heads.refresh(MODEL)).unwrap()) == 9
+    fleet.store.down, fleet.store.version = False, 10
+    fleet.table.faults.plan = [(lambda call: call[0] == "commit", "lose")]
+    assert (await fleet.heads.refresh(MODEL)).is_err()
+    assert head_version((await fleet.heads.refresh(MODEL)).unwrap()) == 10
+
+
+async def swap_keeps_capacity(plan):
+    """Check that half of 20 engines always serve, and all swap within 16 s."""
+    orders = Orders(count=20)
+    orders.fleet.store.version = 8
+    most = 0
+    async with anyio.create_task_group() as tasks:
+        orders.start_loading(tasks)
+        holder = orders.holder("a", plan)
+        for _ in range(64):
+            await orders.run(tasks, holder, ROUND_INTERVAL_S)
+            loading = [e for e in orders.engines.values() if e.loading is not None]
+            most = max(most, len(loading))
+        tasks.cancel_scope.cancel()
+    return most <= 10 and orders.versions() == {8}
+
+
+@pytest.mark.parametrize(("plan", "holds"), [(SwapPlan, True), (AllAtOnce, False)])
+async def test_swaps_keep_capacity_for_callers(plan, holds):
+    """Guards against a swap that takes every engine from callers at once."""
+    assert await swap_keeps_capacity(plan) is holds
+
+
+async def test_a_swap_that_fails_partway_is_ordered_again():
+    """Guards against engines left behind, and against trust in an order's answer."""
+    orders = Orders(count=3)
+    orders.fleet.store.version = 8
+    orders.engines["engine-1"].failing_loads = 2
+    async with anyio.create_task_group() as tasks:
+        orders.start_loading(tasks)
+        await orders.run(tasks, orders.holder("a"), 60)
+        tasks.cancel_scope.cancel()
+    assert orders.versions() == {8}
+    assert len(orders.engines["engine-1"].applied) == 3
+
+
+async def test_orders_wait_for_permits_of_the_weight_store():
+    """Guards against loads beyond the rate limit of the weight store."""
+    orders = Orders(count=4)
+    orders.fleet.store.version, orders.fleet.store.permits = 8, 1
+    async with anyio.create_task_group() as tasks:
+        orders.start_loading(tasks)
+        holder = orders.holder("a")
+        await orders.run(tasks, holder, 10)
+        assert sum(len(e.applied) for e in orders.engines.values()) == 1
+        orders.fleet.store.permits = 100
+        await orders.run(tasks, holder, 30)
+        tasks.cancel_scope.cancel()
+    assert orders.versions() == {8}
+
+
+async def fences_never_decrease(checks, book, gate, delay):
+    """Check that no order of an old holder takes effect after one of its successor.
+
+    The first holder freezes after an order that is still under way for `delay`
+    seconds, and wakes after its successor has ordered.
+    """
+    orders = Orders(checks=checks, book=book)
+    engine = orders.engines["engine-0"]
+    async with anyio.create_task_group() as tasks:
+        orders.start_loading(tasks)
+        first = orders.holder("a", gate=gate)
+        await orders.run(tasks, first, ORDER_TIMEOUT_S)
+        orders.fleet.store.version, engine.order_delay = 8, delay
+        await orders.run(tasks, first, 2)
+        engine.order_delay = 0.0
+        second = orders.holder("b", gate=gate)
+        orders.fleet.store.version = 9
+        await orders.run(tasks, second, 25)
+        await first.round(tasks, may_take=False)
+        await orders.run(tasks, second, ORDER_TIMEOUT_S)
+        first.plan.set_target(10, orders.fleet.clock.now())
+        for _ in range(8):
+            await first.round(tasks, may_take=False)
+            await orders.fleet.clock.advance(ROUND_INTERVAL_S)
+        tasks.cancel_scope.cancel()
+    fences = [order.fence for order in engine.applied]
+    assert 2 in fences, "the successor must have ordered"
+    return fences == sorted(fences)
+
+
+@pytest.mark.parametrize("delay", [0.0, 4.0, 20.0])
+@pytest.mark.parametrize("checks", [True, False])
+async def test_orders_of_a_frozen_holder_have_no_effect(checks, delay):
+    """Guards against an engine that a former holder moves to another version."""
+    assert await fences_never_decrease(checks, LeaseBook, OrderGate, delay)
+
+
+@pytest.mark.parametrize("delay", [0.0, 20.0])
+async def test_without_lease_checks_a_frozen_holder_still_orders(delay):
+    """Shows that the proof above relies on the gate and the holder's clock."""
+    book, gate = NaiveLeaseBook, NaiveOrderGate
+    assert not await fences_never_decrease(False, book, gate, delay)
