Add the benchmark under simulated time

Cause: the policies need to be compared with the naive versions under load. New policy pacing.may_go limits how many endpoints are swapped or restarted at once.

--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,106 @@
+"""Count what a run did, and derive the measures from it."""
+
+from collections import Counter
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+WINDOW_S = 10
+BYTES_PER_TOKEN = 4
+LATENCY_MAX_MS = 600_000
+
+MEASURES = (
+    "trainer_idle_s",
+    "steps",
+    "staleness_mean",
+    "staleness_p99",
+    "over_bound_share",
+    "over_bound_delivered",
+    "callers_on_time",
+    "callers_refused",
+    "caller_p50_ms",
+    "caller_p99_ms",
+    "caller_p99_9_ms",
+    "bookings_on_time",
+    "wasted_tokens",
+    "attempts_per_request",
+    "prefix_hits",
+    "crossing_mb",
+)
+
+
+class Report:
+    """Collect the events of one run."""
+
+    def __init__(self):
+        self.wasted = 0.0
+        self.idle_s = 0.0
+        self.steps = 0
+        self.over_bound = 0
+        self.delivered_over_bound = 0
+        self.crossing_bytes = 0.0
+        self.staleness: list[int] = []
+        self.ends: Counter[tuple[str, str]] = Counter()
+        self._latency = HdrHistogram(1, LATENCY_MAX_MS, 3)
+        self._starts: list[float] = []
+        self._attempts: list[float] = []
+        self._prefixes: Counter[bool] = Counter()
+
+    def prefix(self, request, hit: bool) -> None:
+        """Count the prompt tokens that a cache held or did not hold."""
+        if request.prefix_tokens:
+            self._prefixes[hit] += request.prefix_tokens
+
+    def attempt(self, now: float, first: bool) -> None:
+        """Count an attempt, and the request at its first one."""
+        self._attempts.append(now)
+        if first:
+            self._starts.append(now)
+
+    def crossed(self, tokens: float) -> None:
+        """Count tokens sent between data centres."""
+        self.crossing_bytes += BYTES_PER_TOKEN * tokens
+
+    def request_ended(self, kind: str, end: str, latency_s: float) -> None:
+        """Count a request that was answered, refused, failed or too late."""
+        self.ends[kind, end] += 1
+        if kind == "caller" and end in ("ok", "late"):
+            self._latency.record_value(max(1, int(latency_s * 1000)))
+
+    def measures(self) -> dict[str, float]:
+        """Return all measures by name."""
+        staleness = np.array(self.staleness or [0])
+        prompts = self._prefixes[True] + self._prefixes[False]
+        values = (
+            self.idle_s,
+            self.steps,
+            float(staleness.mean()),
+            float(np.percentile(staleness, 99)),
+            self.over_bound / max(1, len(self.staleness) + self.over_bound),
+            self.delivered_over_bound,
+            self._share("caller", "ok"),
+            self._share("caller", "refused"),
+            *(self._latency.get_value_at_percentile(share) for share in (50, 99, 99.9)),
+            self._share("booking", "ok"),
+            self.wasted,
+            self._worst_window(),
+            self._prefixes[True] / max(1, prompts),
+            self.crossing_bytes / 1e6,
+        )
+        return dict(zip(MEASURES, values, strict=True))
+
+    def _share(self, kind: str, end: str) -> float:
+        total = sum(n for (other, _), n in self.ends.items() if other == kind)
+        return self.ends[kind, end] / max(1, total)
+
+    def _worst_window(self) -> float:
+        """Return the most attempts per request in a window, by steps of 1 s."""
+        if not self._attempts:
+            return 0.0
+        edges = np.arange(0, max(self._attempts) + 2)
+        window = np.ones(WINDOW_S)
+        attempts, starts = (
+            np.convolve(np.histogram(times, edges)[0], window)
+            for times in (self._attempts, self._starts)
+        )
+        return float(np.max(attempts / np.maximum(1, starts)))
--- /dev/null
+++ b/bench/users.py
@@ -0,0 +1,59 @@
+"""The two users: sizes of design 1.2, and settings with their reasons.
+
+The design gives no rates. They are set so that callers take about a third of
+the engines' capacity at peak while two trainers use the rest.
+"""
+
+from typing import NamedTuple
+
+from bench.engine import ENGINE, PLAIN, Speed
+from plantainstack.settings.fleet import FleetConfig, parse_fleet
+
+
+class User(NamedTuple):
+    """Describe one user's deployment."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    service: str
+    engines: int
+    app: str
+    apps: int
+    instances: int
+    one_way_s: float
+    settings: str
+    engine: Speed = ENGINE
+    plain: Speed = PLAIN
+
+    def config(self) -> FleetConfig:
+        """Return the user's fleet configuration."""
+        return FleetConfig(1, parse_fleet(self.settings, self.name))
+
+
+VANNPOST = User(
+    name="vannpost",
+    data_centres=("bergen-a", "bergen-b", "forde"),
+    service="raadgiver-llm",
+    engines=5,
+    app="tillatelse-app",
+    apps=3,
+    instances=10,
+    one_way_s=0.004,
+    settings="""\
+[defaults]
+""",
+)
+VELOCADRE = User(
+    name="velocadre",
+    data_centres=("tunis-a", "tunis-b", "tunis-c", "tunis-d"),
+    service="fit-models",
+    engines=5,
+    app="booking-app",
+    apps=4,
+    instances=9,
+    one_way_s=0.003,
+    settings="""\
+[defaults]
+""",
+)
+USERS = {user.name: user for user in (VANNPOST, VELOCADRE)}
--- a/plantainstack/settings/fleet.py
+++ b/plantainstack/settings/fleet.py
@@ -59,6 +59,9 @@
     list_poll_interval = Duration("1 s", "Time between reads of the instance list.")
     load_poll_interval = Duration("1 s", "Time between reads of a load report.")
     leaving_bound = Duration("5 s", "Longest time a leaving endpoint gets work.")
+    away_share_max = Number(
+        "0.4", "Largest share swapped or restarted at once.", maximum=1.0
+    )
     checks_fencing = Boolean("no", "Whether engines refuse old fencing numbers.")
     # Leases
     lease_duration = Duration("10 s", "Time for which a lease is granted.")
