--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.requirements
 
-.PHONY: all demo test format lint check proofs reference known-red
+.PHONY: all bench demo test format lint check proofs reference known-red
 
 all: test
 
@@ -37,3 +37,6 @@
 
 reference: $(STAMP)
 	$(VENV)/bin/python -m tools.reference
+
+bench: $(STAMP)
+	$(VENV)/bin/python -m bench --plot build/bench.png
--- a/plantainstack/settings/fleet.py
+++ b/plantainstack/settings/fleet.py
@@ -59,6 +59,9 @@
     list_poll_interval = Duration("1 s", "Time between reads of the instance list.")
     load_poll_interval = Duration("1 s", "Time between reads of a load report.")
     leaving_bound = Duration("5 s", "Longest time a leaving endpoint gets work.")
+    away_share_max = Number(
+        "0.4", "Largest share swapped or restarted at once.", maximum=1.0
+    )
     checks_fencing = Boolean("no", "Whether engines refuse old fencing numbers.")
     drain = Boolean("no", "Give no new work to an endpoint or entry instance.")
     slo_target = Number("0.999", "Share of answers that must be good.", maximum=1.0)
