--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -30,16 +30,17 @@
 class Plugin(ABC):
     """Serve as the base of a part of the daemon.
 
-    A subclass that sets `name` registers itself. The kernel starts plug-ins
-    after those that they require and stops them in the opposite order.
+    A subclass that sets `name` registers itself, unless it is declared with
+    `register=False` as fakes are. The kernel starts plug-ins after those that
+    they require and stops them in the opposite order.
     """
 
     name: ClassVar[str]
     requires: ClassVar[tuple[str, ...]] = ()
 
-    def __init_subclass__(cls, **kwargs):
+    def __init_subclass__(cls, register: bool = True, **kwargs):
         super().__init_subclass__(**kwargs)
-        if "name" in cls.__dict__:
+        if register and "name" in cls.__dict__:
             REGISTRY[cls.name] = cls
 
     def __init__(self, kernel: "Kernel"):
--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -752,6 +752,11 @@
     async def _run(self, key: str) -> None:
         try:
             await self.runners[key].run()
+        except Exception as exc:
+            # Without this, a fault in one step ends the process, and then that of
+            # each later owner. The lease is left to expire, which spaces the tries.
+            log.event("step.failed", key=key, error=repr(exc))
+            self._ports.leases.book.drop(key)
         finally:
             del self.runners[key]
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -178,18 +178,22 @@
         return Ok(self.data[name])
 
 
-class FakePlatform(Plugin):
+class FakePlatform(Plugin, register=False):
     """Offer a fake table service and object store."""
 
+    name = "platform"
+
     def __init__(self, kernel):
         super().__init__(kernel)
         self.table = FakeTable()
         self.objects = FakeObjects()
 
 
-class FakePeers(Plugin):
+class FakePeers(Plugin, register=False):
     """Call the handlers of other fakes directly; `network` maps ids to them."""
 
+    name = "peers"
+
     def __init__(self, kernel):
         super().__init__(kernel)
         self.handlers = {}
@@ -206,9 +210,11 @@
         return Ok(await peer.handlers[message["type"]](own_id, message))
 
 
-class FakeMembership(Plugin):
+class FakeMembership(Plugin, register=False):
     """Show the instances that a test names as members."""
 
+    name = "membership"
+
     def __init__(self, kernel):
         super().__init__(kernel)
         self.members = {}
@@ -232,9 +238,11 @@
         return self.fake_plain
 
 
-class FakeEndpoints(Plugin):
+class FakeEndpoints(Plugin, register=False):
     """Hold naive policies, unless a test sets others."""
 
+    name = "endpoints"
+
     def __init__(self, kernel):
         super().__init__(kernel)
         self.router = RoundRobinRouter()
@@ -245,11 +253,6 @@
         self.router.update_endpoints(records, self.kernel.clock.now())
 
 
-# Set late, so that the fakes do not replace the registered plug-ins.
-FakePlatform.name = "platform"
-FakePeers.name = "peers"
-FakeMembership.name = "membership"
-FakeEndpoints.name = "endpoints"
 PLATFORM_FAKES = (FakeLinks, FakeEndpoints, FakePlatform, FakePeers, FakeMembership)
 
 
--- a/tests/front/test_operators.py
+++ b/tests/front/test_operators.py
@@ -22,7 +22,7 @@
 }
 
 
-class FakeConfiguration(Plugin):
+class FakeConfiguration(Plugin, register=False):
     """Accept changes that are based on version 0."""
 
     name = "configuration"
--- a/tests/services/test_steps.py
+++ b/tests/services/test_steps.py
@@ -7,12 +7,13 @@
 
 from plantainstack.errors import ErrorKind
 from plantainstack.kernel import Kernel
-from plantainstack.plugins import REGISTRY, Plugin
+from plantainstack.platform.base import InstanceKind, InstanceRecord
+from plantainstack.plugins import Plugin
 from plantainstack.policy.leases import rank
 from plantainstack.services.leases import Leases
 from plantainstack.services.steps import Steps
 from plantainstack.services.weights import Weights
-from tests.services.fleet import TERMS, TRAINER, Fleet
+from tests.services.fleet import MODEL, TERMS, TRAINER, Fleet
 
 pytestmark = pytest.mark.anyio
 
@@ -60,10 +61,7 @@
     assert len([k for k in fleet.table.rows if k.startswith("step/")]) == 1
 
 
-REGISTERED = dict(REGISTRY)
-
-
-class FakePlatform(Plugin):
+class FakePlatform(Plugin, register=False):
     name = "platform"
     fleet = None
 
@@ -73,22 +71,23 @@
         self.scorer, self.weights = self.fleet.scorer, self.fleet.store
 
 
-class FakeDispatch(Plugin):
+class FakeDispatch(Plugin, register=False):
     name = "dispatch"
 
     def generate(self, ctx, req):
         return FakePlatform.fleet.engines.generate(ctx, req)
 
 
-class FakeLinks(Plugin):
+class FakeLinks(Plugin, register=False):
     name = "links"
 
 
-class FakeEndpoints(Plugin):
+class FakeEndpoints(Plugin, register=False):
     name = "endpoints"
+    records = ()
 
 
-class FakeMembership(Plugin):
+class FakeMembership(Plugin, register=False):
     name = "membership"
     state = "live"
 
@@ -97,11 +96,6 @@
         return SimpleNamespace(members=members)
 
 
-# The fakes must not replace the plug-ins that other tests load.
-REGISTRY.clear()
-REGISTRY.update(REGISTERED)
-
-
 @pytest.fixture
 def kernels():
     """Return a function that builds the kernel of an instance."""
@@ -137,3 +131,32 @@
         assert fleet.state() == "sealed"
         second.request_stop()
         await fleet.clock.advance(10)
+
+
+async def test_engines_listed_before_the_start_are_ordered(kernels, monkeypatch):
+    """Guards against a first list of endpoints that no later event repeats."""
+    _, build = kernels
+    engine = InstanceRecord("e", MODEL, InstanceKind.ENGINE, "dc", None, "live")
+    monkeypatch.setattr(FakeEndpoints, "records", (engine,))
+    kernel = build("a")
+    kernel.request_stop()
+    await kernel.run(handle_signals=False)
+    assert MODEL in kernel.plugin("weights").holders
+
+
+async def test_a_fault_in_one_step_does_not_end_the_process(kernels):
+    """Guards against a step that ends each of its owners in turn."""
+    fleet, build = kernels
+    opener = fleet.instance("x")
+    await opener.desk.open(TRAINER, fleet.request())
+    owner = build(rank(f"steps/{fleet.keys.shard}", "abcde")[0])
+    generate, fleet.engines.generate = fleet.engines.generate, None
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(owner.run, False)
+        await fleet.clock.advance(6)
+        assert not owner.plugin("steps").runners
+        fleet.engines.generate = generate
+        await fleet.clock.advance(2 * TERMS.duration + 10)
+        assert fleet.state() == "sealed"
+        owner.request_stop()
+        await fleet.clock.advance(10)
