Prove the guarantees about samples, with and without their guards

Cause: samples arrived from unknown versions, late or twice, and nothing showed whether the code prevents it. Change: check functions for labels, the version bound and exactly-once delivery, under swaps, owners killed in every phase, frozen owners, late and lost answers, outages, and a hypothesis test that drives two owners through random faults. Conclusion: all checks hold with the guards and are violated with the naive versions of labels, bound, mutations or drafts. A runner now notices at once that it has finished.

--- a/plantainstack/policy/samples.py
+++ b/plantainstack/policy/samples.py
@@ -405,5 +405,12 @@
         return self.bound.allows(version, self.newest)
 
 
+class ForgetfulProgress(StepProgress):
+    """Ignore what an earlier owner committed; the naive version for tests."""
+
+    def load(self, rows: Iterable[Row]) -> None:
+        """Ignore the rows."""
+
+
 def _one(key: str, value: dict[str, Any]) -> tuple[Write, ...]:
     return (Write(key, value),)
--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -87,6 +87,7 @@
     labels: Labels = ReportedLabels()
     bound: Callable[[StepRecord], Bound] = Bound
     writes: Callable[[StepKeys], StepWrites] = StepWrites
+    progress: type[StepProgress] = StepProgress
 
 
 class OpenRequest(NamedTuple):
@@ -171,7 +172,7 @@
         if head is None or rows is None or content is None:
             return False
         self._prompts = msgspec.json.decode(content)
-        self.progress = StepProgress(
+        self.progress = self.guards.progress(
             record, self.guards.bound(record), head_version(head)
         )
         self.progress.load(rows)
@@ -187,9 +188,10 @@
     async def _work(self) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._commit_loop)
+            await self._supervise(tasks)
             while not self._ended:
-                await self._supervise(tasks)
                 await self._pause(SUPERVISE_INTERVAL_S)
+                await self._supervise(tasks)
             tasks.cancel_scope.cancel()
 
     async def _supervise(self, tasks) -> None:
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -1,6 +1,7 @@
 """In-memory fakes of the platform, and owners of steps that share them."""
 
 import asyncio
+import contextlib
 import heapq
 import random
 from types import SimpleNamespace
@@ -56,8 +57,19 @@
             await anyio.lowlevel.checkpoint()
 
 
+@contextlib.asynccontextmanager
+async def running():
+    """Provide a task group whose tasks are cancelled at its end."""
+    async with anyio.create_task_group() as tasks:
+        yield tasks
+        tasks.cancel_scope.cancel()
+
+
 class Faults:
-    """Choose a fault for each call: None, `refuse`, `lose`, or a coroutine."""
+    """Choose a fault for each call: None, `refuse`, `lose`, or a function.
+
+    A function gets another that applies the commit, and returns the answer.
+    """
 
     def __init__(self):
         self.plan = []
@@ -88,6 +100,7 @@
         self.rows = {}
         self.faults = Faults()
         self.applied = []
+        self.overwritten = []
         self.calls = 0
 
     async def read(self, keys):
@@ -110,12 +123,15 @@
         self.calls += 1
         fault = self.faults.next(("commit", mutations))
         if callable(fault):
-            fault = await fault()
+            return await fault(lambda: self._apply_all(mutations))
         if fault == "refuse":
             return refused()
-        outcomes = [self._apply(mutation) for mutation in mutations]
+        outcomes = self._apply_all(mutations)
         await anyio.lowlevel.checkpoint()
-        return lost() if fault == "lose" else Ok(outcomes)
+        return lost() if fault == "lose" else outcomes
+
+    def _apply_all(self, mutations):
+        return Ok([self._apply(mutation) for mutation in mutations])
 
     def _apply(self, mutation):
         conflicts = tuple(
@@ -128,6 +144,10 @@
             return MutationOutcome(False, conflicts)
         for key, value in mutation.writes:
             version = self.rows[key].version + 1 if key in self.rows else 1
+            if key in self.rows and key.startswith("sample/") and value is not None:
+                head = self.rows.get(f"weights/{MODEL}")
+                newest = head.value["version"] if head else 0
+                self.overwritten.append((self.rows[key].value, newest))
             if value is None:
                 self.rows.pop(key, None)
             else:
@@ -135,9 +155,6 @@
             self.applied.append((key, value))
         return MutationOutcome(True)
 
-    def inserts(self, prefix="sample/"):
-        return [key for key, value in self.applied if key.startswith(prefix) and value]
-
 
 class FakeObjects(ObjectStore):
     """Keep objects in memory."""
@@ -260,7 +277,13 @@
         )
         desk = StepDesk(ports, self.guards)
         return SimpleNamespace(
-            name=name, ports=ports, desk=desk, leases=client, scope=None, runner=None
+            name=name,
+            ports=ports,
+            desk=desk,
+            leases=client,
+            scope=None,
+            runner=None,
+            frozen=False,
         )
 
     def request(self, groups=2, samples=2, bound=1, deadline=600.0):
@@ -279,6 +302,16 @@
             deadline=self.clock.wall() + deadline,
         )
 
+    async def succeed(self, tasks, instance):
+        """Let an instance try to take the step until its holder's lease expired."""
+        while not await self.own(tasks, instance):
+            await self.clock.advance(1)
+
+    async def publish(self, version):
+        """Publish weights, on which all engines then run."""
+        self.store.version = self.engines.version = version
+        await self.heads.refresh(MODEL)
+
     async def own(self, tasks, instance, holder_gone=False):
         """Let an instance take the step's lease and run until it ends."""
         taken = await instance.leases.take(
@@ -301,7 +334,8 @@
     async def _renew(self, instance):
         clock = instance.ports.clock
         while True:
-            await instance.leases.renew()
+            if not instance.frozen:
+                await instance.leases.renew()
             await clock.sleep_until(clock.now() + 0.5)
 
     def state(self):
--- /dev/null
+++ b/tests/services/test_step_proofs.py
@@ -0,0 +1,502 @@
+"""Proofs of the guarantees about samples; each also runs without its guard.
+
+1. A sample names the versions that produced it. 2. No sample is over the version
+bound. 3. Each sample reaches its trainer exactly once.
+"""
+
+import anyio
+import pytest
+from hypothesis import HealthCheck, find, given, settings
+from hypothesis import strategies as st
+
+from plantainstack.errors import ErrorKind
+from plantainstack.policy.samples import (
+    ForgetfulProgress,
+    NaiveBound,
+    NaiveLabels,
+    NaiveStepWrites,
+    StepProgress,
+    oldest,
+)
+from plantainstack.services.steps import Guards
+from tests.services.fleet import MODEL, TRAINER, Fleet, lost, refused, running
+
+pytestmark = pytest.mark.anyio
+
+REAL = Guards()
+NAIVE_LABELS = Guards(labels=NaiveLabels())
+NAIVE_BOUND = Guards(bound=NaiveBound)
+NAIVE_WRITES = Guards(writes=NaiveStepWrites)
+NAIVE_OWNER = Guards(writes=NaiveStepWrites, progress=ForgetfulProgress)
+
+
+class DroppingProgress(StepProgress):
+    """Offer each draft once, whatever becomes of it."""
+
+    def drafts(self, limit):
+        drafts, self._drafts = list(self._drafts.values()), {}
+        self._offered = {**getattr(self, "_offered", {}), **{d.key: d for d in drafts}}
+        return drafts
+
+    def is_draft(self, draft):
+        return self._offered.get(draft.key) is draft
+
+
+def commits(key, state=None):
+    """Match commits that write a row of a prefix, in a state if one is given."""
+
+    def matches(call):
+        kind, mutations = call
+        return kind == "commit" and any(
+            write.key.startswith(key)
+            and write.value is not None
+            and (state is None or write.value.get("state") == state)
+            for mutation in mutations
+            for write in mutation.writes
+        )
+
+    return matches
+
+
+SAMPLES = commits("sample/")
+SEAL = commits("step/", "sealed")
+DELIVER = commits("step/", "delivered")
+
+
+def runs(versions):
+    """Return the spans of a list of the versions of single tokens."""
+    spans = []
+    for version in versions:
+        if spans and spans[-1]["version"] == version:
+            spans[-1]["tokens"] += 1
+        else:
+            spans.append({"version": version, "tokens": 1})
+    return spans
+
+
+def honest(fleet, samples):
+    truth = fleet.engines.truth
+    return all(s["spans"] == runs(truth[s["request_id"]]) for s in samples)
+
+
+def fresh(fleet, samples, bound=1):
+    versions = [span["version"] for s in samples for span in s["spans"]]
+    return fleet.store.version - min(versions) <= bound
+
+
+def once(fleet, samples, bound=1):
+    """Return whether each sample is there, and none was replaced without need."""
+    keys = [(s["group"], s["index"]) for s in samples]
+    needless = [
+        value
+        for value, newest in fleet.table.overwritten
+        if newest - oldest(value["spans"]) <= bound
+    ]
+    return keys == [(0, 0), (0, 1), (1, 0), (1, 1)] and not needless
+
+
+async def fetch(fleet, instance):
+    """Fetch the samples of the step, or None while there are none."""
+    fetched = await instance.desk.samples(TRAINER, fleet.keys.step)
+    return fetched.unwrap() if fetched.is_ok() else None
+
+
+async def fetch_when_sealed(fleet, instance, limit=120):
+    for _ in range(limit):
+        samples = await fetch(fleet, instance)
+        if samples is not None:
+            return samples
+        await fleet.clock.advance(1)
+    return None
+
+
+async def reopened(fleet, tasks, instance):
+    """Fetch samples; the instance owns the step again where that reopens it."""
+    for _ in range(10):
+        samples = await fetch(fleet, instance)
+        if samples is not None:
+            return samples
+        await fleet.own(tasks, instance)
+        await fleet.clock.advance(10)
+    return None
+
+
+async def labels_are_honest(guards, scenario):
+    fleet = Fleet(guards=guards)
+    a = fleet.instance("a")
+    await fleet.publish(7)
+    await a.desk.open(TRAINER, fleet.request())
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        if scenario == "version not reported":
+            fleet.engines.unreported = 3
+            fleet.engines.version = 8
+        await fleet.clock.advance(0.6)
+        if scenario == "swap in mid-sample":
+            fleet.engines.version = 8
+        samples = await fetch_when_sealed(fleet, a)
+    if scenario == "swap in mid-sample":
+        assert len(fleet.engines.truth[samples[0]["request_id"]]) == 4
+    return honest(fleet, samples)
+
+
+@pytest.mark.parametrize(("guards", "holds"), [(REAL, True), (NAIVE_LABELS, False)])
+@pytest.mark.parametrize("scenario", ["swap in mid-sample", "version not reported"])
+async def test_samples_name_the_versions_that_produced_them(guards, holds, scenario):
+    """Guards against samples from versions that nobody can identify."""
+    assert await labels_are_honest(guards, scenario) is holds
+
+
+async def test_a_swap_in_mid_sample_yields_two_spans():
+    """Guards against a proof above that holds because nothing was swapped."""
+    fleet = Fleet()
+    a = fleet.instance("a")
+    await a.desk.open(TRAINER, fleet.request())
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        await fleet.clock.advance(0.6)
+        fleet.engines.version = 8
+        samples = await fetch_when_sealed(fleet, a)
+    spans = [{"version": 7, "tokens": 2}, {"version": 8, "tokens": 2}]
+    assert [s["spans"] for s in samples] == [spans] * 4
+
+
+async def bound_holds(guards, scenario):
+    fleet = Fleet(guards=guards)
+    a, b = fleet.instance("a"), fleet.instance("b")
+    await a.desk.open(TRAINER, fleet.request())
+
+    async def publish_first(apply):
+        await fleet.publish(9)
+        return apply()
+
+    async with running() as tasks:
+        if scenario == "between the check and the delivery":
+            fleet.table.faults.plan = [(DELIVER, publish_first)]
+        if scenario == "while samples are generated":
+            fleet.engines.seconds = 8.0
+        await fleet.own(tasks, a)
+        await fleet.clock.advance(1.0)
+        if scenario == "while samples are generated":
+            # The table learns of the version; these engines lag behind for a while.
+            fleet.store.version = 9
+            await fleet.heads.refresh(MODEL)
+            await fleet.clock.advance(20)
+            fleet.engines.version = 9
+        await fleet.clock.advance(20)
+        if scenario == "between seal and delivery":
+            await fleet.publish(9)
+        samples = await reopened(fleet, tasks, b)
+        again = await fetch(fleet, a)
+    return fresh(fleet, samples) and once(fleet, samples) and again == samples
+
+
+@pytest.mark.parametrize(
+    ("scenario", "naive"),
+    [
+        ("while samples are generated", NAIVE_BOUND),
+        ("between seal and delivery", NAIVE_BOUND),
+        ("between the check and the delivery", NAIVE_WRITES),
+    ],
+)
+async def test_no_sample_is_over_the_bound(scenario, naive):
+    """Guards against stale drafts, whenever new weights are published."""
+    assert await bound_holds(REAL, scenario)
+    assert not await bound_holds(naive, scenario)
+
+
+PHASES = {
+    "before the first commit": (SAMPLES, False),
+    "after the first commit": (SAMPLES, True),
+    "before the seal": (SEAL, False),
+    "after the seal": (SEAL, True),
+    "before the first delivery": (DELIVER, False),
+    "after the first delivery": (DELIVER, True),
+}
+
+
+async def successor_finishes(guards, phase):
+    """Kill the owner in a phase; a trainer keeps fetching through another instance."""
+    fleet = Fleet(guards=guards)
+    a, b, c = (fleet.instance(name) for name in "abc")
+    matches, after = PHASES[phase]
+    fleet.engines.duration = lambda ctx: 1.0 if ctx.group.endswith("/0") else 3.0
+    killed = []
+
+    async def kill(apply):
+        if after:
+            apply()
+        killed.append({key: row.value for key, row in fleet.sample_rows().items()})
+        a.scope.cancel()
+        await anyio.lowlevel.checkpoint()
+        return lost()
+
+    await a.desk.open(TRAINER, fleet.request())
+    fleet.table.faults.plan = [(matches, kill)]
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        await fleet.clock.advance(10)
+        samples = await fetch(fleet, c)
+        if samples is None:
+            await fleet.succeed(tasks, b)
+            samples = await fetch_when_sealed(fleet, c)
+    assert killed
+    kept = all(fleet.table.rows[key].value == value for key, value in killed[0].items())
+    return kept and once(fleet, samples) and await fetch(fleet, b) == samples
+
+
+@pytest.mark.parametrize("phase", PHASES)
+async def test_a_successor_finishes_and_keeps_committed_samples(phase):
+    """Guards against steps lost, or samples sent twice, when an owner dies."""
+    assert await successor_finishes(REAL, phase)
+
+
+async def test_an_owner_without_its_guards_replaces_committed_samples():
+    """Shows that the proof above relies on the conditional insert and the load."""
+    assert not await successor_finishes(NAIVE_OWNER, "after the first commit")
+
+
+async def frozen_owner_changes_nothing(guards, matches):
+    """Freeze the owner in a commit that arrives after its successor took over."""
+    fleet = Fleet(guards=guards)
+    a, b = fleet.instance("a"), fleet.instance("b")
+    woken = anyio.Event()
+
+    async def freeze(apply):
+        a.frozen = True
+        await woken.wait()
+        return apply()
+
+    await a.desk.open(TRAINER, fleet.request())
+    fleet.table.faults.plan = [(matches, freeze)]
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        await fleet.clock.advance(3)
+        await fleet.publish(9)
+        await fleet.succeed(tasks, b)
+        fleet.engines.seconds = 5.0
+        if matches is SAMPLES:
+            await fleet.clock.advance(9)
+        woken.set()
+        await fleet.clock.advance(0.1)
+        early = fleet.state() == "sealed" and matches is SEAL
+        a.frozen = False
+        samples = await fetch_when_sealed(fleet, b, limit=30)
+        a.scope.cancel()
+        b.scope.cancel()
+    if samples is None or early:
+        return False
+    return honest(fleet, samples) and fresh(fleet, samples) and once(fleet, samples)
+
+
+@pytest.mark.parametrize("matches", [SAMPLES, SEAL], ids=["commit", "seal"])
+@pytest.mark.parametrize(("guards", "holds"), [(REAL, True), (NAIVE_WRITES, False)])
+async def test_a_frozen_owner_changes_nothing_after_its_lease(guards, holds, matches):
+    """Guards against a paused process that resumes in the belief it owns the step."""
+    assert await frozen_owner_changes_nothing(guards, matches) is holds
+
+
+async def late_write_changes_nothing(guards):
+    """Apply a commit, whose answer was lost, again after the delivery."""
+    fleet = Fleet(guards=guards)
+    a = fleet.instance("a")
+    late = []
+
+    async def delay(apply):
+        late.append(apply)
+        return lost()
+
+    await a.desk.open(TRAINER, fleet.request())
+    fleet.table.faults.plan = [(SAMPLES, delay)]
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        samples = await fetch_when_sealed(fleet, a)
+    late[0]()
+    return await fetch(fleet, a) == samples and once(fleet, samples)
+
+
+@pytest.mark.parametrize(("guards", "holds"), [(REAL, True), (NAIVE_WRITES, False)])
+async def test_a_commit_that_arrives_late_changes_nothing(guards, holds):
+    """Guards against a delivered list that changes."""
+    assert await late_write_changes_nothing(guards) is holds
+
+
+async def lost_answers_commit_once(guards):
+    fleet = Fleet(guards=guards)
+    a = fleet.instance("a")
+    await a.desk.open(TRAINER, fleet.request())
+    fleet.table.faults.plan = [(SAMPLES, "lose"), (SEAL, "lose"), (DELIVER, "lose")]
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        samples = await fetch_when_sealed(fleet, a)
+    return once(fleet, samples)
+
+
+@pytest.mark.parametrize(("guards", "holds"), [(REAL, True), (NAIVE_WRITES, False)])
+async def test_lost_answers_commit_each_sample_once(guards, holds):
+    """Guards against a repeated commit that replaces a committed sample."""
+    assert await lost_answers_commit_once(guards) is holds
+
+
+async def outage_loses_no_work(guards, part):
+    """Let a part of the platform be down for longer than a lease."""
+    fleet = Fleet(guards=guards)
+    a = fleet.instance("a")
+    await a.desk.open(TRAINER, fleet.request())
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        await fleet.clock.advance(0.6)
+        getattr(fleet, part).faults.down = True
+        await fleet.clock.advance(60)
+        getattr(fleet, part).faults.down = False
+        samples = await fetch_when_sealed(fleet, a, limit=20)
+        a.scope.cancel()
+    return bool(samples) and once(fleet, samples) and fleet.engines.starts == 4
+
+
+@pytest.mark.parametrize("part", ["table", "objects", "scorer"])
+@pytest.mark.parametrize(
+    ("guards", "holds"), [(REAL, True), (Guards(progress=DroppingProgress), False)]
+)
+async def test_an_outage_loses_no_samples(guards, holds, part):
+    """Guards against work repeated, or a step that stalls, after an outage."""
+    assert await outage_loses_no_work(guards, part) is holds
+
+
+async def test_a_step_past_its_deadline_expires_and_is_cleaned_up():
+    """Guards against steps that are generated for ever, and rows left behind."""
+    fleet = Fleet()
+    a, b = fleet.instance("a"), fleet.instance("b")
+    fleet.engines.duration = lambda ctx: 1.0 if ctx.group.endswith("/0") else 900.0
+    await a.desk.open(TRAINER, fleet.request(deadline=20))
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        await fleet.clock.advance(30)
+        fetched = await b.desk.samples(TRAINER, fleet.keys.step)
+        assert fetched.unwrap_err().kind is ErrorKind.STEP_EXPIRED
+        assert fleet.engines.running == 0
+        await fleet.own(tasks, b)
+        await fleet.clock.advance(2)
+    assert not fleet.sample_rows()
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["kill", "own", "lose", "refuse", "delay", "arrive", "publish", "fetch"]
+        ),
+        st.integers(0, 1),
+        st.sampled_from([0.0, 0.3, 1.0, 5.0]),
+    ),
+    max_size=14,
+)
+
+
+class Interleaving:
+    """Drive two owners through faults, then let a third finish the step."""
+
+    def __init__(self, guards):
+        self.fleet = Fleet(guards=guards)
+        self.owners = [self.fleet.instance("a"), self.fleet.instance("b")]
+        self.late = []
+        self.fetched = []
+
+    async def kill(self, tasks, which):
+        if self.owners[which].scope:
+            self.owners[which].scope.cancel()
+        self.owners[which] = self.fleet.instance(f"{which}")
+
+    async def own(self, tasks, which):
+        if self.owners[which].runner is None:
+            await self.fleet.own(tasks, self.owners[which], holder_gone=True)
+
+    async def lose(self, tasks, which):
+        self.fleet.table.faults.plan.append((lambda call: call[0] == "commit", "lose"))
+
+    async def refuse(self, tasks, which):
+        self.fleet.table.faults.plan.append((lambda call: True, "refuse"))
+
+    async def delay(self, tasks, which):
+        async def fault(apply):
+            self.late.append(apply)
+            return lost()
+
+        self.fleet.table.faults.plan.append((SAMPLES, fault))
+
+    async def arrive(self, tasks, which):
+        if self.late:
+            self.late.pop(0)()
+
+    async def publish(self, tasks, which):
+        await self.fleet.publish(self.fleet.store.version + 1)
+
+    async def fetch(self, tasks, which):
+        newest = self.fleet.store.version
+        samples = await fetch(self.fleet, self.owners[which])
+        if samples is not None:
+            self.fetched.append((newest, samples))
+
+    async def run(self, events):
+        await self.owners[0].desk.open(TRAINER, self.fleet.request())
+        async with running() as tasks:
+            for event, which, seconds in events:
+                await getattr(self, event)(tasks, which)
+                await self.fleet.clock.advance(seconds)
+            self.fleet.table.faults.plan = []
+            await self.finish(tasks)
+
+    async def finish(self, tasks):
+        for _ in range(10):
+            await self.fetch(tasks, 0)
+            if self.fetched:
+                break
+            await self.kill(tasks, 0)
+            await self.own(tasks, 0)
+            await self.fleet.clock.advance(15)
+        while self.late:
+            await self.arrive(tasks, 0)
+        await self.fetch(tasks, 0)
+
+    def holds(self):
+        newest, first = self.fetched[0]
+        versions = [span["version"] for s in first for span in s["spans"]]
+        same = all(samples == first for _, samples in self.fetched)
+        kept = same and once(self.fleet, first)
+        return kept and newest - min(versions) <= 1 and honest(self.fleet, first)
+
+
+async def hold_under(guards, events):
+    interleaving = Interleaving(guards)
+    await interleaving.run(events)
+    return interleaving.holds()
+
+
+QUIET = {
+    "derandomize": True,
+    "database": None,
+    "deadline": None,
+    "suppress_health_check": list(HealthCheck),
+}
+
+
+@settings(max_examples=150, **QUIET)
+@given(events=EVENTS)
+def test_two_owners_under_random_faults(events):
+    """Guards against interleavings that no scenario above names."""
+    assert anyio.run(hold_under, REAL, events)
+
+
+def test_two_owners_without_checks_break_a_guarantee():
+    """Shows that the property above relies on the checks of the mutations."""
+    found = find(
+        EVENTS,
+        lambda events: not anyio.run(hold_under, NAIVE_WRITES, events),
+        settings=settings(max_examples=1000, **QUIET),
+    )
+    assert found
+
+
+def test_a_refused_answer_is_no_lost_answer():
+    """Guards against a fake table that confuses the two kinds of failure."""
+    assert refused().unwrap_err().kind is ErrorKind.TABLE_UNAVAILABLE
+    assert lost().unwrap_err().kind is ErrorKind.TABLE_OUTCOME_UNKNOWN
