Hedge samples that run on slow engines

Cause: the samples of a group share one engine, so that one slow engine delays the whole step. Change: when no sample is left to start, attempts with less than half of the median token rate get a second attempt elsewhere, which resumes from the text so far; the first to finish cancels the other. Each step may hedge 15% of its samples. Slowness is judged by token rate and not by length, which would favour short answers.

--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -44,6 +44,7 @@
     lease_prefix,
     oldest,
 )
+from plantainstack.policy.stragglers import Stragglers
 from plantainstack.requests import RequestContext, new_id
 from plantainstack.services.leases import LeaseClient
 from plantainstack.services.weights import WeightHeads, head_version, live_members
@@ -88,6 +89,7 @@
     bound: Callable[[StepRecord], Bound] = Bound
     writes: Callable[[StepKeys], StepWrites] = StepWrites
     progress: type[StepProgress] = StepProgress
+    stragglers: type[Stragglers] = Stragglers
 
 
 class OpenRequest(NamedTuple):
@@ -120,6 +122,14 @@
             return Ok(rows)
 
 
+class _Attempt(NamedTuple):
+    key: SampleKey
+    request_id: str
+    parts: list[Part]
+    hedges: int
+    scope: anyio.CancelScope
+
+
 class StepRunner:
     """Complete one step as its owner, for as long as the lease is held."""
 
@@ -132,12 +142,12 @@
         self._guard: Guard | None = None
         self._prompts: list[list[dict[str, str]]] = []
         self._scores: dict[str, float] = {}
-        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._attempts: dict[str, _Attempt] = {}
+        self._stragglers: Stragglers | None = None
         self._wake = anyio.Event()
         self._handing_over = False
         self._ended = False
         self._head_due = 0.0
-        self._random = random.Random(f"{keys.trainer}/{keys.step}")
 
     async def run(self) -> None:
         """Run until the step is sealed, expired, cleaned up, lost or handed over."""
@@ -157,8 +167,8 @@
     async def hand_over(self) -> None:
         """Commit what is finished and free the lease for the next owner."""
         self._handing_over = True
-        for scope in list(self._scopes.values()):
-            scope.cancel()
+        for attempt in list(self._attempts.values()):
+            attempt.scope.cancel()
         self._notify()
 
     async def _load(self, record: StepRecord, step_version: int) -> bool:
@@ -176,6 +186,7 @@
             record, self.guards.bound(record), head_version(head)
         )
         self.progress.load(rows)
+        self._stragglers = self.guards.stragglers(len(self.progress.keys))
         log.event(
             "step.owned",
             trainer=record.trainer,
@@ -209,8 +220,7 @@
         elif self.progress.complete():
             await self._finish(StepState.SEALED)
         else:
-            for key in self.progress.to_generate(clock.now(), RUNNING_MAX):
-                self._start(tasks, key)
+            self._start_due(tasks)
 
     async def _refresh_head(self) -> None:
         now = self.ports.clock.now()
@@ -221,69 +231,112 @@
         if read.is_ok():
             self.progress.raise_newest(head_version(read.unwrap()))
 
-    def _start(self, tasks, key: SampleKey) -> None:
+    def _start_due(self, tasks) -> None:
+        """Start samples that are missing; hedges start only when there are none."""
+        now = self.ports.clock.now()
+        keys = self.progress.to_generate(now, RUNNING_MAX)
+        for key in keys:
+            self._start(tasks, key, [])
+        if keys or self.progress.running_count() >= RUNNING_MAX:
+            return
+        for slow_id in self._stragglers.due(now):
+            slow = self._attempts.get(slow_id)
+            if slow is not None:
+                self._trace(slow_id, "hedged", tokens=_tokens(slow.parts))
+                parts = self._resumable(slow.parts)
+                self._start(tasks, slow.key, parts, slow.hedges + 1)
+
+    def _resumable(self, parts: list[Part]) -> list[Part]:
+        """Return the parts from which another engine can go on."""
+        usable = all(
+            part.version is not None and not self.progress.hopeless(part.version)
+            for part in parts
+        )
+        left = _tokens(parts) < self.progress.record.max_tokens
+        return list(parts) if usable and left else []
+
+    def _start(self, tasks, key: SampleKey, parts: list[Part], hedges: int = 0) -> None:
         request_id = new_id()
-        self.progress.started(key, request_id, self.ports.clock.now())
-        tasks.start_soon(self._attempt, key, request_id)
+        now = self.ports.clock.now()
+        self.progress.started(key, request_id, now)
+        self._stragglers.started(request_id, now)
+        attempt = _Attempt(key, request_id, parts, hedges, anyio.CancelScope())
+        self._attempts[request_id] = attempt
+        tasks.start_soon(self._run_attempt, attempt)
 
-    async def _attempt(self, key: SampleKey, request_id: str) -> None:
-        parts: list[Part] = []
+    async def _run_attempt(self, attempt: "_Attempt") -> None:
         done = False
-        with anyio.CancelScope() as scope:
-            self._scopes[request_id] = scope
-            done = await self._collect(key, request_id, parts)
-        self._scopes.pop(request_id, None)
-        self._take(key, request_id, parts if done else [])
+        with attempt.scope:
+            done = await self._collect(attempt)
+        del self._attempts[attempt.request_id]
+        self._take(attempt, done)
         self._notify()
 
-    async def _collect(
-        self, key: SampleKey, request_id: str, parts: list[Part]
-    ) -> bool:
-        ctx, req = self._request(key, request_id)
+    async def _collect(self, attempt: "_Attempt") -> bool:
+        ctx, req = self._request(attempt)
         async with contextlib.aclosing(self.ports.generate(ctx, req)) as stream:
             async for result in stream:
                 if result.is_err():
-                    self._trace(request_id, "failed", kind=result.unwrap_err().kind)
+                    kind = result.unwrap_err().kind
+                    self._trace(attempt.request_id, "failed", kind=kind)
                     return False
                 part = result.unwrap()
                 if self.progress.hopeless(part.version):
-                    self._trace(request_id, "over_bound", version=part.version)
+                    version = part.version
+                    self._trace(attempt.request_id, "over_bound", version=version)
                     return False
-                parts.append(part)
+                attempt.parts.append(part)
+                now = self.ports.clock.now()
+                self._stragglers.advanced(attempt.request_id, part.tokens, now)
         return True
 
-    def _request(self, key: SampleKey, request_id: str):
+    def _request(self, attempt: "_Attempt"):
         record = self.progress.record
-        now = self.ports.clock.now()
+        group = attempt.key.group
+        # A hedge has a group of its own, because the samples of one group are
+        # placed together and the slow engine is the one to be avoided.
+        place = f"{group}/{attempt.key.index}/{attempt.hedges}"
+        place = place if attempt.hedges else f"{group}"
         ctx = RequestContext(
-            request_id=request_id,
+            request_id=attempt.request_id,
             caller=record.trainer,
             service=record.model,
             priority=Priority.ROLLOUT,
-            arrived_at=now,
+            arrived_at=self.ports.clock.now(),
             deadline=self.ports.clock.deadline_from_wall(record.deadline),
-            group=f"{record.trainer}/{record.step}/{key.group}",
+            group=f"{record.trainer}/{record.step}/{place}",
         )
         req = GenerateRequest(
-            attempt_id=request_id,
+            attempt_id=attempt.request_id,
             model=record.model,
-            messages=self._prompts[key.group],
-            max_tokens=record.max_tokens,
+            messages=self._prompts[group],
+            max_tokens=record.max_tokens - _tokens(attempt.parts),
             priority=Priority.ROLLOUT,
-            seed=self._random.getrandbits(31),
+            seed=xxhash.xxh32_intdigest(self.keys.sample(attempt.key).encode()),
+            prefix="".join(part.text for part in attempt.parts),
         )
         return ctx, req
 
-    def _take(self, key: SampleKey, request_id: str, parts: list[Part]) -> None:
+    def _take(self, attempt: "_Attempt", done: bool) -> None:
         now = self.ports.clock.now()
-        spans = self.guards.labels.spans(parts, self.progress.newest) if parts else None
+        self._stragglers.ended(attempt.request_id, done, now)
+        spans = None
+        if done:
+            spans = self.guards.labels.spans(attempt.parts, self.progress.newest)
         if spans is None:
-            self.progress.failed(key, request_id, now)
-            if parts:
-                self._trace(request_id, "unlabelled")
+            self.progress.failed(attempt.key, attempt.request_id, now)
+            if done:
+                self._trace(attempt.request_id, "unlabelled")
             return
-        text = "".join(part.text for part in parts)
-        self.progress.finished(Draft(key, request_id, text, spans), now)
+        text = "".join(part.text for part in attempt.parts)
+        draft = Draft(attempt.key, attempt.request_id, text, spans)
+        if self.progress.finished(draft, now):
+            self._cancel_others(attempt.key)
+
+    def _cancel_others(self, key: SampleKey) -> None:
+        for other in list(self._attempts.values()):
+            if other.key == key:
+                other.scope.cancel()
 
     async def _commit_loop(self) -> None:
         while True:
@@ -347,6 +400,7 @@
         row = rows[self.keys.sample(draft.key)]
         if row.value is not None:
             self.progress.committed(draft.key, row.version, oldest(row.value["spans"]))
+            self._cancel_others(draft.key)
 
     async def _score(self, drafts: list[Draft]) -> bool:
         unscored = [draft for draft in drafts if draft.request_id not in self._scores]
@@ -758,6 +812,10 @@
             del self.runners[key]
 
 
+def _tokens(parts: Sequence[Part]) -> int:
+    return sum(part.tokens for part in parts)
+
+
 def _opening(keys: StepKeys, record: StepRecord) -> Mutation:
     lease = {
         "holder": "",
--- /dev/null
+++ b/tests/services/test_stragglers.py
@@ -0,0 +1,104 @@
+"""Tests of hedging, and its comparison with waiting under simulated time.
+
+`python -m tests.services.test_stragglers` prints the comparison.
+"""
+
+import random
+import statistics
+
+import anyio
+import pytest
+import xxhash
+from result import Ok
+
+from plantainstack.platform.base import Part
+from plantainstack.policy.stragglers import BUDGET_SHARE, NoHedging, Stragglers
+from plantainstack.services.steps import Guards
+from tests.services.fleet import TRAINER, Fleet, running
+
+pytestmark = pytest.mark.anyio
+
+ENGINES = 8
+SPEED = 40.0
+PART_TOKENS = 10
+
+
+class UnevenEngines:
+    """Place groups on engines by hash; slow engines have a tenth of the speed."""
+
+    def __init__(self, clock, slow):
+        self.clock, self.slow = clock, slow
+        self.starts = self.running = self.tokens = 0
+        self.lengths = {}
+
+    async def generate(self, ctx, req):
+        place = xxhash.xxh64_intdigest(ctx.group.encode()) % ENGINES
+        speed = SPEED / 10 if place < self.slow else SPEED
+        length = int(min(400, random.Random(req.seed).lognormvariate(4.5, 0.6)))
+        done = len(req.prefix)
+        self.lengths[req.seed] = length
+        self.starts += 1
+        self.running += 1
+        try:
+            while done < length:
+                await self.clock.sleep_until(self.clock.now() + PART_TOKENS / speed)
+                count = min(PART_TOKENS, length - done)
+                done += count
+                self.tokens += count
+                yield Ok(Part("x" * count, count, 7))
+        finally:
+            self.running -= 1
+
+
+async def complete(stragglers, seed, slow=1):
+    """Return a step's time, its tokens, attempts and samples."""
+    fleet = Fleet(guards=Guards(stragglers=stragglers))
+    fleet.keys = fleet.keys._replace(step=f"step-{seed}")
+    fleet.engines = UnevenEngines(fleet.clock, slow)
+    a = fleet.instance("a")
+    request = fleet.request(groups=32, samples=8, deadline=1440.0)
+    await a.desk.open(TRAINER, request._replace(max_tokens=400))
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        started = fleet.clock.now()
+        while fleet.state() == "open":
+            await fleet.clock.advance(0.5)
+        seconds = fleet.clock.now() - started
+        samples = (await a.desk.samples(TRAINER, fleet.keys.step)).unwrap()
+    return seconds, fleet.engines, samples
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_hedges_complete_a_step_on_time_within_their_budget(seed):
+    """Guards against a step that waits for the samples of one slow engine."""
+    waited, base, _ = await complete(NoHedging, seed)
+    seconds, engines, samples = await complete(Stragglers, seed)
+    assert seconds <= waited
+    extra = engines.starts - 256
+    assert 0 <= extra <= 256 * BUDGET_SHARE + 1
+    assert engines.running == 0
+    assert engines.tokens <= base.tokens * 1.1
+    lengths = sorted(engines.lengths.values())
+    assert sorted(len(sample["text"]) for sample in samples) == lengths
+
+
+async def test_nothing_is_hedged_where_all_engines_are_equal():
+    """Guards against hedges of long samples, which would favour short answers."""
+    _, engines, _ = await complete(Stragglers, 0, slow=0)
+    assert engines.starts == 256
+
+
+def compare(seeds=range(10)):
+    for policy in (NoHedging, Stragglers):
+        outcomes = [anyio.run(complete, policy, seed) for seed in seeds]
+        seconds = [seconds for seconds, _, _ in outcomes]
+        starts = sum(engines.starts for _, engines, _ in outcomes) / len(outcomes)
+        tokens = sum(engines.tokens for _, engines, _ in outcomes) / len(outcomes)
+        print(
+            f"{policy.__name__}: step {statistics.median(seconds):.1f} s median, "
+            f"{max(seconds):.1f} s worst, {starts:.1f} attempts, {tokens:.0f} tokens"
+        )
+
+
+if __name__ == "__main__":
+    compare()
