Show steps to operators, and bound rows, objects and reads

Cause: operators need idle time and staleness of each step; small batches would leave about a thousand objects for a step at the target scale, read in turn by each fetch; rows of ended steps accumulated. Change: the step's row keeps the times and the staleness of the first delivery; drafts linger up to 2 s so that batches grow; a fetch reads 16 objects at once; ended steps are deleted after the retention of answers; standbys look into a shard at every fourth interval. The first delivery also refuses a step with missing samples.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -33,3 +33,23 @@
     ["direction"],
     registry=REGISTRY,
 )
+SAMPLE_ATTEMPTS = Counter(
+    "plantainstack_sample_attempts",
+    "Attempts at samples, by trainer and end.",
+    ["trainer", "end"],
+    registry=REGISTRY,
+)
+SAMPLE_STALENESS = Histogram(
+    "plantainstack_sample_staleness_versions",
+    "Versions by which samples lagged at their first delivery.",
+    ["trainer"],
+    buckets=(0, 1, 2, 4, 8),
+    registry=REGISTRY,
+)
+STEP_SECONDS = Histogram(
+    "plantainstack_step_seconds",
+    "Time from the opening of a step to its first delivery, in seconds.",
+    ["trainer"],
+    buckets=(1, 5, 15, 30, 60, 120, 300, 600, 1440),
+    registry=REGISTRY,
+)
--- a/plantainstack/policy/samples.py
+++ b/plantainstack/policy/samples.py
@@ -29,8 +29,9 @@
 class StepRecord(NamedTuple):
     """Hold a step's row; its size does not depend on the number of samples.
 
-    `deadline` is in Unix seconds, `prompts` names the object with the groups, and
-    `digest` is the hash of the request that opened the step.
+    Times are in Unix seconds. `prompts` names the object with the groups, and
+    `digest` is the hash of the request that opened the step. Staleness is that at
+    the first delivery, in versions.
     """
 
     trainer: str
@@ -46,6 +47,10 @@
     digest: str
     state: str = StepState.OPEN.value
     round: int = 1
+    opened_at: float = 0.0
+    delivered_at: float | None = None
+    staleness_mean: float | None = None
+    staleness_max: int | None = None
 
     def keys(self) -> list["SampleKey"]:
         """Return the keys of all samples, group by group."""
@@ -174,10 +179,14 @@
     def __init__(self, record: StepRecord):
         self._record = record
 
+    def staleness(self, oldest_version: int, newest: int) -> int:
+        """Return by how many versions a sample lags."""
+        newest = max(newest, self._record.policy_version)
+        return max(0, newest - oldest_version)
+
     def allows(self, oldest_version: int, newest: int) -> bool:
         """Return whether a version lags no more than the bound allows."""
-        newest = max(newest, self._record.policy_version)
-        return newest - oldest_version <= self._record.version_bound
+        return self.staleness(oldest_version, newest) <= self._record.version_bound
 
 
 class NaiveBound(Bound):
--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -1,7 +1,9 @@
 """Plug-in `steps`: owns steps under leases and answers trainers."""
 
 import contextlib
+import itertools
 import random
+import statistics
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any, NamedTuple
 
@@ -10,7 +12,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from plantainstack import log
+from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.platform.base import (
@@ -48,21 +50,29 @@
 from plantainstack.requests import RequestContext, new_id
 from plantainstack.services.leases import LeaseClient
 from plantainstack.services.weights import WeightHeads, head_version, live_members
+from plantainstack.settings.fleet import FleetOptions, Scope
 from plantainstack.trace import TraceRing
 
 SCAN_LIMIT = 1000
 SCANNERS = 3
-DISCOVERY_INTERVAL_S = 2.0
-DISCOVERY_JITTER_S = 0.5
+DISCOVERY_INTERVAL_S = 1.0
+DISCOVERY_JITTER = 0.2
+# Only the first of a shard's scanners looks into it at every interval.
+STANDBY_TURNS = 4
+PURGE_INTERVAL_S = 3600.0
 HEAD_INTERVAL_S = 2.0
 SUPERVISE_INTERVAL_S = 0.5
 BACKOFF_S = 0.5
 RUNNING_MAX = 512
 COMMIT_BATCH = 128
-COMMIT_LINGER_S = 0.25
+# A step at the target scale finishes about 11 samples a second. Lingering packs
+# about 20 of them into one object, so that a fetch reads about 200 objects.
+COMMIT_LINGER_S = 2.0
+FETCH_FAN_OUT = 16
 SCORE_TIMEOUT_S = 30.0
 HAND_OVER_LIMIT_S = 5.0
 TRANSITIONS_MAX = 5
+OVERVIEW_MAX = 100
 
 Generate = Callable[
     [RequestContext, GenerateRequest], AsyncIterator[Result[Part, Failure]]
@@ -80,6 +90,7 @@
     leases: LeaseClient
     clock: Clock
     trace: TraceRing
+    options: Callable[[StepRecord], FleetOptions]
 
 
 class Guards(NamedTuple):
@@ -343,12 +354,21 @@
             if not self.progress.drafts(1):
                 await self._pause(SUPERVISE_INTERVAL_S)
                 continue
-            await self._sleep(COMMIT_LINGER_S)
+            await self._linger()
             committed = await self._commit_batch(self.progress.drafts(COMMIT_BATCH))
             self._notify()
             if not committed:
                 await self._sleep(BACKOFF_S)
 
+    async def _linger(self) -> None:
+        """Let a batch gather, unless nothing more is to be expected soon."""
+        until = self.ports.clock.now() + COMMIT_LINGER_S
+        while len(self.progress.drafts(COMMIT_BATCH)) < COMMIT_BATCH:
+            left = until - self.ports.clock.now()
+            if left <= 0 or self._handing_over or not self.progress.running_count():
+                return
+            await self._pause(left)
+
     async def _commit_batch(self, drafts: list[Draft]) -> bool:
         if not await self._score(drafts):
             return False
@@ -536,6 +556,7 @@
 
     def _trace(self, request_id: str, event: str, **fields: Any) -> None:
         record = self.progress.record
+        metrics.SAMPLE_ATTEMPTS.labels(record.trainer, event).inc()
         self.ports.trace.record(
             request_id,
             f"sample.{event}",
@@ -576,6 +597,7 @@
             deadline=req.deadline,
             prompts=prompts,
             digest=digest,
+            opened_at=self.ports.clock.wall(),
         )
         committed = await self.ports.table.commit([_opening(keys, record)])
         if committed.is_err():
@@ -612,6 +634,68 @@
                 return Err(_undeliverable(record))
         return _conflict(keys)
 
+    async def overview(self, trainer: str) -> Result[list[dict[str, Any]], Failure]:
+        """Describe steps for operators, of one trainer or of all without a name."""
+        prefix = f"step/{trainer}/" if trainer else "step/"
+        rows = await scan_all(self.ports.table, prefix)
+        if rows.is_err():
+            return rows
+        records = [StepRecord(**row.value) for row in rows.unwrap()]
+        records.sort(key=lambda record: record.opened_at, reverse=True)
+        found = []
+        for record in records[:OVERVIEW_MAX]:
+            committed = await self._committed(record)
+            if committed.is_err():
+                return committed
+            found.append(self._describe(record, committed.unwrap()))
+        return Ok(found)
+
+    async def _committed(self, record: StepRecord) -> Result[int, Failure]:
+        if record.state != StepState.OPEN:
+            return Ok(record.groups * record.samples_per_group)
+        keys = StepKeys(record.trainer, record.step)
+        return (await scan_all(self.ports.table, keys.samples)).map(len)
+
+    def _describe(self, record: StepRecord, committed: int) -> dict[str, Any]:
+        waited_until = record.delivered_at or self.ports.clock.wall()
+        if record.state == StepState.EXPIRED:
+            waited_until = record.deadline
+        return {
+            "trainer": record.trainer,
+            "step": record.step,
+            "state": record.state,
+            "groups": record.groups,
+            "samples": record.groups * record.samples_per_group,
+            "committed": committed,
+            "idle_s": round(waited_until - record.opened_at, 3),
+            "staleness_mean": record.staleness_mean,
+            "staleness_max": record.staleness_max,
+        }
+
+    async def purge(self) -> None:
+        """Delete the rows of steps that ended longer ago than answers are kept."""
+        rows = await scan_all(self.ports.table, "step/")
+        if rows.is_err():
+            return
+        now = self.ports.clock.wall()
+        old = [
+            row
+            for row in rows.unwrap()
+            if row.value["state"] in (StepState.ACKED, StepState.EXPIRED)
+            and now > row.value["deadline"] + self._retention(row)
+        ]
+        for start in range(0, len(old), SCAN_LIMIT):
+            deletes = [
+                Mutation(
+                    row.key, (Check(row.key, row.version),), (Write(row.key, None),)
+                )
+                for row in old[start : start + SCAN_LIMIT]
+            ]
+            await self.ports.table.commit(deletes)
+
+    def _retention(self, row: Row) -> float:
+        return self.ports.options(StepRecord(**row.value)).answer_retention
+
     async def ack(self, trainer: str, step: str) -> Result[StepRecord, Failure]:
         """End a delivered step; repeating it is harmless."""
         keys = StepKeys(trainer, step)
@@ -654,20 +738,47 @@
             for sample in rows.unwrap()
             if not bound.allows(oldest(sample.value["spans"]), newest)
         ]
-        if not stale:
-            mutation = writes.deliver(record, row.version, head.unwrap())
-            return await self._transition(mutation)
-        log.event("step.reopened", step=record.step, over_bound=len(stale))
+        missing = len(record.keys()) - len(rows.unwrap())
+        if not stale and not missing:
+            return await self._deliver(keys, row, record, head.unwrap(), rows.unwrap())
+        log.event(
+            "step.reopened", step=record.step, over_bound=len(stale), missing=missing
+        )
         lease = await self._lease(keys)
         if lease.is_err():
             return lease.unwrap_err()
-        deadline = max(record.deadline, self.ports.clock.wall() + self._reopen_time())
+        time_left = self.ports.options(record).step_timeout
+        deadline = max(record.deadline, self.ports.clock.wall() + time_left)
         return await self._transition(
             writes.reopen(record, row.version, deadline, lease.unwrap())
         )
 
-    def _reopen_time(self) -> float:
-        return 24 * 60.0
+    async def _deliver(
+        self,
+        keys: StepKeys,
+        row: Row,
+        record: StepRecord,
+        head: Row,
+        samples: list[Row],
+    ) -> Failure | None:
+        bound = self.guards.bound(record)
+        newest = head_version(head)
+        lags = [
+            bound.staleness(oldest(sample.value["spans"]), newest) for sample in samples
+        ]
+        now = self.ports.clock.wall()
+        record = record._replace(
+            delivered_at=now,
+            staleness_mean=round(statistics.fmean(lags), 3),
+            staleness_max=max(lags),
+        )
+        writes = self.guards.writes(keys)
+        failure = await self._transition(writes.deliver(record, row.version, head))
+        if failure is None:
+            metrics.STEP_SECONDS.labels(record.trainer).observe(now - record.opened_at)
+            for lag in lags:
+                metrics.SAMPLE_STALENESS.labels(record.trainer).observe(lag)
+        return failure
 
     async def _transition(self, mutation: Mutation) -> Failure | None:
         """Commit a change of state; lost answers and conflicts need a new read."""
@@ -686,17 +797,33 @@
         if len(rows.unwrap()) != record.groups * record.samples_per_group:
             # The clean-up after an acknowledgement has begun since the row was read.
             return Err(Failure.of(ErrorKind.STEP_EXPIRED, "the step was acknowledged"))
+        packs = await self._packs({row.value["object"] for row in rows.unwrap()})
+        return packs.map(
+            lambda texts: [
+                _sample(row, texts[row.value["object"]][row.value["place"]])
+                for row in rows.unwrap()
+            ]
+        )
+
+    async def _packs(self, names: set[str]) -> Result[dict[str, list[str]], Failure]:
         packs: dict[str, list[str]] = {}
-        samples = []
-        for row in rows.unwrap():
-            name = row.value["object"]
-            if name not in packs:
+        failures: list[Failure] = []
+        limiter = anyio.CapacityLimiter(FETCH_FAN_OUT)
+
+        async def get(name: str) -> None:
+            async with limiter:
+                if failures:
+                    return
                 stored = await self.ports.objects.get(name)
-                if stored.is_err():
-                    return stored
+            if stored.is_err():
+                failures.append(stored.unwrap_err())
+            else:
                 packs[name] = msgspec.json.decode(stored.unwrap())
-            samples.append(_sample(row, packs[name][row.value["place"]]))
-        return Ok(samples)
+
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                tasks.start_soon(get, name)
+        return Err(failures[0]) if failures else Ok(packs)
 
     async def _existing(self, keys: StepKeys, digest: str):
         """Return the answer for a step that exists, or None if it does not."""
@@ -749,9 +876,24 @@
             leases=self.kernel.plugin("leases").client,
             clock=self.kernel.clock,
             trace=self.kernel.trace,
+            options=self._options,
         )
         self.desk = StepDesk(self._ports)
         tasks.start_soon(self._discover)
+        tasks.start_soon(self._purge)
+
+    async def overview(self, trainer: str) -> Result[list[dict[str, Any]], Failure]:
+        """Describe steps for operators, of one trainer or of all without a name."""
+        return await self.desk.overview(trainer)
+
+    def leases(self) -> list[dict[str, Any]]:
+        """Return the leases that this instance holds."""
+        held = self._ports.leases.book.all_held()
+        holder = self._ports.leases.book.holder
+        return [
+            {"name": lease.key, "holder": holder, "fence": lease.fence}
+            for lease in held
+        ]
 
     async def drain(self, deadline: float) -> None:
         """Hand the steps over to other instances."""
@@ -763,13 +905,28 @@
         while self.runners and clock.now() < limit:
             await clock.sleep_until(clock.now() + 0.05)
 
+    def _options(self, record: StepRecord) -> FleetOptions:
+        scope = Scope(service=record.model, trainer=record.trainer)
+        return self.kernel.config.scoped(scope)
+
+    async def _purge(self) -> None:
+        clock = self.kernel.clock
+        while True:
+            await clock.sleep_until(clock.now() + PURGE_INTERVAL_S)
+            members = live_members(self.kernel) | {self.kernel.settings.instance.id}
+            if rank("steps/purge", members)[0] == self.kernel.settings.instance.id:
+                await self.desk.purge()
+
     async def _discover(self) -> None:
         clock = self.kernel.clock
-        while not self._draining:
+        for turn in itertools.count():
+            if self._draining:
+                return
             for shard, place in self._shards():
-                await self._look(shard, place)
-            jitter = self._random.uniform(-DISCOVERY_JITTER_S, DISCOVERY_JITTER_S)
-            await clock.sleep_until(clock.now() + DISCOVERY_INTERVAL_S + jitter)
+                if place == 0 or turn % STANDBY_TURNS == 0:
+                    await self._look(shard, place)
+            spread = self._random.uniform(1 - DISCOVERY_JITTER, 1 + DISCOVERY_JITTER)
+            await clock.sleep_until(clock.now() + DISCOVERY_INTERVAL_S * spread)
 
     def _shards(self) -> list[tuple[int, int]]:
         """Return the shards to look into, with this instance's rank for each."""
--- a/plantainstack/services/weights.py
+++ b/plantainstack/services/weights.py
@@ -38,7 +38,7 @@
 STANDBYS = 3
 FAN_OUT = 64
 CALL_LIMIT_S = 5.0
-LIVE_STATES = frozenset({"live", "alive"})
+LIVE_STATES = frozenset({"alive"})
 
 
 def head_key(model: str) -> str:
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -31,6 +31,7 @@
     StepRunner,
 )
 from plantainstack.services.weights import WeightHeads
+from plantainstack.settings.fleet import FleetConfig
 from plantainstack.trace import TraceRing
 
 MODEL = "raadgiver-llm"
@@ -274,6 +275,7 @@
             leases=client,
             clock=clock,
             trace=TraceRing(clock),
+            options=lambda record: FleetConfig.builtin().defaults(),
         )
         desk = StepDesk(ports, self.guards)
         return SimpleNamespace(
--- a/tests/services/test_steps.py
+++ b/tests/services/test_steps.py
@@ -12,7 +12,7 @@
 from plantainstack.services.leases import Leases
 from plantainstack.services.steps import Steps
 from plantainstack.services.weights import Weights
-from tests.services.fleet import TERMS, TRAINER, Fleet
+from tests.services.fleet import TRAINER, Fleet, running
 
 pytestmark = pytest.mark.anyio
 
@@ -40,6 +40,7 @@
         assert again == samples
         assert (await other.desk.ack(TRAINER, "step-1")).unwrap().state == "acked"
         assert (await owner.desk.ack(TRAINER, "step-1")).is_ok()
+        await check_overview(fleet, other)
         gone = await owner.desk.samples(TRAINER, "step-1")
         assert gone.unwrap_err().kind is ErrorKind.STEP_EXPIRED
         await fleet.own(tasks, other)
@@ -48,6 +49,32 @@
         assert list(fleet.table.rows) == [fleet.keys.row, "weights/raadgiver-llm"]
 
 
+async def check_overview(fleet, instance):
+    """Check what operators see of a step, which is deleted after its retention."""
+    (shown,) = (await instance.desk.overview("")).unwrap()
+    assert (shown["state"], shown["committed"], shown["idle_s"]) == ("acked", 4, 10.0)
+    assert (shown["staleness_mean"], shown["staleness_max"]) == (0.0, 0)
+    assert (await instance.desk.overview("other")).unwrap() == []
+    await instance.desk.purge()
+    assert len((await instance.desk.overview(TRAINER)).unwrap()) == 1
+
+
+async def test_ended_steps_are_deleted_after_their_retention():
+    """Guards against step rows that accumulate for ever."""
+    fleet = Fleet()
+    a = fleet.instance("a")
+    await a.desk.open(TRAINER, fleet.request(deadline=1.0))
+    fleet.clock.jump(25 * 3600.0)
+    await a.desk.purge()
+    assert fleet.state() == "open"
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        await fleet.clock.advance(2)
+    assert fleet.state() == "expired"
+    await a.desk.purge()
+    assert fleet.keys.row not in fleet.table.rows
+
+
 async def test_opening_twice_yields_one_step():
     """Guards against a repeated request that starts a second step."""
     fleet = Fleet()
@@ -90,10 +117,15 @@
 
 class FakeMembership(Plugin):
     name = "membership"
-    state = "live"
+    leaving = ()
 
     def view(self):
-        members = {name: SimpleNamespace(id=name, state=self.state) for name in "abcde"}
+        members = {
+            name: SimpleNamespace(
+                id=name, state="leaving" if name in self.leaving else "alive"
+            )
+            for name in "abcde"
+        }
         return SimpleNamespace(members=members)
 
 
@@ -129,9 +161,12 @@
         for kernel in (second, first):
             tasks.start_soon(kernel.run, False)
         await fleet.clock.advance(6)
+        (lease,) = first.plugin("steps").leases()
+        assert lease["name"] == fleet.keys.lease and lease["fence"] == 1
         assert first.plugin("steps").runners and not second.plugin("steps").runners
+        second.plugin("membership").leaving = (order[0],)
         first.request_stop()
-        await fleet.clock.advance(TERMS.duration + 4)
+        await fleet.clock.advance(4)
         assert second.plugin("steps").runners
         await fleet.clock.advance(40)
         assert fleet.state() == "sealed"
