--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -229,6 +229,7 @@
         self.starts = 0
         self.running = 0
         self.duration = lambda ctx: self.seconds
+        self.trouble = None
 
     async def generate(self, ctx, req):
         self.starts += 1
@@ -240,6 +241,10 @@
         try:
             for number in range(self.parts):
                 await self.clock.sleep_until(self.clock.now() + duration / self.parts)
+                failure = await self.trouble(ctx) if self.trouble else None
+                if failure:
+                    yield Err(Failure.of(failure, "injected"))
+                    return
                 truth.append(self.version)
                 version = None if silent else self.version
                 yield Ok(Part(f"{number} ", 1, version))
