--- a/plantainstack/policy/leases.py
+++ b/plantainstack/policy/leases.py
@@ -22,6 +22,29 @@
     )
 
 
+def holder_name(instance_id: str, incarnation: str) -> str:
+    """Return the name under which a process holds leases."""
+    return f"{instance_id}/{incarnation}"
+
+
+def restarted(holder: str, members: dict[str, str]) -> bool:
+    """Return whether a lease's holder has been replaced by a later process.
+
+    `members` maps instance ids to incarnations, which begin with the time of the
+    start in hexadecimal milliseconds. A holder that is merely out of contact does
+    not count: two sides of a partition would take its lease from each other.
+    """
+    instance_id, _, incarnation = holder.rpartition("/")
+    current = members.get(instance_id)
+    if current is None or current == incarnation:
+        return False
+    return _started_ms(current) > _started_ms(incarnation)
+
+
+def _started_ms(incarnation: str) -> int:
+    return int(incarnation.partition("-")[0], 16)
+
+
 class LeaseTerms(NamedTuple):
     """Hold the duration of a lease and the holder's margin, in seconds."""
 
--- a/plantainstack/services/leases.py
+++ b/plantainstack/services/leases.py
@@ -7,7 +7,7 @@
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.platform.base import Mutation, Row, TableService, Value
 from plantainstack.plugins import Plugin
-from plantainstack.policy.leases import Held, LeaseBook, LeaseTerms
+from plantainstack.policy.leases import Held, LeaseBook, LeaseTerms, holder_name
 from plantainstack.requests import new_id
 
 RENEWAL_TICK_S = 0.5
@@ -121,7 +121,8 @@
 
     async def start(self, tasks) -> None:
         """Start to renew leases."""
-        holder = f"{self.kernel.settings.instance.id}/{self.kernel.incarnation}"
+        own = self.kernel.settings.instance
+        holder = holder_name(own.id, self.kernel.incarnation)
         book = LeaseBook(holder, self._terms())
         table = self.kernel.plugin("platform").table
         self.client = LeaseClient(table, self.kernel.clock, book)
