--- a/plantainstack/services/weights.py
+++ b/plantainstack/services/weights.py
@@ -290,7 +290,7 @@
         platform = self.kernel.plugin("platform")
         self.heads = WeightHeads(platform.table, platform.weights)
         self._tasks = tasks
-        # The first list was announced before this plug-in started.
+        # The list was first read before this plug-in started.
         self.on_endpoints(self.kernel.plugin("endpoints").records)
 
     def on_endpoints(self, records) -> None:
