--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -1,7 +1,9 @@
 """Plug-in `steps`: owns steps under leases and answers trainers."""
 
 import contextlib
+import itertools
 import random
+import statistics
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any, NamedTuple
 
@@ -10,7 +12,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from plantainstack import log
+from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.platform.base import (
@@ -27,7 +29,7 @@
     Write,
 )
 from plantainstack.plugins import Plugin
-from plantainstack.policy.leases import rank
+from plantainstack.policy.leases import rank, restarted
 from plantainstack.policy.samples import (
     SHARDS,
     Bound,
@@ -44,24 +46,36 @@
     lease_prefix,
     oldest,
 )
+from plantainstack.policy.stragglers import Stragglers
 from plantainstack.requests import RequestContext, new_id
 from plantainstack.services.leases import LeaseClient
 from plantainstack.services.weights import WeightHeads, head_version, live_members
+from plantainstack.settings.fleet import FleetOptions, Scope
 from plantainstack.trace import TraceRing
 
 SCAN_LIMIT = 1000
 SCANNERS = 3
-DISCOVERY_INTERVAL_S = 2.0
-DISCOVERY_JITTER_S = 0.5
+DISCOVERY_INTERVAL_S = 1.0
+DISCOVERY_JITTER = 0.2
+# Only the first of a shard's scanners looks into it at every interval.
+STANDBY_TURNS = 4
+PURGE_INTERVAL_S = 3600.0
 HEAD_INTERVAL_S = 2.0
 SUPERVISE_INTERVAL_S = 0.5
 BACKOFF_S = 0.5
 RUNNING_MAX = 512
 COMMIT_BATCH = 128
-COMMIT_LINGER_S = 0.25
+# A step at the target scale finishes about 11 samples a second. Lingering packs
+# about 20 of them into one object, so that a fetch reads about 200 objects.
+COMMIT_LINGER_S = 2.0
+FETCH_FAN_OUT = 16
 SCORE_TIMEOUT_S = 30.0
-HAND_OVER_LIMIT_S = 5.0
+# Samples that run at the start of a shutdown have this time to finish, and what
+# has finished has the time after it to be committed.
+HAND_OVER_GRACE_S = 20.0
+HAND_OVER_COMMIT_S = 10.0
 TRANSITIONS_MAX = 5
+OVERVIEW_MAX = 100
 
 Generate = Callable[
     [RequestContext, GenerateRequest], AsyncIterator[Result[Part, Failure]]
@@ -79,6 +93,7 @@
     leases: LeaseClient
     clock: Clock
     trace: TraceRing
+    options: Callable[[StepRecord], FleetOptions]
 
 
 class Guards(NamedTuple):
@@ -87,6 +102,8 @@
     labels: Labels = ReportedLabels()
     bound: Callable[[StepRecord], Bound] = Bound
     writes: Callable[[StepKeys], StepWrites] = StepWrites
+    progress: type[StepProgress] = StepProgress
+    stragglers: type[Stragglers] = Stragglers
 
 
 class OpenRequest(NamedTuple):
@@ -119,6 +136,14 @@
             return Ok(rows)
 
 
+class _Attempt(NamedTuple):
+    key: SampleKey
+    request_id: str
+    parts: list[Part]
+    hedges: int
+    scope: anyio.CancelScope
+
+
 class StepRunner:
     """Complete one step as its owner, for as long as the lease is held."""
 
@@ -131,12 +156,13 @@
         self._guard: Guard | None = None
         self._prompts: list[list[dict[str, str]]] = []
         self._scores: dict[str, float] = {}
-        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._attempts: dict[str, _Attempt] = {}
+        self._stragglers: Stragglers | None = None
         self._wake = anyio.Event()
         self._handing_over = False
+        self._grace_until = 0.0
         self._ended = False
         self._head_due = 0.0
-        self._random = random.Random(f"{keys.trainer}/{keys.step}")
 
     async def run(self) -> None:
         """Run until the step is sealed, expired, cleaned up, lost or handed over."""
@@ -153,11 +179,10 @@
         if await self._load(record, row.version):
             await self._work()
 
-    async def hand_over(self) -> None:
-        """Commit what is finished and free the lease for the next owner."""
+    def hand_over(self, grace_until: float) -> None:
+        """Start no more samples, commit those that finish, and free the lease."""
         self._handing_over = True
-        for scope in list(self._scopes.values()):
-            scope.cancel()
+        self._grace_until = grace_until
         self._notify()
 
     async def _load(self, record: StepRecord, step_version: int) -> bool:
@@ -171,10 +196,11 @@
         if head is None or rows is None or content is None:
             return False
         self._prompts = msgspec.json.decode(content)
-        self.progress = StepProgress(
+        self.progress = self.guards.progress(
             record, self.guards.bound(record), head_version(head)
         )
         self.progress.load(rows)
+        self._stragglers = self.guards.stragglers(len(self.progress.keys))
         log.event(
             "step.owned",
             trainer=record.trainer,
@@ -187,9 +213,10 @@
     async def _work(self) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._commit_loop)
+            await self._supervise(tasks)
             while not self._ended:
-                await self._supervise(tasks)
                 await self._pause(SUPERVISE_INTERVAL_S)
+                await self._supervise(tasks)
             tasks.cancel_scope.cancel()
 
     async def _supervise(self, tasks) -> None:
@@ -198,8 +225,7 @@
             self._ended = True
             return
         if self._handing_over:
-            if not self.progress.drafts(1):
-                await self._release(StepState.OPEN)
+            await self._hand_over()
             return
         await self._refresh_head()
         if clock.wall() >= self.progress.record.deadline:
@@ -207,8 +233,14 @@
         elif self.progress.complete():
             await self._finish(StepState.SEALED)
         else:
-            for key in self.progress.to_generate(clock.now(), RUNNING_MAX):
-                self._start(tasks, key)
+            self._start_due(tasks)
+
+    async def _hand_over(self) -> None:
+        if self.ports.clock.now() >= self._grace_until:
+            for attempt in list(self._attempts.values()):
+                attempt.scope.cancel()
+        if not self._attempts and not self.progress.drafts(1):
+            await self._release(StepState.OPEN)
 
     async def _refresh_head(self) -> None:
         now = self.ports.clock.now()
@@ -219,81 +251,133 @@
         if read.is_ok():
             self.progress.raise_newest(head_version(read.unwrap()))
 
-    def _start(self, tasks, key: SampleKey) -> None:
+    def _start_due(self, tasks) -> None:
+        """Start samples that are missing; hedges start only when there are none."""
+        now = self.ports.clock.now()
+        keys = self.progress.to_generate(now, RUNNING_MAX)
+        for key in keys:
+            self._start(tasks, key, [])
+        if keys or self.progress.running_count() >= RUNNING_MAX:
+            return
+        for slow_id in self._stragglers.due(now):
+            slow = self._attempts.get(slow_id)
+            if slow is not None:
+                self._trace(slow_id, "hedged", tokens=_tokens(slow.parts))
+                parts = self._resumable(slow.parts)
+                self._start(tasks, slow.key, parts, slow.hedges + 1)
+
+    def _resumable(self, parts: list[Part]) -> list[Part]:
+        """Return the parts from which another engine can go on."""
+        usable = all(
+            part.version is not None and not self.progress.hopeless(part.version)
+            for part in parts
+        )
+        left = _tokens(parts) < self.progress.record.max_tokens
+        return list(parts) if usable and left else []
+
+    def _start(self, tasks, key: SampleKey, parts: list[Part], hedges: int = 0) -> None:
         request_id = new_id()
-        self.progress.started(key, request_id, self.ports.clock.now())
-        tasks.start_soon(self._attempt, key, request_id)
+        now = self.ports.clock.now()
+        self.progress.started(key, request_id, now)
+        self._stragglers.started(request_id, now)
+        attempt = _Attempt(key, request_id, parts, hedges, anyio.CancelScope())
+        self._attempts[request_id] = attempt
+        tasks.start_soon(self._run_attempt, attempt)
 
-    async def _attempt(self, key: SampleKey, request_id: str) -> None:
-        parts: list[Part] = []
+    async def _run_attempt(self, attempt: "_Attempt") -> None:
         done = False
-        with anyio.CancelScope() as scope:
-            self._scopes[request_id] = scope
-            done = await self._collect(key, request_id, parts)
-        self._scopes.pop(request_id, None)
-        self._take(key, request_id, parts if done else [])
+        with attempt.scope:
+            done = await self._collect(attempt)
+        del self._attempts[attempt.request_id]
+        self._take(attempt, done)
         self._notify()
 
-    async def _collect(
-        self, key: SampleKey, request_id: str, parts: list[Part]
-    ) -> bool:
-        ctx, req = self._request(key, request_id)
+    async def _collect(self, attempt: "_Attempt") -> bool:
+        ctx, req = self._request(attempt)
         async with contextlib.aclosing(self.ports.generate(ctx, req)) as stream:
             async for result in stream:
                 if result.is_err():
-                    self._trace(request_id, "failed", kind=result.unwrap_err().kind)
+                    kind = result.unwrap_err().kind
+                    self._trace(attempt.request_id, "failed", kind=kind)
                     return False
                 part = result.unwrap()
                 if self.progress.hopeless(part.version):
-                    self._trace(request_id, "over_bound", version=part.version)
+                    version = part.version
+                    self._trace(attempt.request_id, "over_bound", version=version)
                     return False
-                parts.append(part)
+                attempt.parts.append(part)
+                now = self.ports.clock.now()
+                self._stragglers.advanced(attempt.request_id, part.tokens, now)
         return True
 
-    def _request(self, key: SampleKey, request_id: str):
+    def _request(self, attempt: "_Attempt"):
         record = self.progress.record
-        now = self.ports.clock.now()
+        group = attempt.key.group
+        # A hedge has a group of its own, because the samples of one group are
+        # placed together and the slow engine is the one to be avoided.
+        place = f"{group}/{attempt.key.index}/{attempt.hedges}"
+        place = place if attempt.hedges else f"{group}"
         ctx = RequestContext(
-            request_id=request_id,
+            request_id=attempt.request_id,
             caller=record.trainer,
             service=record.model,
             priority=Priority.ROLLOUT,
-            arrived_at=now,
+            arrived_at=self.ports.clock.now(),
             deadline=self.ports.clock.deadline_from_wall(record.deadline),
-            group=f"{record.trainer}/{record.step}/{key.group}",
+            group=f"{record.trainer}/{record.step}/{place}",
         )
         req = GenerateRequest(
-            attempt_id=request_id,
+            attempt_id=attempt.request_id,
             model=record.model,
-            messages=self._prompts[key.group],
-            max_tokens=record.max_tokens,
+            messages=self._prompts[group],
+            max_tokens=record.max_tokens - _tokens(attempt.parts),
             priority=Priority.ROLLOUT,
-            seed=self._random.getrandbits(31),
+            seed=xxhash.xxh32_intdigest(self.keys.sample(attempt.key).encode()),
+            prefix="".join(part.text for part in attempt.parts),
         )
         return ctx, req
 
-    def _take(self, key: SampleKey, request_id: str, parts: list[Part]) -> None:
+    def _take(self, attempt: "_Attempt", done: bool) -> None:
         now = self.ports.clock.now()
-        spans = self.guards.labels.spans(parts, self.progress.newest) if parts else None
+        self._stragglers.ended(attempt.request_id, done, now)
+        spans = None
+        if done:
+            spans = self.guards.labels.spans(attempt.parts, self.progress.newest)
         if spans is None:
-            self.progress.failed(key, request_id, now)
-            if parts:
-                self._trace(request_id, "unlabelled")
+            self.progress.failed(attempt.key, attempt.request_id, now)
+            if done:
+                self._trace(attempt.request_id, "unlabelled")
             return
-        text = "".join(part.text for part in parts)
-        self.progress.finished(Draft(key, request_id, text, spans), now)
+        text = "".join(part.text for part in attempt.parts)
+        draft = Draft(attempt.key, attempt.request_id, text, spans)
+        if self.progress.finished(draft, now):
+            self._cancel_others(attempt.key)
+
+    def _cancel_others(self, key: SampleKey) -> None:
+        for other in list(self._attempts.values()):
+            if other.key == key:
+                other.scope.cancel()
 
     async def _commit_loop(self) -> None:
         while True:
             if not self.progress.drafts(1):
                 await self._pause(SUPERVISE_INTERVAL_S)
                 continue
-            await self._sleep(COMMIT_LINGER_S)
+            await self._linger()
             committed = await self._commit_batch(self.progress.drafts(COMMIT_BATCH))
             self._notify()
             if not committed:
                 await self._sleep(BACKOFF_S)
 
+    async def _linger(self) -> None:
+        """Let a batch gather, unless nothing more is to be expected soon."""
+        until = self.ports.clock.now() + COMMIT_LINGER_S
+        while len(self.progress.drafts(COMMIT_BATCH)) < COMMIT_BATCH:
+            left = until - self.ports.clock.now()
+            if left <= 0 or self._handing_over or not self.progress.running_count():
+                return
+            await self._pause(left)
+
     async def _commit_batch(self, drafts: list[Draft]) -> bool:
         if not await self._score(drafts):
             return False
@@ -345,6 +429,7 @@
         row = rows[self.keys.sample(draft.key)]
         if row.value is not None:
             self.progress.committed(draft.key, row.version, oldest(row.value["spans"]))
+            self._cancel_others(draft.key)
 
     async def _score(self, drafts: list[Draft]) -> bool:
         unscored = [draft for draft in drafts if draft.request_id not in self._scores]
@@ -480,6 +565,7 @@
 
     def _trace(self, request_id: str, event: str, **fields: Any) -> None:
         record = self.progress.record
+        metrics.SAMPLE_ATTEMPTS.labels(record.trainer, event).inc()
         self.ports.trace.record(
             request_id,
             f"sample.{event}",
@@ -520,6 +606,7 @@
             deadline=req.deadline,
             prompts=prompts,
             digest=digest,
+            opened_at=self.ports.clock.wall(),
         )
         committed = await self.ports.table.commit([_opening(keys, record)])
         if committed.is_err():
@@ -556,6 +643,68 @@
                 return Err(_undeliverable(record))
         return _conflict(keys)
 
+    async def overview(self, trainer: str) -> Result[list[dict[str, Any]], Failure]:
+        """Describe steps for operators, of one trainer or of all without a name."""
+        prefix = f"step/{trainer}/" if trainer else "step/"
+        rows = await scan_all(self.ports.table, prefix)
+        if rows.is_err():
+            return rows
+        records = [StepRecord(**row.value) for row in rows.unwrap()]
+        records.sort(key=lambda record: record.opened_at, reverse=True)
+        found = []
+        for record in records[:OVERVIEW_MAX]:
+            committed = await self._committed(record)
+            if committed.is_err():
+                return committed
+            found.append(self._describe(record, committed.unwrap()))
+        return Ok(found)
+
+    async def _committed(self, record: StepRecord) -> Result[int, Failure]:
+        if record.state != StepState.OPEN:
+            return Ok(record.groups * record.samples_per_group)
+        keys = StepKeys(record.trainer, record.step)
+        return (await scan_all(self.ports.table, keys.samples)).map(len)
+
+    def _describe(self, record: StepRecord, committed: int) -> dict[str, Any]:
+        waited_until = record.delivered_at or self.ports.clock.wall()
+        if record.state == StepState.EXPIRED:
+            waited_until = record.deadline
+        return {
+            "trainer": record.trainer,
+            "step": record.step,
+            "state": record.state,
+            "groups": record.groups,
+            "samples": record.groups * record.samples_per_group,
+            "committed": committed,
+            "idle_s": round(waited_until - record.opened_at, 3),
+            "staleness_mean": record.staleness_mean,
+            "staleness_max": record.staleness_max,
+        }
+
+    async def purge(self) -> None:
+        """Delete the rows of steps that ended longer ago than answers are kept."""
+        rows = await scan_all(self.ports.table, "step/")
+        if rows.is_err():
+            return
+        now = self.ports.clock.wall()
+        old = [
+            row
+            for row in rows.unwrap()
+            if row.value["state"] in (StepState.ACKED, StepState.EXPIRED)
+            and now > row.value["deadline"] + self._retention(row)
+        ]
+        for start in range(0, len(old), SCAN_LIMIT):
+            deletes = [
+                Mutation(
+                    row.key, (Check(row.key, row.version),), (Write(row.key, None),)
+                )
+                for row in old[start : start + SCAN_LIMIT]
+            ]
+            await self.ports.table.commit(deletes)
+
+    def _retention(self, row: Row) -> float:
+        return self.ports.options(StepRecord(**row.value)).answer_retention
+
     async def ack(self, trainer: str, step: str) -> Result[StepRecord, Failure]:
         """End a delivered step; repeating it is harmless."""
         keys = StepKeys(trainer, step)
@@ -598,20 +747,47 @@
             for sample in rows.unwrap()
             if not bound.allows(oldest(sample.value["spans"]), newest)
         ]
-        if not stale:
-            mutation = writes.deliver(record, row.version, head.unwrap())
-            return await self._transition(mutation)
-        log.event("step.reopened", step=record.step, over_bound=len(stale))
+        missing = len(record.keys()) - len(rows.unwrap())
+        if not stale and not missing:
+            return await self._deliver(keys, row, record, head.unwrap(), rows.unwrap())
+        log.event(
+            "step.reopened", step=record.step, over_bound=len(stale), missing=missing
+        )
         lease = await self._lease(keys)
         if lease.is_err():
             return lease.unwrap_err()
-        deadline = max(record.deadline, self.ports.clock.wall() + self._reopen_time())
+        time_left = self.ports.options(record).step_timeout
+        deadline = max(record.deadline, self.ports.clock.wall() + time_left)
         return await self._transition(
             writes.reopen(record, row.version, deadline, lease.unwrap())
         )
 
-    def _reopen_time(self) -> float:
-        return 24 * 60.0
+    async def _deliver(
+        self,
+        keys: StepKeys,
+        row: Row,
+        record: StepRecord,
+        head: Row,
+        samples: list[Row],
+    ) -> Failure | None:
+        bound = self.guards.bound(record)
+        newest = head_version(head)
+        lags = [
+            bound.staleness(oldest(sample.value["spans"]), newest) for sample in samples
+        ]
+        now = self.ports.clock.wall()
+        record = record._replace(
+            delivered_at=now,
+            staleness_mean=round(statistics.fmean(lags), 3),
+            staleness_max=max(lags),
+        )
+        writes = self.guards.writes(keys)
+        failure = await self._transition(writes.deliver(record, row.version, head))
+        if failure is None:
+            metrics.STEP_SECONDS.labels(record.trainer).observe(now - record.opened_at)
+            for lag in lags:
+                metrics.SAMPLE_STALENESS.labels(record.trainer).observe(lag)
+        return failure
 
     async def _transition(self, mutation: Mutation) -> Failure | None:
         """Commit a change of state; lost answers and conflicts need a new read."""
@@ -630,17 +806,33 @@
         if len(rows.unwrap()) != record.groups * record.samples_per_group:
             # The clean-up after an acknowledgement has begun since the row was read.
             return Err(Failure.of(ErrorKind.STEP_EXPIRED, "the step was acknowledged"))
+        packs = await self._packs({row.value["object"] for row in rows.unwrap()})
+        return packs.map(
+            lambda texts: [
+                _sample(row, texts[row.value["object"]][row.value["place"]])
+                for row in rows.unwrap()
+            ]
+        )
+
+    async def _packs(self, names: set[str]) -> Result[dict[str, list[str]], Failure]:
         packs: dict[str, list[str]] = {}
-        samples = []
-        for row in rows.unwrap():
-            name = row.value["object"]
-            if name not in packs:
+        failures: list[Failure] = []
+        limiter = anyio.CapacityLimiter(FETCH_FAN_OUT)
+
+        async def get(name: str) -> None:
+            async with limiter:
+                if failures:
+                    return
                 stored = await self.ports.objects.get(name)
-                if stored.is_err():
-                    return stored
+            if stored.is_err():
+                failures.append(stored.unwrap_err())
+            else:
                 packs[name] = msgspec.json.decode(stored.unwrap())
-            samples.append(_sample(row, packs[name][row.value["place"]]))
-        return Ok(samples)
+
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                tasks.start_soon(get, name)
+        return Err(failures[0]) if failures else Ok(packs)
 
     async def _existing(self, keys: StepKeys, digest: str):
         """Return the answer for a step that exists, or None if it does not."""
@@ -693,27 +885,61 @@
             leases=self.kernel.plugin("leases").client,
             clock=self.kernel.clock,
             trace=self.kernel.trace,
+            options=self._options,
         )
         self.desk = StepDesk(self._ports)
         tasks.start_soon(self._discover)
+        tasks.start_soon(self._purge)
 
-    async def drain(self, deadline: float) -> None:
+    async def overview(self, trainer: str) -> Result[list[dict[str, Any]], Failure]:
+        """Describe steps for operators, of one trainer or of all without a name."""
+        return await self.desk.overview(trainer)
+
+    def leases(self) -> list[dict[str, Any]]:
+        """Return the leases that this instance holds."""
+        held = self._ports.leases.book.all_held()
+        holder = self._ports.leases.book.holder
+        return [
+            {"name": lease.key, "holder": holder, "fence": lease.fence}
+            for lease in held
+        ]
+
+    def on_drain(self) -> None:
         """Hand the steps over to other instances."""
         self._draining = True
+        for runner in self.runners.values():
+            runner.hand_over(self.kernel.clock.now() + HAND_OVER_GRACE_S)
+
+    async def drain(self, deadline: float) -> None:
+        """Wait until the steps are handed over."""
         clock = self.kernel.clock
-        limit = min(deadline, clock.now() + HAND_OVER_LIMIT_S)
-        for runner in list(self.runners.values()):
-            await runner.hand_over()
+        longest = HAND_OVER_GRACE_S + HAND_OVER_COMMIT_S
+        limit = min(deadline, clock.now() + longest)
         while self.runners and clock.now() < limit:
             await clock.sleep_until(clock.now() + 0.05)
 
+    def _options(self, record: StepRecord) -> FleetOptions:
+        scope = Scope(service=record.model, trainer=record.trainer)
+        return self.kernel.config.scoped(scope)
+
+    async def _purge(self) -> None:
+        clock = self.kernel.clock
+        while True:
+            await clock.sleep_until(clock.now() + PURGE_INTERVAL_S)
+            members = live_members(self.kernel) | {self.kernel.settings.instance.id}
+            if rank("steps/purge", members)[0] == self.kernel.settings.instance.id:
+                await self.desk.purge()
+
     async def _discover(self) -> None:
         clock = self.kernel.clock
-        while not self._draining:
+        for turn in itertools.count():
+            if self._draining:
+                return
             for shard, place in self._shards():
-                await self._look(shard, place)
-            jitter = self._random.uniform(-DISCOVERY_JITTER_S, DISCOVERY_JITTER_S)
-            await clock.sleep_until(clock.now() + DISCOVERY_INTERVAL_S + jitter)
+                if place == 0 or turn % STANDBY_TURNS == 0:
+                    await self._look(shard, place)
+            spread = self._random.uniform(1 - DISCOVERY_JITTER, 1 + DISCOVERY_JITTER)
+            await clock.sleep_until(clock.now() + DISCOVERY_INTERVAL_S * spread)
 
     def _shards(self) -> list[tuple[int, int]]:
         """Return the shards to look into, with this instance's rank for each."""
@@ -726,6 +952,10 @@
             if me in order[:SCANNERS]
         ]
 
+    def _incarnations(self) -> dict[str, str]:
+        members = self.kernel.plugin("membership").view().members.values()
+        return {member.id: member.incarnation for member in members}
+
     async def _look(self, shard: int, place: int) -> None:
         rows = await scan_all(self._ports.table, lease_prefix(shard))
         if rows.is_err():
@@ -740,13 +970,16 @@
         phase = row.value["data"].get("phase")
         if phase == StepState.SEALED or row.key in self.runners or self._draining:
             return
+        gone = restarted(row.value["holder"], self._incarnations())
         wait = place * book.terms.duration
-        if not book.may_take(row, now) or book.seen_for(row, now) < wait:
+        if book.seen_for(row, now) < wait or not (gone or book.may_take(row, now)):
             return
         keys = StepKeys(*row.key.rsplit("/", 2)[1:])
-        taken = await self._ports.leases.take(row.key, keys.fence)
+        taken = await self._ports.leases.take(row.key, keys.fence, holder_gone=gone)
         if taken.is_ok():
-            self.runners[row.key] = StepRunner(self._ports, keys)
+            runner = self.runners[row.key] = StepRunner(self._ports, keys)
+            if self._draining:
+                runner.hand_over(self.kernel.clock.now())
             self._tasks.start_soon(self._run, row.key)
 
     async def _run(self, key: str) -> None:
@@ -761,6 +994,10 @@
             del self.runners[key]
 
 
+def _tokens(parts: Sequence[Part]) -> int:
+    return sum(part.tokens for part in parts)
+
+
 def _opening(keys: StepKeys, record: StepRecord) -> Mutation:
     lease = {
         "holder": "",
--- a/tests/services/test_steps.py
+++ b/tests/services/test_steps.py
@@ -6,14 +6,14 @@
 import pytest
 
 from plantainstack.errors import ErrorKind
-from plantainstack.kernel import Kernel
-from plantainstack.platform.base import InstanceKind, InstanceRecord
+from plantainstack.kernel import Kernel, State
 from plantainstack.plugins import Plugin
 from plantainstack.policy.leases import rank
 from plantainstack.services.leases import Leases
 from plantainstack.services.steps import Steps
 from plantainstack.services.weights import Weights
-from tests.services.fleet import MODEL, TERMS, TRAINER, Fleet
+from tests.services.fleet import MODEL, TERMS, TRAINER, Fleet, running
+from tests.services.test_weights import FakeEngine, engine_record
 
 pytestmark = pytest.mark.anyio
 
@@ -41,6 +41,7 @@
         assert again == samples
         assert (await other.desk.ack(TRAINER, "step-1")).unwrap().state == "acked"
         assert (await owner.desk.ack(TRAINER, "step-1")).is_ok()
+        await check_overview(fleet, other)
         gone = await owner.desk.samples(TRAINER, "step-1")
         assert gone.unwrap_err().kind is ErrorKind.STEP_EXPIRED
         await fleet.own(tasks, other)
@@ -49,6 +50,32 @@
         assert list(fleet.table.rows) == [fleet.keys.row, "weights/raadgiver-llm"]
 
 
+async def check_overview(fleet, instance):
+    """Check what operators see of a step, which is deleted after its retention."""
+    (shown,) = (await instance.desk.overview("")).unwrap()
+    assert (shown["state"], shown["committed"], shown["idle_s"]) == ("acked", 4, 10.0)
+    assert (shown["staleness_mean"], shown["staleness_max"]) == (0.0, 0)
+    assert (await instance.desk.overview("other")).unwrap() == []
+    await instance.desk.purge()
+    assert len((await instance.desk.overview(TRAINER)).unwrap()) == 1
+
+
+async def test_ended_steps_are_deleted_after_their_retention():
+    """Guards against step rows that accumulate for ever."""
+    fleet = Fleet()
+    a = fleet.instance("a")
+    await a.desk.open(TRAINER, fleet.request(deadline=1.0))
+    fleet.clock.jump(25 * 3600.0)
+    await a.desk.purge()
+    assert fleet.state() == "open"
+    async with running() as tasks:
+        await fleet.own(tasks, a)
+        await fleet.clock.advance(2)
+    assert fleet.state() == "expired"
+    await a.desk.purge()
+    assert fleet.keys.row not in fleet.table.rows
+
+
 async def test_opening_twice_yields_one_step():
     """Guards against a repeated request that starts a second step."""
     fleet = Fleet()
@@ -81,6 +108,9 @@
 class FakeLinks(Plugin, register=False):
     name = "links"
 
+    def engine(self, record):
+        return FakePlatform.fleet.engine
+
 
 class FakeEndpoints(Plugin, register=False):
     name = "endpoints"
@@ -89,10 +119,17 @@
 
 class FakeMembership(Plugin, register=False):
     name = "membership"
-    state = "live"
+    leaving = ()
 
     def view(self):
-        members = {name: SimpleNamespace(id=name, state=self.state) for name in "abcde"}
+        members = {
+            name: SimpleNamespace(
+                id=name,
+                incarnation="1-a",
+                state="leaving" if name in self.leaving else "alive",
+            )
+            for name in "abcde"
+        }
         return SimpleNamespace(members=members)
 
 
@@ -113,7 +150,7 @@
 async def test_the_instance_ranked_first_owns_a_step_and_hands_it_over(kernels):
     """Guards against steps without an owner, during and after a shutdown."""
     fleet, build = kernels
-    fleet.engines.seconds = 30.0
+    fleet.engines.duration = lambda ctx: 20.0 if ctx.group.endswith("/0") else 90.0
     opener = fleet.instance("x")
     opened = await opener.desk.open(TRAINER, fleet.request())
     assert opened.is_ok()
@@ -123,25 +160,41 @@
         for kernel in (second, first):
             tasks.start_soon(kernel.run, False)
         await fleet.clock.advance(6)
+        (lease,) = first.plugin("steps").leases()
+        assert lease["name"] == fleet.keys.lease and lease["fence"] == 1
         assert first.plugin("steps").runners and not second.plugin("steps").runners
+        second.plugin("membership").leaving = (order[0],)
         first.request_stop()
-        await fleet.clock.advance(TERMS.duration + 4)
+        await fleet.clock.advance(30)
+        assert first.state is State.STOPPED
         assert second.plugin("steps").runners
-        await fleet.clock.advance(40)
+        # Samples that finish within the grace of the shutdown are kept.
+        assert len(fleet.sample_rows()) == 2
+        await fleet.clock.advance(100)
         assert fleet.state() == "sealed"
+        assert fleet.engines.starts == 6
         second.request_stop()
         await fleet.clock.advance(10)
 
 
 async def test_engines_listed_before_the_start_are_ordered(kernels, monkeypatch):
-    """Guards against a first list of endpoints that no later event repeats."""
-    _, build = kernels
-    engine = InstanceRecord("e", MODEL, InstanceKind.ENGINE, "dc", None, "live")
-    monkeypatch.setattr(FakeEndpoints, "records", (engine,))
-    kernel = build("a")
-    kernel.request_stop()
-    await kernel.run(handle_signals=False)
-    assert MODEL in kernel.plugin("weights").holders
+    """Guards against engines that stay behind until the list changes."""
+    fleet, build = kernels
+    fleet.engine = FakeEngine(fleet.clock, checks=False)
+    fleet.engine.version = 6
+    monkeypatch.setattr(FakeEndpoints, "records", (engine_record("engine-0"),))
+    kernel = build(rank(f"weights/{MODEL}", "abcde")[0])
+    async with running() as tasks:
+        tasks.start_soon(fleet.engine.load)
+        tasks.start_soon(kernel.run, False)
+        await fleet.clock.advance(12)
+        kernel.request_stop()
+        await fleet.clock.advance(1)
+        assert kernel.state is State.STOPPED
+    assert fleet.engine.version == 7
+    assert [order.fence for order in fleet.engine.applied] == [1]
+    (lease,) = (row for key, row in fleet.table.rows.items() if key.startswith("lease"))
+    assert lease.value["released"]
 
 
 async def test_a_fault_in_one_step_does_not_end_the_process(kernels):
