--- a/plantainstack/policy/limits.py
+++ b/plantainstack/policy/limits.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
@@ -225,6 +226,8 @@
         callers = service.in_flight[Priority.CALLER]
         if req.priority is Priority.CALLER:
             return callers < capacity
+        if math.isinf(capacity):
+            return True
         share = self._options(req.service).caller_reserve
         reserve = max(share * capacity, service.peak.get(now))
         used = service.in_flight[Priority.ROLLOUT] + max(callers, reserve)
