Avoid engines whose load reports are missing

Cause: over a cut path an attempt is lost for the progress timeout of 10 s before the router learns of it, on each instance anew. Change: an engine whose report is older than 3.5 poll intervals gets no work, unless more than the largest ejected share is missing at once.

--- a/plantainstack/policy/routing.py
+++ b/plantainstack/policy/routing.py
@@ -31,6 +31,7 @@
 SLOW_RATIO = 1.5
 SLOW_FACTOR_MAX = 4.0
 CHOICES = 2
+REPORTS_MISSED_MAX = 3.5
 LOSS_WEIGHT = 0.05
 LOSS_FACTOR = 10.0
 ROUND_TRIP_WEIGHT = 0.2
@@ -305,8 +306,8 @@
 
     def capacity(self, service: str, now: float) -> float:
         """Return the sum of the limits of the usable endpoints."""
-        endpoints = self._used.get(service, ())
-        return sum(item.limit.value for item in endpoints if item.usable(now))
+        endpoints = self._used.get(service, [])
+        return sum(item.limit.value for item in self._usable(endpoints, now))
 
     def ejected_share(self, service: str, now: float) -> float:
         """Return the share of a service's endpoints that is ejected."""
@@ -344,8 +345,8 @@
         for group in (used, known):
             found = [
                 item
-                for item in group
-                if item.record.id not in req.exclude and item.usable(now)
+                for item in self._usable(group, now)
+                if item.record.id not in req.exclude
             ]
             if found:
                 return found
@@ -353,6 +354,22 @@
         untried = [item for item in present if item.record.id not in req.exclude]
         return untried or [item for item in present if item.usable(now)]
 
+    def _usable(self, group: list[_Endpoint], now: float) -> list[_Endpoint]:
+        """Return the usable endpoints, without those whose reports are missing.
+
+        Each report is read anew, so a missing one shows that the path is cut
+        earlier than a silent stream does. When too many are missing at once, the
+        fault is more likely to be on this side.
+        """
+        found = [item for item in group if item.usable(now)]
+        if not found:
+            return found
+        opts = self._options(found[0].record.service)
+        age_max = REPORTS_MISSED_MAX * opts.load_poll_interval
+        heard = [item for item in found if item.load.report_age(now) <= age_max]
+        missing = len(found) - len(heard)
+        return heard if missing <= opts.ejected_share_max * len(group) else found
+
     def _choice(self, req: RouteRequest, now: float) -> _Choice:
         used = self._used[req.service]
         statuses = [item.load.status for item in used]
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -235,3 +235,23 @@
         router.started("e0", REQ, 0.0)
         router.finished("e0", REQ, AttemptEnd.REFUSED, 0.0)
     assert {attempt(router, AttemptEnd.OK, 0.5) for _ in range(20)} == {"e1"}
+
+
+def test_endpoint_whose_reports_are_missing_gets_no_work():
+    """Guards against attempts over a path that was cut."""
+    router = make_router([make_record(f"e{number}") for number in range(3)])
+    for name in ("e0", "e1", "e2"):
+        router.update_load(name, make_status(1), 0.0)
+    for name in ("e1", "e2"):
+        router.update_load(name, make_status(1), 10.0)
+    assert "e0" not in {attempt(router, AttemptEnd.OK, 10.0) for _ in range(30)}
+
+
+def test_missing_reports_of_most_endpoints_are_ignored():
+    """Guards against an instance that was frozen and then trusts one endpoint."""
+    router = make_router([make_record(f"e{number}") for number in range(3)])
+    for name in ("e0", "e1", "e2"):
+        router.update_load(name, make_status(1), 0.0)
+    router.update_load("e0", make_status(1), 60.0)
+    used = {attempt(router, AttemptEnd.OK, 60.0) for _ in range(30)}
+    assert used >= {"e1", "e2"}
