--- a/plantainstack/policy/retries.py
+++ b/plantainstack/policy/retries.py
@@ -10,6 +10,7 @@
 from plantainstack.settings.fleet import FleetConfig, FleetOptions, Scope
 
 WINDOW_S = 10.0
+RECENT_S = 4.0
 BACKOFF_BASE_S = 0.05
 BACKOFF_MAX_S = 5.0
 BURST_WINDOW_S = 1.0
@@ -93,6 +94,8 @@
         """Reserve a retry at a time, if the windows that hold it allow it.
 
         Retries reserved for later times count too, so that these stay allowed.
+        When fewer requests arrive than before, the lower rate of the last seconds
+        counts, since later windows will hold the retry but not the old requests.
         Requests that may arrive until then are not counted in advance. The
         share is rounded up or down by chance, so that many instances with less
         than one retry each keep to the ratio together.
@@ -100,7 +103,9 @@
         self._forget(now)
         latest = max(at, self._retries[-1]) if self._retries else at
         begin = latest - WINDOW_S
-        requests = len(self._requests) - bisect_right(self._requests, begin)
+        requests = min(
+            self._since(begin), self._since(now - RECENT_S) * WINDOW_S / RECENT_S
+        )
         allowed = math.floor(ratio * requests + self._current_phase(now))
         later = len(self._retries) - bisect_right(self._retries, at - WINDOW_S)
         if later + 1 > allowed:
@@ -108,6 +113,9 @@
         insort(self._retries, at)
         return True
 
+    def _since(self, begin: float) -> int:
+        return len(self._requests) - bisect_right(self._requests, begin)
+
     def _current_phase(self, now: float) -> float:
         if now >= self._phase_until:
             self._phase = self._random.random()
