Name the parameters of proofs in the table

Cause: one parametrized test stood in 36 cells without saying which case. Change: a cell names the case, unless several cases prove the same cell. Conclusion: every cell can be run by the id that it shows.

--- a/tools/proofs.py
+++ b/tools/proofs.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+from collections import Counter
 from pathlib import Path
 from typing import NamedTuple
 
@@ -64,7 +65,7 @@
         """Read the markers of every collected test."""
         for item in session.items:
             for marker in item.iter_markers("proof"):
-                self._add(Cell(*marker.args), item.nodeid.split("[")[0])
+                self._add(Cell(*marker.args), item.nodeid)
 
     def _add(self, cell: Cell, test: str) -> None:
         if cell.guarantee not in GUARANTEES or cell.failure not in FAILURES:
@@ -106,13 +107,20 @@
             proved += bool(tests)
             default = reasons.get(Cell(guarantee, "*"), "not proved yet")
             reason = reasons.get(Cell(guarantee, failure), default)
-            names = "<br>".join(f"`{test}`" for test in tests or [])
+            names = "<br>".join(f"`{test}`" for test in _shortened(tests or []))
             parts.append(f"| {label} | {names or 'open: ' + reason} |")
     total = len(GUARANTEES) * len(FAILURES)
     parts.append(f"\n{proved} of {total} cells proved, {total - proved} open.")
     return "\n".join(parts) + "\n"
 
 
+def _shortened(tests: list[str]) -> list[str]:
+    """Name a test without its parameters if several of them prove the same."""
+    bases = Counter(test.split("[")[0] for test in tests)
+    names = (base if bases[base := test.split("[")[0]] > 1 else test for test in tests)
+    return list(dict.fromkeys(names))
+
+
 @click.command()
 @click.option("--check", is_flag=True, help="Fail if the committed page differs.")
 def main(check: bool) -> None:
