Answer bad requests and shutdowns clearly, and trace claims

Change: the listener names TCP, so that asyncio disables Nagle's algorithm. Abandoned completions are cancelled over another connection. A shutdown first gives the load balancer 2 s to see `/readyz` fail, and connections stay open longer than its idle time. Claims are traced, and requests refused before dispatching are counted.

--- a/plantainstack/front/gate.py
+++ b/plantainstack/front/gate.py
@@ -9,7 +9,7 @@
 import anyio
 from starlette.requests import ClientDisconnect
 
-from plantainstack import log
+from plantainstack import log, metrics
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.front.answers import ATTEMPTS_HEADER, error_response
 from plantainstack.requests import new_id
@@ -81,6 +81,8 @@
         self.in_flight += 1
         try:
             failure = self._failure(scope, headers, request_id)
+            if failure:
+                metrics.REQUESTS.labels("", failure.kind, failure.outcome).inc()
             app = error_response(failure) if failure else self._app
             await self._guarded(app, scope, receive, answer)
         finally:
--- a/plantainstack/front/plugin.py
+++ b/plantainstack/front/plugin.py
@@ -10,6 +10,10 @@
 from plantainstack.front.server import FrontServer
 from plantainstack.plugins import Plugin
 
+# Time for the load balancer to see that `/readyz` fails, before its connections
+# are closed.
+DRAIN_NOTICE_S = 2.0
+
 
 class Front(Plugin):
     """Listen on the instance's addresses and shut them down gracefully."""
@@ -19,6 +23,7 @@
 
     def __init__(self, kernel):
         super().__init__(kernel)
+        self.notice_s = DRAIN_NOTICE_S
         self.gate: Gate | None = None
         self.server: FrontServer | None = None
         self.operator_server: FrontServer | None = None
@@ -43,6 +48,8 @@
 
     async def drain(self, deadline: float) -> None:
         """Wait for running requests, while new work is answered with `draining`."""
+        notice = self.kernel.clock.now() + self.notice_s
+        await self.kernel.clock.sleep_until(min(deadline, notice))
         await self.gate.drained(deadline)
 
     async def stop(self) -> None:
--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -16,6 +16,9 @@
 from plantainstack.settings.options import Address
 
 BACKLOG = 1024
+# Above the idle time of common load balancers, which otherwise send a request on
+# a connection that is being closed.
+KEEP_ALIVE_S = 75
 # Above the gate's limit, so that most oversized headers get the gate's answer.
 PARSER_LIMIT_BYTES = 64 * 1024
 
@@ -51,6 +54,7 @@
             access_log=False,
             server_header=False,
             proxy_headers=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
             h11_max_incomplete_event_size=PARSER_LIMIT_BYTES,
         )
         super().__init__(config)
@@ -78,9 +82,13 @@
 
 def _listen(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    return socket.create_server(
-        (address.host.strip("[]"), address.port), family=family, backlog=BACKLOG
-    )
+    # asyncio disables Nagle's algorithm only on sockets that name TCP. Otherwise
+    # an answer's body waits about 40 ms for the acknowledgement of its headers.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address.host.strip("[]"), address.port))
+    listener.listen(BACKLOG)
+    return listener
 
 
 def _unparsed(exc: BaseException | None) -> JSONResponse:
--- a/plantainstack/services/bookings.py
+++ b/plantainstack/services/bookings.py
@@ -191,9 +191,16 @@
             self._tasks.start_soon(self._fly, flight)
             return await self._own_result(flight)
         if isinstance(known, _Flight):
+            self._record(flight, "claim.joined", first=known.ctx.request_id)
             return await self._join(known, ctx.deadline)
+        self._record(flight, "claim.answered", from_memory=True)
         return known
 
+    def _record(self, flight: _Flight, event: str, **fields) -> None:
+        self.kernel.trace.record(
+            flight.ctx.request_id, event, attempt=flight.claim.attempt, **fields
+        )
+
     def _known(self, flight: _Flight) -> _Flight | Result[Answered, Failure] | None:
         """Return the running call with the same key, or its unstored answer."""
         running = self._flights.get(flight.key)
@@ -250,12 +257,16 @@
             if verdict.action is Action.REFUSE:
                 return Err(verdict.failure)
             if verdict.action is Action.DISPATCH:
+                self._record(flight, "claim.taken", version=row.version)
                 held = Held(row.key, row.version, flight.claim)
                 return await self._dispatch(flight, held)
             if verdict.action is Action.ANSWER:
+                first = claim_of(row).attempt
+                self._record(flight, "claim.answered", first=first)
                 return await self._stored_answer(claim_of(row))
             if verdict.action is Action.ASK:
                 flight.met_other = True
+                self._record(flight, "claim.met", owner=claim_of(row).owner)
                 asked = await self._ask_owner(flight, row)
                 if asked.is_err() or isinstance(asked.ok_value, Answered):
                     return asked
@@ -336,6 +347,8 @@
     async def _store_now(self, held: Held, answer: PlainAnswer, stored) -> None:
         try:
             await self._store_end(held, answer)
+        except Exception as exc:
+            log.event("bookings.task_failed", error=repr(exc))
         finally:
             stored.set()
 
@@ -502,7 +515,10 @@
     async def _every(self, seconds: float, work) -> None:
         while True:
             await self.kernel.clock.sleep_until(self.kernel.clock.now() + seconds)
-            await work()
+            try:
+                await work()
+            except Exception as exc:
+                log.event("bookings.task_failed", error=repr(exc))
 
 
 def _deletion(row: Row) -> Mutation:
--- a/plantainstack/services/dispatch.py
+++ b/plantainstack/services/dispatch.py
@@ -12,6 +12,7 @@
 from plantainstack import metrics
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.platform.base import (
+    Engine,
     GenerateRequest,
     InstanceRecord,
     Part,
@@ -40,6 +41,7 @@
         ErrorKind.ANSWER_TIMEOUT,
     }
 )
+_ABANDONED_ENDS = frozenset({AttemptEnd.SILENT, AttemptEnd.CANCELLED})
 _ENDS = {
     ErrorKind.ENDPOINT_REFUSED: AttemptEnd.REFUSED,
     ErrorKind.ANSWER_TIMEOUT: AttemptEnd.SILENT,
@@ -62,11 +64,15 @@
 
 
 class AttemptLog:
-    """Count a request's attempts and keep whether one may have run."""
+    """Count a request's attempts and keep whether one may have run.
+
+    A request that was dispatched is counted in the metrics by the dispatcher.
+    """
 
     def __init__(self):
         self.count = 0
         self.may_have_run = False
+        self.dispatched = False
 
     def final(self, failure: Failure) -> Failure:
         """Return the failure with an outcome that covers every attempt."""
@@ -127,9 +133,11 @@
         self._idle = anyio.Event()
         self._waiting: dict[str, _Waiter] = {}
         self._queued = anyio.Event()
+        self._tasks = None
 
     async def start(self, tasks) -> None:
         """Start the task that decides on queued requests."""
+        self._tasks = tasks
         tasks.start_soon(self._decide_queued)
 
     def on_endpoints(self, records) -> None:
@@ -243,8 +251,11 @@
     async def _generate_once(
         self, run: _Run, record: InstanceRecord, req: GenerateRequest
     ) -> AsyncIterator[Part]:
-        with self._attempt(run, record, req.attempt_id):
-            engine = self.kernel.plugin("links").engine(record)
+        engine = self.kernel.plugin("links").engine(record)
+        with (
+            self._cancelling(run, engine, req.attempt_id),
+            self._attempt(run, record, req.attempt_id),
+        ):
             async with aclosing(engine.generate(req, run.ctx.deadline)) as parts:
                 async for part in parts:
                     if part.is_err():
@@ -253,6 +264,18 @@
                     yield part.ok_value
             run.end = AttemptEnd.OK
 
+    @contextmanager
+    def _cancelling(self, run: _Run, engine: Engine, attempt_id: str):
+        """Cancel an abandoned completion over another connection.
+
+        The engine does not see that a silent connection was closed.
+        """
+        try:
+            yield
+        finally:
+            if run.end in _ABANDONED_ENDS and self._tasks is not None:
+                self._tasks.start_soon(engine.cancel, attempt_id)
+
     def _route(self, ctx: RequestContext, affinity: int | None) -> RouteRequest:
         return RouteRequest(
             ctx.service, ctx.priority, ctx.caller, ctx.deadline, affinity
@@ -386,6 +409,7 @@
     @contextmanager
     def _tracked(self, run: _Run):
         self.in_flight += 1
+        run.log.dispatched = True
         try:
             yield
         finally:
--- a/tests/front/harness.py
+++ b/tests/front/harness.py
@@ -97,6 +97,7 @@
 async def running(directory: Path, plugins=PLUGINS, clock=None):
     """Run a kernel with a front on loopback and yield a client for it."""
     kernel = Kernel(settings_for(directory), plugins, clock)
+    kernel.plugin("front").notice_s = 0.0
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(kernel.run, False)
         while kernel.state is not State.SERVING:
--- a/tests/front/test_callers.py
+++ b/tests/front/test_callers.py
@@ -1,6 +1,7 @@
 """Tests of the callers' API on loopback."""
 
 import json
+import socket
 
 import anyio
 import pytest
@@ -32,6 +33,13 @@
     assert [reply.headers[name] for name in names] == ["r-1", "entry-1", "1"]
 
 
+async def test_answers_are_not_held_back_by_nagles_algorithm(tmp_path):
+    """Guards against 40 ms added to each answer; asyncio looks at the protocol."""
+    async with running(tmp_path) as client:
+        server = client.kernel.plugin("front").server
+        assert server._socket.proto == socket.IPPROTO_TCP
+
+
 async def test_a_completion_is_streamed_up_to_its_end_marker(tmp_path):
     options = {"stream": True, "stream_options": {"include_usage": True}}
     async with running(tmp_path) as client:
