Survive faults of the table adapter and headers beyond ASCII

Cause: an exception of the table adapter left every task that waited for the group commit without a result; a header value in Latin-1 failed the call with `internal`; an endpoint's `Date` was passed on next to our own; a hanging connection could hold up the end of a process for ever.

Change: such a commit counts as one with an unknown outcome; header values are sent as they came; `Date` and `Expect` are not passed on; closing waits 30 s at most, once running requests have ended.

Conclusion: these faults no longer spread beyond their request.

--- a/plantainstack/front/callers.py
+++ b/plantainstack/front/callers.py
@@ -44,6 +44,8 @@
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 _PRIVATE_HEADERS = HOP_HEADERS | {
     "authorization",
+    "date",
+    "expect",
     "x-attempt-id",
     "x-attempts",
     "x-deadline-ms",
--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -19,6 +19,8 @@
 # Above the idle time of common load balancers, which otherwise send a request on
 # a connection that is being closed.
 KEEP_ALIVE_S = 75
+# Running requests have ended before; what is left is connections that hang.
+CLOSE_LIMIT_S = 30
 # Above the gate's limit, so that most oversized headers get the gate's answer.
 PARSER_LIMIT_BYTES = 64 * 1024
 
@@ -55,6 +57,7 @@
             server_header=False,
             proxy_headers=False,
             timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=CLOSE_LIMIT_S,
             h11_max_incomplete_event_size=PARSER_LIMIT_BYTES,
         )
         super().__init__(config)
--- a/plantainstack/links/slots.py
+++ b/plantainstack/links/slots.py
@@ -176,6 +176,8 @@
         headers = [("Host", str(self._address)), *head.headers]
         if head.body or head.method not in ("GET", "HEAD"):
             headers.append(("Content-Length", str(len(head.body))))
+        # Values may hold any byte of Latin-1; httpcore itself takes only ASCII text.
+        encoded = [(name.encode(), text.encode("latin-1")) for name, text in headers]
         return httpcore.Request(
             head.method,
             httpcore.URL(
@@ -184,7 +186,7 @@
                 port=self._origin.port,
                 target=head.target,
             ),
-            headers=headers,
+            headers=encoded,
             content=head.body,
             extensions={"timeout": {"read": progress, "write": progress}},
         )
--- a/plantainstack/services/commits.py
+++ b/plantainstack/services/commits.py
@@ -3,7 +3,8 @@
 import anyio
 from result import Err, Ok, Result
 
-from plantainstack.errors import Failure
+from plantainstack import log
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.platform.base import Mutation, MutationOutcome, TableService
 
 BATCH_MAX = 200
@@ -42,20 +43,35 @@
         self._busy = True
         batch = self._queue[:BATCH_MAX]
         del self._queue[:BATCH_MAX]
+        results = await self._commit_all([entry.mutation for entry in batch])
+        for entry, result in zip(batch, results, strict=True):
+            entry.result = result
+            entry.woken.set()
+        self._busy = bool(self._queue)
+        if self._queue:
+            self._queue[0].woken.set()
+
+    async def _commit_all(
+        self, mutations: list[Mutation]
+    ) -> list[Result[MutationOutcome, Failure]]:
+        """Return a result for each mutation, also when the adapter has a fault.
+
+        Without one, every task that waits for its turn would wait for ever.
+        """
         try:
-            outcome = await self._table.commit([entry.mutation for entry in batch])
-            results = _spread(outcome, len(batch))
-            for entry, result in zip(batch, results, strict=True):
-                entry.result = result
-                entry.woken.set()
-        finally:
-            self._busy = False
-            if self._queue:
-                self._busy = True
-                self._queue[0].woken.set()
-
-
-def _spread(outcome, count: int) -> list[Result[MutationOutcome, Failure]]:
-    if outcome.is_err():
-        return [Err(outcome.err_value)] * count
-    return [Ok(item) for item in outcome.ok_value]
+            outcome = await self._table.commit(mutations)
+        except Exception as exc:
+            log.event("commits.failed", error=repr(exc))
+            outcome = _UNKNOWN
+        if outcome.is_ok() and len(outcome.ok_value) != len(mutations):
+            outcome = _UNKNOWN
+        if outcome.is_err():
+            return [outcome] * len(mutations)
+        return [Ok(item) for item in outcome.ok_value]
+
+
+_UNKNOWN = Err(
+    Failure.of(
+        ErrorKind.TABLE_OUTCOME_UNKNOWN, "the table service's answer is not valid"
+    )
+)
--- a/tests/front/harness.py
+++ b/tests/front/harness.py
@@ -78,7 +78,7 @@
             named["Authorization"] = f"Bearer {token}"
         url = self.url(path, operator)
         response = await self.pool.request(
-            method, url, headers=list(named.items()), content=content
+            method, url, headers=_encoded(named), content=content
         )
         found = {
             name.decode().lower(): value.decode() for name, value in response.headers
@@ -86,6 +86,10 @@
         return Reply(response.status, found, response.content)
 
 
+def _encoded(headers):
+    return [(name.encode(), text.encode("latin-1")) for name, text in headers.items()]
+
+
 def settings_for(directory: Path):
     """Return instance settings with tokens in a directory."""
     tokens = directory / "tokens.ini"
--- a/tests/links/test_endpoint.py
+++ b/tests/links/test_endpoint.py
@@ -19,7 +19,8 @@
 
 pytestmark = pytest.mark.anyio
 
-CALL = PlainRequest("a1", "POST", "/book", [("Connection", "x")], b"{}")
+HEADERS = [("Connection", "x"), ("X-Name", "Bj\xf8rn")]
+CALL = PlainRequest("a1", "POST", "/book", HEADERS, b"{}")
 GENERATE = GenerateRequest("a1", "m", [], 8, Priority.CALLER)
 CHUNK = b'data: {"choices":[{"delta":{"content":"hi"}}],"tokens":1,"weight_version":3}'
 
@@ -99,11 +100,12 @@
     assert [stream.closed for stream in backend.streams] == [True, True, False]
 
 
-async def test_hop_by_hop_headers_are_not_forwarded():
+async def test_headers_are_forwarded_as_sent_but_for_hop_by_hop_ones():
+    """Guards against a header beyond ASCII that fails the call."""
     plugin, backend, clock = links([answer()])
     await call(plugin, clock)
     assert b"Connection" not in backend.streams[0].sent
-    assert b"X-Attempt-Id: a1\r\n" in backend.streams[0].sent
+    assert b"X-Name: Bj\xf8rn\r\nX-Attempt-Id: a1\r\n" in backend.streams[0].sent
 
 
 def stream(*lines, attempt=None, status=200):
