Drop an answer that outlives its claim

Cause: an answer that waits in memory for the object store can outlive its claim. The versions of a deleted row start anew, so the check of the version does not tell the claim from a later one under the same key, and the old answer could be stored over it.

Change: an end is dropped a minute before its claim expires. A stored answer that is gone is reported as `answer_unavailable`.

Conclusion: a key may be used again after its retention.

--- a/plantainstack/services/bookings.py
+++ b/plantainstack/services/bookings.py
@@ -53,6 +53,8 @@
 ASK_TIMEOUT_S = 1.0
 SWEEP_INTERVAL_S = 1.0
 SWEEP_PAGE = 500
+# Covers differences between the wall clocks of instances.
+EXPIRY_MARGIN_S = 60.0
 CLAIM_QUERY = "claim_query"
 CLAIM_REPLY = "claim_reply"
 
@@ -362,6 +364,9 @@
         """Store an answer, or void a claim; what fails is tried again later."""
         if answer is None and not self.rules.may_void(held.claim):
             return True
+        if self._expires_soon(held.claim):
+            self.unstored.remove(held)
+            return True
         self.unstored.put(held, answer)
         ended = await self._ended_claim(held.claim, answer)
         if ended.is_err():
@@ -369,11 +374,18 @@
         written = await self._write(held.key, held.version, ended.ok_value.value())
         if written.is_err():
             return False
-        # A conflict means that an earlier write of this end took effect, or
-        # that the claim has expired.
+        # A conflict means that an earlier write of this end took effect.
         self.unstored.remove(held)
         return True
 
+    def _expires_soon(self, claim: Claim) -> bool:
+        """Return whether the row may soon belong to another claim.
+
+        The versions of a deleted row start anew, so that a check of the version
+        does not tell its claim from a later one under the same key.
+        """
+        return self.kernel.clock.wall() + EXPIRY_MARGIN_S >= claim.expires_ms / 1000
+
     async def _ended_claim(
         self, claim: Claim, answer: PlainAnswer | None
     ) -> Result[Claim, Failure]:
@@ -394,7 +406,10 @@
             value = msgspec.json.decode(found.ok_value)
             return Ok(Answered(decode_answer(value), 0))
         message = "the call ran, but its stored answer cannot be read"
-        return Err(Failure(found.err_value.kind, message, Outcome.RAN))
+        kind = found.err_value.kind
+        if kind is not ErrorKind.STORE_UNAVAILABLE:
+            kind = ErrorKind.ANSWER_UNAVAILABLE
+        return Err(Failure(kind, message, Outcome.RAN))
 
     async def _ask_owner(
         self, flight: _Flight, row: Row
--- a/tests/services/test_bookings.py
+++ b/tests/services/test_bookings.py
@@ -116,10 +116,32 @@
         assert fleet.claim()["state"] == ClaimState.DONE
         fleet.objects.down = True
         failure = (await owner.call()).err_value
-    assert (failure.kind, failure.outcome) == (
-        ErrorKind.STORE_UNAVAILABLE,
-        Outcome.RAN,
-    )
+    stored = (ErrorKind.STORE_UNAVAILABLE, Outcome.RAN)
+    assert (failure.kind, failure.outcome) == stored
+
+
+async def test_an_answer_kept_past_its_retention_does_not_reach_a_later_claim():
+    """Guards against an old answer stored over the next claim of its key."""
+    async with fleet_of(2) as (fleet, first, second):
+        fleet.objects.down = True
+        gate = anyio.Event()
+
+        async def answer(req):
+            await gate.wait()
+            return booked(b"new")
+
+        fleet.plain.script = [booked(b"x" * (INLINE_ANSWER_BYTES + 1)), answer]
+        await first.call()
+        fleet.clock.jump(25 * 3600)
+        fleet.table.rows.clear()
+        second.kernel.pause.check()
+        second.kernel.pause.clear()
+        async with anyio.create_task_group() as tasks:
+            await started(tasks, second.call(), [])
+            fleet.objects.down = False
+            await fleet.clock.advance(2 * STORE_RETRY_S)
+            gate.set()
+        assert (await second.call()).ok_value.answer.body == b"new"
 
 
 async def test_unstored_answers_take_bounded_memory():
