--- a/plantainstack/services/bookings.py
+++ b/plantainstack/services/bookings.py
@@ -53,6 +53,8 @@
 ASK_TIMEOUT_S = 1.0
 SWEEP_INTERVAL_S = 1.0
 SWEEP_PAGE = 500
+# Covers differences between the wall clocks of instances.
+EXPIRY_MARGIN_S = 60.0
 CLAIM_QUERY = "claim_query"
 CLAIM_REPLY = "claim_reply"
 
@@ -191,9 +193,16 @@
             self._tasks.start_soon(self._fly, flight)
             return await self._own_result(flight)
         if isinstance(known, _Flight):
+            self._record(flight, "claim.joined", first=known.ctx.request_id)
             return await self._join(known, ctx.deadline)
+        self._record(flight, "claim.answered", from_memory=True)
         return known
 
+    def _record(self, flight: _Flight, event: str, **fields) -> None:
+        self.kernel.trace.record(
+            flight.ctx.request_id, event, attempt=flight.claim.attempt, **fields
+        )
+
     def _known(self, flight: _Flight) -> _Flight | Result[Answered, Failure] | None:
         """Return the running call with the same key, or its unstored answer."""
         running = self._flights.get(flight.key)
@@ -250,12 +259,16 @@
             if verdict.action is Action.REFUSE:
                 return Err(verdict.failure)
             if verdict.action is Action.DISPATCH:
+                self._record(flight, "claim.taken", version=row.version)
                 held = Held(row.key, row.version, flight.claim)
                 return await self._dispatch(flight, held)
             if verdict.action is Action.ANSWER:
+                first = claim_of(row).attempt
+                self._record(flight, "claim.answered", first=first)
                 return await self._stored_answer(claim_of(row))
             if verdict.action is Action.ASK:
                 flight.met_other = True
+                self._record(flight, "claim.met", owner=claim_of(row).owner)
                 asked = await self._ask_owner(flight, row)
                 if asked.is_err() or isinstance(asked.ok_value, Answered):
                     return asked
@@ -336,6 +349,8 @@
     async def _store_now(self, held: Held, answer: PlainAnswer, stored) -> None:
         try:
             await self._store_end(held, answer)
+        except Exception as exc:
+            log.event("bookings.task_failed", error=repr(exc))
         finally:
             stored.set()
 
@@ -349,6 +364,9 @@
         """Store an answer, or void a claim; what fails is tried again later."""
         if answer is None and not self.rules.may_void(held.claim):
             return True
+        if self._expires_soon(held.claim):
+            self.unstored.remove(held)
+            return True
         self.unstored.put(held, answer)
         ended = await self._ended_claim(held.claim, answer)
         if ended.is_err():
@@ -356,11 +374,18 @@
         written = await self._write(held.key, held.version, ended.ok_value.value())
         if written.is_err():
             return False
-        # A conflict means that an earlier write of this end took effect, or
-        # that the claim has expired.
+        # A conflict means that an earlier write of this end took effect.
         self.unstored.remove(held)
         return True
 
+    def _expires_soon(self, claim: Claim) -> bool:
+        """Return whether the row may soon belong to another claim.
+
+        The versions of a deleted row start anew, so that a check of the version
+        does not tell its claim from a later one under the same key.
+        """
+        return self.kernel.clock.wall() + EXPIRY_MARGIN_S >= claim.expires_ms / 1000
+
     async def _ended_claim(
         self, claim: Claim, answer: PlainAnswer | None
     ) -> Result[Claim, Failure]:
@@ -381,7 +406,10 @@
             value = msgspec.json.decode(found.ok_value)
             return Ok(Answered(decode_answer(value), 0))
         message = "the call ran, but its stored answer cannot be read"
-        return Err(Failure(found.err_value.kind, message, Outcome.RAN))
+        kind = found.err_value.kind
+        if kind is not ErrorKind.STORE_UNAVAILABLE:
+            kind = ErrorKind.ANSWER_UNAVAILABLE
+        return Err(Failure(kind, message, Outcome.RAN))
 
     async def _ask_owner(
         self, flight: _Flight, row: Row
@@ -502,7 +530,10 @@
     async def _every(self, seconds: float, work) -> None:
         while True:
             await self.kernel.clock.sleep_until(self.kernel.clock.now() + seconds)
-            await work()
+            try:
+                await work()
+            except Exception as exc:
+                log.event("bookings.task_failed", error=repr(exc))
 
 
 def _deletion(row: Row) -> Mutation:
