Add the measurement of what control costs an instance

Cause: the targets of control for CPU, memory and traffic at 340 instances must come from measured slopes. Change: adds tools.slopes and the Makefile target slopes, which run instances and stand-ins at several fleet sizes, at rest and while configurations change and instances restart, and fit lines. Adds the gauge plantainstack_members. Addresses of peers that left the list and the membership are forgotten, and beats count seconds, so that they never go back when the interval changes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.requirements
 
-.PHONY: all demo test format lint check
+.PHONY: all demo test format lint check slopes
 
 all: test
 
@@ -28,3 +28,6 @@
 
 demo: $(STAMP)
 	$(VENV)/bin/python -m tools.demo
+
+slopes: $(STAMP)
+	$(VENV)/bin/python -m tools.slopes
--- a/plantainstack/links/peer.py
+++ b/plantainstack/links/peer.py
@@ -127,7 +127,8 @@
         self._handlers: dict[str, Handler] = {}
         self._heartbeat: Heartbeat = lambda peer_id: {}
         self._links: dict[str, list[Link]] = {}
-        self._addresses: dict[str, Address] = {}
+        self._listed: dict[str, Address] = {}
+        self._members: dict[str, Address] = {}
         self._targets: dict[str, Address] = {}
         self._opening: dict[str, anyio.Event] = {}
         self._reopen_at: dict[str, tuple[float, float]] = {}
@@ -149,7 +150,6 @@
     def set_targets(self, targets: Mapping[str, Address]) -> None:
         """Keep links to these peers open; others are closed when idle."""
         self._targets = dict(targets)
-        self._addresses.update(targets)
         for peer_id in set(self._reopen_at) - set(targets):
             del self._reopen_at[peer_id]
 
@@ -208,15 +208,13 @@
 
     def on_endpoints(self, records) -> None:
         """Learn the peer addresses of listed entry instances."""
-        self._addresses.update(
-            {record.id: record.address for record in records if _is_entry(record)}
-        )
+        self._listed = {
+            record.id: record.address for record in records if _is_entry(record)
+        }
 
     def on_membership(self, view) -> None:
         """Learn the peer addresses of members."""
-        self._addresses.update(
-            {member.id: member.address for member in view.members.values()}
-        )
+        self._members = {member.id: member.address for member in view.members.values()}
 
     # Opening
 
@@ -226,14 +224,18 @@
             return links[-1]
         if peer_id in self._opening:
             await self._opening[peer_id].wait()
-        elif self._tasks is not None and peer_id in self._addresses:
+        elif self._tasks is not None and self._address_of(peer_id):
             self._make_room()
             opened = self._opening[peer_id] = anyio.Event()
-            self._tasks.start_soon(self._open, peer_id, self._addresses[peer_id])
+            self._tasks.start_soon(self._open, peer_id, self._address_of(peer_id))
             await opened.wait()
         links = self._links.get(peer_id)
         return links[-1] if links else None
 
+    def _address_of(self, peer_id: str) -> Address | None:
+        sources = (self._targets, self._members, self._listed)
+        return next((each[peer_id] for each in sources if peer_id in each), None)
+
     async def _open(self, peer_id: str, address: Address) -> None:
         link = None
         try:
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -27,6 +27,11 @@
     "Version of the fleet configuration in force.",
     registry=REGISTRY,
 )
+MEMBERS = Gauge(
+    "plantainstack_members",
+    "Entry instances that this one takes for members, with itself.",
+    registry=REGISTRY,
+)
 PEER_BYTES = Counter(
     "plantainstack_peer_bytes",
     "Bytes of control messages sent to and received from peers.",
--- a/plantainstack/policy/membership.py
+++ b/plantainstack/policy/membership.py
@@ -104,7 +104,10 @@
 
 
 class News(NamedTuple):
-    """Hold what changes in the life of an incarnation."""
+    """Hold what changes in the life of an incarnation.
+
+    The beat counts seconds since its start, and never goes back.
+    """
 
     key: int
     beat: int
@@ -179,7 +182,6 @@
         self.links = links
         self._started = now
         self._last_tick = now
-        self._beat_floor = 0
         self._epoch_raised_at = float("-inf")
         self._random = random.Random(f"{own.id} {own.epoch}")
         self._own = Record(own, News(own.key(), 0, WireState.ALIVE, 0, 0))
@@ -205,7 +207,7 @@
 
     def update_own(self, config_version: int, load: int, now: float) -> None:
         """Take over this instance's configuration version and load."""
-        beat = max(self._beat_floor, int((now - self._started) / self.interval))
+        beat = max(self._own.news.beat, int(now - self._started))
         self._own.news = self._own.news._replace(
             beat=beat, config_version=config_version, load=load
         )
@@ -220,6 +222,8 @@
         """Take over the platform's list of live entry instances."""
         own_id = self._own.identity.id
         self._candidates = {item.id: item for item in candidates if item.id != own_id}
+        listed = self._candidates.keys()
+        self._unheard = {i: at for i, at in self._unheard.items() if i in listed}
         self._ring_cache = None
 
     def set_links(self, linked: set[str]) -> None:
@@ -390,8 +394,7 @@
 
     def _refute(self, news: News) -> None:
         if news.state is WireState.SUSPECT and news.beat >= self._own.news.beat:
-            self._beat_floor = news.beat + 1
-            self._own.news = self._own.news._replace(beat=self._beat_floor)
+            self._own.news = self._own.news._replace(beat=news.beat + 1)
         if news.state is WireState.SUSPECT:
             self._announce(self._own)
 
--- a/plantainstack/services/membership.py
+++ b/plantainstack/services/membership.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from plantainstack import metrics
 from plantainstack.links.peer import Peers
 from plantainstack.platform.base import InstanceKind, InstanceState
 from plantainstack.plugins import Plugin
@@ -105,7 +106,9 @@
     def _emit_changes(self) -> None:
         if self._policy.changes != self._emitted:
             self._emitted = self._policy.changes
-            self.kernel.emit("membership", self._policy.view())
+            view = self._policy.view()
+            metrics.MEMBERS.set(len(view.members))
+            self.kernel.emit("membership", view)
 
     def _new_policy(self) -> Membership:
         own, clock = self.kernel.settings.instance, self.kernel.clock
--- a/tests/links/test_peer.py
+++ b/tests/links/test_peer.py
@@ -1,6 +1,5 @@
 """Tests of peer links, over loopback with real websockets."""
 
-import itertools
 from contextlib import asynccontextmanager
 
 import anyio
@@ -13,6 +12,11 @@
 from plantainstack.kernel import Kernel
 from plantainstack.links.handshake import Handshake, decode, encode
 from plantainstack.links.peer import ON_DEMAND_LINKS_MAX, Peers
+from plantainstack.platform.base import (
+    InstanceKind,
+    InstanceRecord,
+    InstanceState,
+)
 from plantainstack.settings.fleet import FleetConfig, FleetContent
 from plantainstack.settings.instance import InstanceOptions
 from plantainstack.settings.options import Address
@@ -20,7 +24,6 @@
 pytestmark = pytest.mark.anyio
 
 LIMIT_S = 20
-_numbers = itertools.count(1)
 
 
 class Settings:
@@ -51,9 +54,8 @@
     async with anyio.create_task_group() as tasks:
         for node in nodes:
             await node.peers.start(tasks)
-        for node, other in itertools.permutations(nodes, 2):
-            name = other.kernel.settings.instance.id
-            node.peers._addresses[name] = other.peers.address()
+        for node in nodes:
+            node.peers.on_endpoints([record_of(other) for other in nodes])
         with anyio.fail_after(LIMIT_S):
             yield
         for node in nodes:
@@ -61,6 +63,17 @@
         tasks.cancel_scope.cancel()
 
 
+def record_of(node):
+    return InstanceRecord(
+        node.kernel.settings.instance.id,
+        "entry",
+        InstanceKind.ENTRY,
+        "tunis-a",
+        node.peers.address(),
+        InstanceState.LIVE,
+    )
+
+
 async def until(condition):
     while not condition():
         await anyio.sleep(0.005)
--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,222 @@
+"""Measure what control costs an instance, at several fleet sizes.
+
+Starts entry instances and stand-ins on loopback, at rest and while configurations
+change and instances restart, fits lines, and writes JSON and a plot. Ends by
+itself. The bounds are those of the design, and a miss is reported as such.
+"""
+
+import itertools
+import json
+import os
+import shutil
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+import click
+import psutil
+
+from tools.slopes_fit import (
+    SPEED_UP,
+    Fit,
+    Measurement,
+    Point,
+    Window,
+    describe,
+    fit_line,
+    plot,
+)
+from tools.slopes_fleet import Fleet, MeasureError, Usage
+
+SIZES = "4,8,16,32,64"
+TOTAL_LIMIT_S = 20 * 60.0
+SETTLE_S = 8.0
+DAY_S = 86_400.0
+CHANGES_PER_DAY = 4_000
+RESTARTS_PER_DAY = 416
+EXCEPTIONS = 20
+OUTPUT = Path("docs/measurements")
+
+TARGETS = {
+    "cpu": 0.022,
+    "memory": 32e6,
+    "bytes": 3_000.0,
+}
+
+
+@click.command()
+@click.option("--sizes", default=SIZES, show_default=True, help="Fleet sizes.")
+@click.option("--rest", "rest_s", default=25.0, show_default=True, help="Seconds.")
+@click.option("--busy", "busy_s", default=45.0, show_default=True, help="Seconds.")
+@click.option("--output", type=click.Path(path_type=Path), default=OUTPUT)
+def main(sizes: str, rest_s: float, busy_s: float, output: Path) -> None:
+    """Measure control at several fleet sizes and write the results."""
+    numbers = [int(text) for text in sizes.split(",")]
+    try:
+        found = anyio.run(_measure_all, numbers, rest_s, busy_s)
+    except* (MeasureError, TimeoutError) as group:
+        raise click.ClickException(_leaf(group)) from group
+    fits = _fits(found)
+    for name, fit in fits.items():
+        click.echo(describe(name, fit))
+    output.mkdir(parents=True, exist_ok=True)
+    _write(found, fits, output / "slopes.json")
+    plot(fits, output / "slopes.png")
+
+
+def _leaf(exc: BaseException) -> str:
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return str(exc) or "out of time"
+
+
+async def _measure_all(sizes: list[int], rest_s: float, busy_s: float):
+    with anyio.fail_after(TOTAL_LIMIT_S):
+        return [await _measure(size, rest_s, busy_s) for size in sizes]
+
+
+async def _measure(size: int, rest_s: float, busy_s: float) -> Measurement:
+    directory = Path(tempfile.mkdtemp(prefix="plantainstack-slopes-"))
+    started = time.monotonic()
+    fleet = Fleet(directory, size)
+    try:
+        async with anyio.create_task_group() as tasks:
+            await fleet.start(tasks)
+            await _change(fleet, 0)
+            await anyio.sleep(SETTLE_S)
+            rest = await _window(fleet, rest_s)
+            busy = await _busy_window(fleet, busy_s)
+            tasks.cancel_scope.cancel()
+    finally:
+        fleet.processes.stop_all()
+        shutil.rmtree(directory, ignore_errors=True)
+    click.echo(f"{size} instances measured in {time.monotonic() - started:.0f} s")
+    return Measurement(size, rest, busy)
+
+
+async def _busy_window(fleet: Fleet, seconds: float) -> Window:
+    counts: dict[str, int] = {"changes": 0, "restarts": 0}
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_keep_changing, fleet, counts)
+        tasks.start_soon(_keep_restarting, fleet, counts)
+        window = await _window(fleet, seconds)
+        tasks.cancel_scope.cancel()
+    return window._replace(**counts)
+
+
+async def _keep_changing(fleet: Fleet, counts: dict[str, int]) -> None:
+    for number in itertools.count(1):
+        await anyio.sleep(DAY_S / CHANGES_PER_DAY / SPEED_UP)
+        counts["changes"] += await _change(fleet, number)
+
+
+async def _keep_restarting(fleet: Fleet, counts: dict[str, int]) -> None:
+    for name in itertools.cycle(reversed(fleet.names[1:])):
+        await anyio.sleep(DAY_S / RESTARTS_PER_DAY / SPEED_UP / 2)
+        fleet.restart(name)
+        counts["restarts"] += 1
+        await anyio.sleep(DAY_S / RESTARTS_PER_DAY / SPEED_UP / 2)
+
+
+async def _change(fleet: Fleet, number: int) -> bool:
+    exceptions = [
+        {
+            "name": f"slow-endpoint-{each}",
+            "option": "progress_timeout",
+            "value": "12 s",
+            "scope": {"service": "fit-models", "endpoint": f"fit-{each}"},
+            "reason": "Long drafts of saddle and reach suggestions need more time.",
+        }
+        for each in range(EXCEPTIONS)
+    ]
+    content = {
+        "defaults": {"request_timeout": f"{30 + number % 30} s"},
+        "exceptions": exceptions,
+    }
+    change_id = f"change-{number}"
+    reply = await fleet.operators.change(fleet.names[0], change_id, content)
+    return reply.ok
+
+
+async def _window(fleet: Fleet, seconds: float) -> Window:
+    tables = {name: relay.bytes for name, relay in fleet.relays.items()}
+    before = await _usages(fleet)
+    started = time.monotonic()
+    await anyio.sleep(seconds)
+    after = await _usages(fleet)
+    elapsed = time.monotonic() - started
+    # A process that was restarted meanwhile has no start value.
+    kept = [name for name in after if before[name].pid == after[name].pid]
+    names = [name for name in kept if name in fleet.names]
+    references = [name for name in kept if name in fleet.references]
+    rates = {
+        name: (relay.bytes - tables[name]) / elapsed
+        for name, relay in fleet.relays.items()
+    }
+
+    def rate(names: list[str], field: str) -> list[float]:
+        return [
+            (getattr(after[name], field) - getattr(before[name], field)) / elapsed
+            for name in names
+        ]
+
+    return Window(
+        cpu=rate(names, "cpu_s"),
+        cpu_reference=rate(references, "cpu_s"),
+        resident=[after[name].resident_bytes for name in names],
+        resident_reference=[after[name].resident_bytes for name in references],
+        peer_bytes=rate(names, "peer_bytes"),
+        table_bytes=rates[fleet.names[0]] - rates[fleet.references[0]],
+    )
+
+
+async def _usages(fleet: Fleet) -> dict[str, Usage]:
+    usages = {}
+    for name in fleet.names + fleet.references:
+        try:
+            usages[name] = await fleet.usage(name)
+        except MeasureError:
+            # An instance that is starting again cannot answer yet.
+            usages[name] = Usage(-len(usages), 0.0, 0, 0.0, 0)
+    return usages
+
+
+def _fits(found: list[Measurement]) -> dict[str, Fit]:
+    fits = {}
+    for name, target in TARGETS.items():
+        for state in ("rest", "field"):
+            points = []
+            for each in found:
+                costs = each.rest.cost() if state == "rest" else each.scaled()
+                points.append(Point(each.instances, *costs[name]))
+            fits[f"{name} ({state})"] = fit_line(points, target)
+    return fits
+
+
+def _write(found: list[Measurement], fits: dict[str, Fit], path: Path) -> None:
+    content = {
+        "measured_at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
+        "cores": os.cpu_count(),
+        "memory_bytes": psutil.virtual_memory().total,
+        "load_average": os.getloadavg(),
+        "speed_up": SPEED_UP,
+        "units": {"cpu": "cores", "memory": "bytes", "bytes": "bytes a second"},
+        "fits": {
+            name: {**fit._asdict(), "points": [p._asdict() for p in fit.points]}
+            for name, fit in fits.items()
+        },
+        "windows": [
+            {
+                "instances": each.instances,
+                "rest": each.rest._asdict(),
+                "busy": each.busy._asdict(),
+            }
+            for each in found
+        ],
+    }
+    path.write_text(json.dumps(content, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/slopes_fleet.py
@@ -0,0 +1,239 @@
+"""The processes whose control costs are measured."""
+
+import secrets
+from collections.abc import Iterable
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+import psutil
+from anyio.abc import SocketAttribute, TaskGroup
+from prometheus_client.parser import text_string_to_metric_families
+
+from plantainstack.settings.options import Address
+from tools.demo_api import Operators, call
+from tools.processes import Processes, free_addresses
+
+STANDINS = ("table", "objects", "instances", "weights", "scorer")
+DATA_CENTRES = ("tunis-a", "tunis-b", "tunis-c", "tunis-d")
+REFERENCES = 2
+STARTS_AT_ONCE = 8
+START_LIMIT_S = 90.0
+POLL_INTERVAL_S = 0.5
+METRICS_LIMIT_S = 5.0
+
+_INSTANCE_FILE = """\
+[instance]
+id = {name}
+data_centre = {data_centre}
+listen = {listen}
+operator_listen = {operator}
+peer_listen = {peer}
+control = {control}
+
+[platform]
+{platform}
+
+[credentials]
+tokens = {directory}/tokens.ini
+peer_key = {directory}/peer.key
+
+[log]
+file = {directory}/{name}.log
+"""
+
+
+class MeasureError(Exception):
+    """Report that a fleet did not come up."""
+
+
+class Usage(NamedTuple):
+    """Hold what a process used so far: CPU seconds, resident and control bytes."""
+
+    pid: int
+    cpu_s: float
+    resident_bytes: int
+    peer_bytes: float
+    members: int
+
+
+class _MeasuredProcesses(Processes):
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._started[name].pid
+
+
+class CountingRelay:
+    """Forward TCP connections to an address, and count the bytes of both ways."""
+
+    def __init__(self, upstream: Address):
+        self.bytes = 0
+        self._upstream = upstream
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen on loopback until the tasks are cancelled."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.address = Address("127.0.0.1", listener.extra(SocketAttribute.local_port))
+        tasks.start_soon(listener.serve, self._serve)
+
+    async def _serve(self, client) -> None:
+        try:
+            async with client, await anyio.connect_tcp(*self._upstream) as server:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._pump, client, server)
+                    tasks.start_soon(self._pump, server, client)
+        except OSError:
+            return
+
+    async def _pump(self, source, sink) -> None:
+        try:
+            async for data in source:
+                self.bytes += len(data)
+                await sink.send(data)
+            await sink.send_eof()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            return
+
+
+class Fleet:
+    """Run stand-ins, instances with control, and references without it.
+
+    The first instance and the first reference reach the table through relays.
+    """
+
+    def __init__(self, directory: Path, size: int):
+        self.processes = _MeasuredProcesses(directory)
+        self.names = [f"entry-{number}" for number in range(size)]
+        self.references = [f"reference-{number}" for number in range(REFERENCES)]
+        self._directory = directory
+        self._operator_token = secrets.token_hex(16)
+        everyone = self.names + self.references
+        kinds = ("listen", "operator", "peer")
+        addresses = free_addresses(len(STANDINS) + len(everyone) * len(kinds))
+        self._standins = {name: addresses.pop() for name in STANDINS}
+        self._own = {
+            name: {kind: addresses.pop() for kind in kinds} for name in everyone
+        }
+        self.operators = Operators(
+            {name: own["operator"] for name, own in self._own.items()},
+            self._operator_token,
+        )
+        self.relays = {
+            name: CountingRelay(self._standins["table"])
+            for name in (self.names[0], self.references[0])
+        }
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Start everything; raises MeasureError if a process does not come up."""
+        self._write_credentials()
+        for relay in self.relays.values():
+            await relay.start(tasks)
+        await self._start()
+
+    def restart(self, name: str) -> None:
+        """Kill an instance, and start it again at the same address."""
+        self.processes.kill(name)
+        self._start_instance(name)
+
+    async def usage(self, name: str) -> Usage:
+        """Return what a process used since its start."""
+        pid = self.processes.pid(name)
+        process = psutil.Process(pid)
+        times = process.cpu_times()
+        resident = process.memory_info().rss
+        address = self._own[name]["listen"]
+        reply = await call(address, "GET", "/metrics", limit_s=METRICS_LIMIT_S)
+        if not reply.ok:
+            raise MeasureError(f"{name} does not show its metrics")
+        return Usage(
+            pid,
+            times.user + times.system,
+            resident,
+            _metric(reply, "plantainstack_peer_bytes_total"),
+            int(_metric(reply, "plantainstack_members")),
+        )
+
+    async def _start(self) -> None:
+        for name in STANDINS:
+            listen = str(self._standins[name])
+            self.processes.start(name, "standins", name, "--listen", listen)
+        await self._wait("the stand-ins", self._standins.values(), "/_state")
+        for name in self.names:
+            await self._register(name)
+        everyone = self.names + self.references
+        for first in range(0, len(everyone), STARTS_AT_ONCE):
+            batch = everyone[first : first + STARTS_AT_ONCE]
+            for name in batch:
+                self._start_instance(name)
+            addresses = [self._own[name]["listen"] for name in batch]
+            await self._wait("the instances", addresses, "/readyz")
+        await self._wait_for_members()
+
+    async def _wait(self, what: str, addresses: Iterable[Address], path: str) -> None:
+        with anyio.move_on_after(START_LIMIT_S):
+            for address in addresses:
+                while not (await call(address, "GET", path)).ok:
+                    self._check_running()
+                    await anyio.sleep(POLL_INTERVAL_S)
+            return
+        raise MeasureError(f"{what} did not come up")
+
+    def _check_running(self) -> None:
+        for name in self.processes.ended():
+            output = self.processes.output(name)
+            raise MeasureError(f"{name} ended by itself\n{output}")
+
+    async def _wait_for_members(self) -> None:
+        with anyio.move_on_after(START_LIMIT_S):
+            for name in self.names:
+                while (await self.usage(name)).members < len(self.names):
+                    await anyio.sleep(POLL_INTERVAL_S)
+            return
+        raise MeasureError("the instances did not learn of each other")
+
+    def _start_instance(self, name: str) -> None:
+        table = self._standins["table"]
+        if name in self.relays:
+            table = self.relays[name].address
+        platform = {**self._standins, "table": table}
+        number = len(self._own) - list(self._own).index(name)
+        text = _INSTANCE_FILE.format(
+            name=name,
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+            control="yes" if name in self.names else "no",
+            platform="\n".join(f"{key} = {value}" for key, value in platform.items()),
+            directory=self._directory,
+            **self._own[name],
+        )
+        path = self._directory / f"{name}.ini"
+        path.write_text(text)
+        self.processes.start(name, "tools.slopes_instance", str(path))
+
+    async def _register(self, name: str) -> None:
+        peer = self._own[name]["peer"]
+        content = {
+            "service": "plantainstack",
+            "kind": "entry",
+            "data_centre": DATA_CENTRES[0],
+            "host": peer.host,
+            "port": peer.port,
+        }
+        path = f"/instances/{name}"
+        await call(self._standins["instances"], "PUT", path, content)
+
+    def _write_credentials(self) -> None:
+        (self._directory / "peer.key").write_text(secrets.token_hex(32))
+        (self._directory / "tokens.ini").write_text(
+            f"[callers]\nmeasure = {secrets.token_hex(16)}\n"
+            f"[trainers]\nmeasure = {secrets.token_hex(16)}\n"
+            f"[operators]\noperator = {self._operator_token}\n"
+        )
+
+
+def _metric(reply, name: str) -> float:
+    return sum(
+        sample.value
+        for family in text_string_to_metric_families(reply.content)
+        for sample in family.samples
+        if sample.name == name
+    )
