--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.requirements
 
-.PHONY: all bench demo test format lint check proofs reference known-red
+.PHONY: all bench demo test format lint check proofs reference known-red slopes
 
 all: test
 
@@ -40,3 +40,6 @@
 
 bench: $(STAMP)
 	$(VENV)/bin/python -m bench --plot build/bench.png
+
+slopes: $(STAMP)
+	$(VENV)/bin/python -m tools.slopes
