--- a/plantainstack/policy/samples.py
+++ b/plantainstack/policy/samples.py
@@ -1,5 +1,6 @@
 """Decide which samples of a step to generate, commit, seal, deliver or regenerate."""
 
+import heapq
 import itertools
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Sequence
@@ -304,7 +305,8 @@
         self.keys = record.keys()
         self._committed: dict[SampleKey, Committed] = {}
         self._drafts: dict[SampleKey, Draft] = {}
-        self._running: dict[SampleKey, dict[str, float]] = {}
+        self._running: dict[SampleKey, set[str]] = {}
+        self._running_total = 0
         self._failures: dict[SampleKey, int] = {}
         self._retry_at: dict[SampleKey, float] = {}
         self._missing = set(self.keys)
@@ -335,26 +337,23 @@
         prompt's cached prefix.
         """
         free = running_max - self.running_count()
-        wanted = sorted(key for key in self._missing if not self._running.get(key))
-        ready = [key for key in wanted if now >= self._retry_at.get(key, now)]
-        return ready[: max(0, free)]
-
-    def next_retry(self) -> float | None:
-        """Return the earliest time at which a failed sample is due again."""
-        waiting = [
-            self._retry_at[key]
+        if free <= 0:
+            return []
+        ready = (
+            key
             for key in self._missing
-            if key in self._retry_at and not self._running.get(key)
-        ]
-        return min(waiting, default=None)
+            if key not in self._running and now >= self._retry_at.get(key, now)
+        )
+        return heapq.nsmallest(free, ready)
 
-    def started(self, key: SampleKey, request_id: str, now: float) -> None:
+    def started(self, key: SampleKey, request_id: str) -> None:
         """Count an attempt at a sample."""
-        self._running.setdefault(key, {})[request_id] = now
+        self._running.setdefault(key, set()).add(request_id)
+        self._running_total += 1
 
     def failed(self, key: SampleKey, request_id: str, now: float) -> None:
         """Note that an attempt ended without a usable sample."""
-        self._running.get(key, {}).pop(request_id, None)
+        self._ended(key, request_id)
         failures = self._failures.get(key, 0) + 1
         self._failures[key] = failures
         doublings = min(failures - 1, RETRY_DOUBLINGS_MAX)
@@ -362,7 +361,7 @@
 
     def finished(self, draft: Draft, now: float) -> bool:
         """Take a draft; return whether it is of use."""
-        self._running.get(draft.key, {}).pop(draft.request_id, None)
+        self._ended(draft.key, draft.request_id)
         if draft.key not in self._missing:
             return False
         if not self._allowed(oldest(draft.spans)):
@@ -404,12 +403,21 @@
 
     def running_count(self) -> int:
         """Return the number of running attempts."""
-        return sum(len(attempts) for attempts in self._running.values())
+        return self._running_total
 
     def committed_count(self) -> int:
         """Return the number of committed samples within the bound."""
         return len(self.keys) - len(self._missing) - len(self._drafts)
 
+    def _ended(self, key: SampleKey, request_id: str) -> None:
+        attempts = self._running.get(key, set())
+        if request_id not in attempts:
+            return
+        attempts.discard(request_id)
+        self._running_total -= 1
+        if not attempts:
+            del self._running[key]
+
     def _allowed(self, version: int) -> bool:
         return self.bound.allows(version, self.newest)
 
--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -278,7 +278,7 @@
     def _start(self, tasks, key: SampleKey, parts: list[Part], hedges: int = 0) -> None:
         request_id = new_id()
         now = self.ports.clock.now()
-        self.progress.started(key, request_id, now)
+        self.progress.started(key, request_id)
         self._stragglers.started(request_id, now)
         attempt = _Attempt(key, request_id, parts, hedges, anyio.CancelScope())
         self._attempts[request_id] = attempt
