Link hedges to what they resume, and limit the wait for permits

Cause: a resumed sample has the request id of its hedge only, and a silent weight store could hold up an order without limit. Change: the trace of a hedged attempt names the hedge; asking for a permit has the time limit of other calls. The test of hedging also checks that labels of resumed texts stay correct over a swap.

--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -262,9 +262,9 @@
         for slow_id in self._stragglers.due(now):
             slow = self._attempts.get(slow_id)
             if slow is not None:
-                self._trace(slow_id, "hedged", tokens=_tokens(slow.parts))
                 parts = self._resumable(slow.parts)
-                self._start(tasks, slow.key, parts, slow.hedges + 1)
+                hedge_id = self._start(tasks, slow.key, parts, slow.hedges + 1)
+                self._trace(slow_id, "hedged", hedge=hedge_id, tokens=_tokens(parts))
 
     def _resumable(self, parts: list[Part]) -> list[Part]:
         """Return the parts from which another engine can go on."""
@@ -283,6 +283,7 @@
         attempt = _Attempt(key, request_id, parts, hedges, anyio.CancelScope())
         self._attempts[request_id] = attempt
         tasks.start_soon(self._run_attempt, attempt)
+        return request_id
 
     async def _run_attempt(self, attempt: "_Attempt") -> None:
         done = False
--- a/plantainstack/services/weights.py
+++ b/plantainstack/services/weights.py
@@ -216,10 +216,11 @@
             self.plan.deferred(id, self.ports.clock.now())
             return
         version = self.plan.target
-        permit = await self.ports.store.acquire(self.service, version)
+        permit = await self._limited(self.ports.store.acquire(self.service, version))
         # The lease is checked again after the wait for the permit.
         held = self.ports.leases.book.held(self.lease_key)
-        if permit.is_err() or held is None or not self._may_order(record):
+        granted = permit is not None and permit.is_ok()
+        if not granted or held is None or not self._may_order(record):
             self.plan.deferred(id, self.ports.clock.now())
             return
         self.plan.ordered(id, self.ports.clock.now())
@@ -257,7 +258,7 @@
         return self.gate.allows(checks, valid, now)
 
     async def _limited(self, call: Awaitable[T]) -> T | None:
-        """Wait for a call to an engine, at most for the time limit."""
+        """Wait for a call, at most for the time limit; None means that it passed."""
         clock = self.ports.clock
         answer = None
 
--- a/tests/services/test_stragglers.py
+++ b/tests/services/test_stragglers.py
@@ -15,6 +15,7 @@
 from plantainstack.policy.stragglers import BUDGET_SHARE, NoHedging, Stragglers
 from plantainstack.services.steps import Guards
 from tests.services.fleet import TRAINER, Fleet, running
+from tests.services.test_step_proofs import runs
 
 pytestmark = pytest.mark.anyio
 
@@ -30,6 +31,7 @@
         self.clock, self.slow = clock, slow
         self.starts = self.running = self.tokens = 0
         self.lengths = {}
+        self.swap_at = clock.now() + 5.0
 
     async def generate(self, ctx, req):
         place = xxhash.xxh64_intdigest(ctx.group.encode()) % ENGINES
@@ -45,7 +47,8 @@
                 count = min(PART_TOKENS, length - done)
                 done += count
                 self.tokens += count
-                yield Ok(Part("x" * count, count, 7))
+                version = 7 if self.clock.now() < self.swap_at else 8
+                yield Ok(Part(f"{version}" * count, count, version))
         finally:
             self.running -= 1
 
@@ -78,6 +81,9 @@
     assert 0 <= extra <= 256 * BUDGET_SHARE + 1
     assert engines.running == 0
     assert engines.tokens <= base.tokens * 1.1
+    # The texts consist of the versions that produced them, also where resumed.
+    assert all(s["spans"] == runs(int(v) for v in s["text"]) for s in samples)
+    assert any(len(s["spans"]) == 2 for s in samples)
     lengths = sorted(engines.lengths.values())
     assert sorted(len(sample["text"]) for sample in samples) == lengths
 
