Judge the paths to plain endpoints by the engines' reports

Cause: plain endpoints report no load, so bookings still went over a cut path; they cannot be repeated and end with an unknown outcome. Change: a plain endpoint counts as unreachable when no engine of its data centre has reported for 3.5 poll intervals, within the same bound on the share. A crashed engine that is alone in its data centre also keeps bookings away from that data centre until it reports again.

--- a/plantainstack/policy/load.py
+++ b/plantainstack/policy/load.py
@@ -42,9 +42,9 @@
         self._reported_at = now
         self.status = status
 
-    def report_age(self, now: float) -> float:
-        """Return the age of the last report in seconds, 0 without one."""
-        return 0.0 if self.status is None else now - self._reported_at
+    def report_age(self, now: float) -> float | None:
+        """Return the age of the last report in seconds, None without one."""
+        return None if self.status is None else now - self._reported_at
 
     def estimate(self, now: float) -> float:
         """Return the attempts that the endpoint is likely to hold."""
--- a/plantainstack/policy/routing.py
+++ b/plantainstack/policy/routing.py
@@ -186,10 +186,14 @@
 
     def __init__(self):
         self.round_trip = 0.0
+        self.heard_at = float("inf")
         self.loss = 0.0
 
-    def answered(self, round_trip: float) -> None:
-        """Count the round trip of a load report, in seconds."""
+    def answered(self, round_trip: float | None, now: float) -> None:
+        """Count a load report and its round trip in seconds."""
+        self.heard_at = now
+        if round_trip is None:
+            return
         if not self.round_trip:
             self.round_trip = round_trip
         self.round_trip += ROUND_TRIP_WEIGHT * (round_trip - self.round_trip)
@@ -264,8 +268,7 @@
             return
         endpoint.load.reported(status, now)
         endpoint.limit.reported(status, endpoint.load.own, now)
-        if round_trip is not None:
-            self._crossing(endpoint).answered(round_trip)
+        self._crossing(endpoint).answered(round_trip, now)
 
     def choose(self, req: RouteRequest, now: float) -> Result[InstanceRecord, Failure]:
         """Choose an endpoint; those outside the subset are the last resort."""
@@ -357,6 +360,8 @@
     def _usable(self, group: list[_Endpoint], now: float) -> list[_Endpoint]:
         """Return the usable endpoints, without those whose reports are missing.
 
+        A plain endpoint is judged by the engines' reports from its data centre.
+
         Each report is read anew, so a missing one shows that the path is cut
         earlier than a silent stream does. When too many are missing at once, the
         fault is more likely to be on this side.
@@ -366,10 +371,14 @@
             return found
         opts = self._options(found[0].record.service)
         age_max = REPORTS_MISSED_MAX * opts.load_poll_interval
-        heard = [item for item in found if item.load.report_age(now) <= age_max]
+        heard = [item for item in found if self._silence(item, now) <= age_max]
         missing = len(found) - len(heard)
         return heard if missing <= opts.ejected_share_max * len(group) else found
 
+    def _silence(self, item: _Endpoint, now: float) -> float:
+        age = item.load.report_age(now)
+        return now - self._crossing(item).heard_at if age is None else age
+
     def _choice(self, req: RouteRequest, now: float) -> _Choice:
         used = self._used[req.service]
         statuses = [item.load.status for item in used]
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -255,3 +255,23 @@
     router.update_load("e0", make_status(1), 60.0)
     used = {attempt(router, AttemptEnd.OK, 60.0) for _ in range(30)}
     assert used >= {"e1", "e2"}
+
+
+def test_plain_endpoint_in_a_silent_data_centre_gets_no_work():
+    """Guards against bookings that are sent over a path that was cut."""
+    app = InstanceKind.PLAIN
+    records = [
+        make_record("e-a"),
+        make_record("e-b", "b"),
+        make_record("app-a", service="app")._replace(kind=app),
+        make_record("app-b", "b", service="app")._replace(kind=app),
+    ]
+    router = make_router(records)
+    req = REQ._replace(service="app", exclude=frozenset({"app-a"}))
+    for name, now in (("e-a", 0.0), ("e-b", 0.0), ("e-a", 10.0)):
+        router.update_load(name, make_status(1), now)
+    reserve = REQ._replace(service="app")
+    assert {attempt(router, AttemptEnd.OK, 10.0, reserve) for _ in range(20)} == {
+        "app-a"
+    }
+    assert attempt(router, AttemptEnd.OK, 10.0, req) == "app-b"
