--- a/bench/trainer.py
+++ b/bench/trainer.py
@@ -3,6 +3,7 @@
 import random
 
 from bench.entry import Request
+from plantainstack.policy.freshness import waits_for_next
 
 GROUPS = 16
 GROUP_SIZE = 16
@@ -30,6 +31,8 @@
         self._left: dict[str, Request] = {}
         self._versions: list[int] = []
         self._sealed = False
+        self._training = False
+        self._held: list[Request] = []
         self._waiting_since: float | None = 0.0
         self._loop.at(0.0, self._open)
 
@@ -48,17 +51,26 @@
         self._versions = []
         rng = random.Random(f"{self._world.seed} {self.name} {self._step}")
         requests = []
-        for _group in range(self._groups):
+        share = self._world.fresh_share if self._training else 0.0
+        for group in range(self._groups):
             prefix = rng.getrandbits(48)
             for _ in range(GROUP_SIZE):
                 drawn = ANSWER_MEDIAN_TOKENS * rng.lognormvariate(0, ANSWER_SIGMA)
                 tokens = min(ANSWER_MAX_TOKENS, int(drawn) + 1)
-                requests.append(self._request((tokens, PROMPT_TOKENS, prefix)))
-        for request in requests:
+                request = self._request((tokens, PROMPT_TOKENS, prefix))
+                waits = waits_for_next(group, self._groups, share)
+                (self._held if waits else requests).append(request)
+        for request in (*requests, *self._held):
             self._left[request.id] = request
         for request in requests:
             self._entry.submit(request)
 
+    def _release(self) -> None:
+        """Start the samples that have waited for the new version."""
+        held, self._held = self._held, []
+        for request in held:
+            self._entry.submit(request)
+
     def _request(self, size: tuple[int, int, int]) -> Request:
         world = self._world
         return Request(
@@ -134,12 +146,15 @@
         ages = [self.version - version for version, _ in self._versions]
         report.staleness += ages
         report.delivered_over_bound += sum(1 for age in ages if age > self._bound())
+        self._training = True
         self._loop.after(TRAIN_S, self._trained)
         self._open()
 
     def _trained(self) -> None:
         self._waiting_since = self._loop.now
+        self._training = False
         self.publish()
+        self._loop.after(self._world.user.engine.swap_s, self._release)
         self._try_training()
 
     def _count_idle(self) -> None:
--- a/bench/users.py
+++ b/bench/users.py
@@ -53,7 +53,11 @@
     instances=9,
     one_way_s=0.003,
     settings="""\
-[defaults]
+[exception fresh drafts]
+service = fit-models
+option = fresh_share
+value = 0.65
+reason = Drafts older than the previous version mislead fitters; waiting costs less.
 """,
 )
 USERS = {user.name: user for user in (VANNPOST, VELOCADRE)}
--- a/bench/variants.py
+++ b/bench/variants.py
@@ -14,10 +14,11 @@
     hedging: bool = True
     cancelling: bool = True
     pacing: bool = True
+    freshness: bool = True
 
 
 FULL = Variant("full")
-NAIVE = Variant("naive", *[False] * 7)
+NAIVE = Variant("naive", *[False] * 8)
 VARIANTS = {
     variant.name: variant
     for variant in (
--- a/bench/world.py
+++ b/bench/world.py
@@ -12,6 +12,7 @@
 from bench.variants import Variant
 from plantainstack.platform.base import InstanceKind, InstanceRecord, InstanceState
 from plantainstack.policy.pacing import may_go
+from plantainstack.settings.fleet import Scope
 from plantainstack.settings.options import Address
 
 LIST_LAG_S = 3.0
@@ -33,8 +34,12 @@
     def __init__(self, user: User, scenario, seed: int, variant: Variant):
         self.user = user
         self.seed = seed
-        self._paced = variant.pacing
         self.cfg = user.config()
+        self._paced = variant.pacing
+        self.fresh_share = 0.0
+        if variant.freshness:
+            scope = Scope(service=user.service)
+            self.fresh_share = self.cfg.scoped(scope).fresh_share
         self.loop = Loop()
         self.report = Report()
         self.table_down = False
--- a/plantainstack/settings/fleet.py
+++ b/plantainstack/settings/fleet.py
@@ -69,6 +69,9 @@
     order_timeout = Duration("30 s", "Longest time an order can be under way.")
     # Steps
     version_bound = Integer("1", "Most versions a sample may lag behind.")
+    fresh_share = Number(
+        "0.0", "Share of a step's groups that wait for a new version.", maximum=1.0
+    )
     step_timeout = Duration("24 min", "Longest time until a step is complete.")
 
 
