Show the state of the routing policies at /metrics

Cause: operators could not see queueing, ejection and retries. Change: gauges for the admission queue, capacity, ejected share and retry share, set at each round of load reports. The policies' interfaces gain queue_length, ejected_share and used_share with defaults for the naive versions.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -27,6 +27,29 @@
     "Version of the fleet configuration in force.",
     registry=REGISTRY,
 )
+ADMISSION_QUEUE = Gauge(
+    "plantainstack_admission_queue",
+    "Requests that wait for capacity on this instance.",
+    registry=REGISTRY,
+)
+CAPACITY = Gauge(
+    "plantainstack_capacity",
+    "Attempts that this instance may have in flight, by service.",
+    ["service"],
+    registry=REGISTRY,
+)
+EJECTED_SHARE = Gauge(
+    "plantainstack_ejected_share",
+    "Share of a service's endpoints that this instance has ejected.",
+    ["service"],
+    registry=REGISTRY,
+)
+RETRY_SHARE = Gauge(
+    "plantainstack_retry_share",
+    "Retries for each request in the last 10 s, by service.",
+    ["service"],
+    registry=REGISTRY,
+)
 PEER_BYTES = Counter(
     "plantainstack_peer_bytes",
     "Bytes of control messages sent to and received from peers.",
--- a/plantainstack/policy/limits.py
+++ b/plantainstack/policy/limits.py
@@ -55,6 +55,10 @@
     def configure(self, cfg: FleetConfig) -> None:
         """Take over a new configuration."""
 
+    def queue_length(self) -> int:
+        """Return the number of queued requests."""
+        return 0
+
 
 class OpenAdmission(Admission):
     """Admit everything at once; the baseline of the benchmark."""
--- a/plantainstack/policy/retries.py
+++ b/plantainstack/policy/retries.py
@@ -42,6 +42,10 @@
     def configure(self, cfg: FleetConfig) -> None:
         """Take over a new configuration."""
 
+    def used_share(self, service: str, now: float) -> float:
+        """Return the retries for each request in the last 10 s."""
+        return 0.0
+
 
 class FixedRetries(RetryPolicy):
     """Retry at once up to a fixed number of attempts; the baseline."""
@@ -116,6 +120,11 @@
     def _since(self, begin: float) -> int:
         return len(self._requests) - bisect_right(self._requests, begin)
 
+    def used_share(self, now: float) -> float:
+        """Return the retries for each request in the window."""
+        self._forget(now)
+        return len(self._retries) / max(1, len(self._requests))
+
     def _current_phase(self, now: float) -> float:
         if now >= self._phase_until:
             self._phase = self._random.random()
@@ -169,6 +178,10 @@
         share = ROLLOUT_SHARE if priority is Priority.ROLLOUT else 1.0
         return at if budget.reserve(at, share * opts.retry_ratio, now) else None
 
+    def used_share(self, service: str, now: float) -> float:
+        """Return the retries for each request in the last 10 s."""
+        return self._budget(service).used_share(now)
+
     def _delay(self, budget: _Budget, attempts: int, now: float) -> float:
         spread = BACKOFF_BASE_S * 2 ** min(attempts - 1, 10)
         spread *= budget.failures_now(now)
--- a/plantainstack/policy/routing.py
+++ b/plantainstack/policy/routing.py
@@ -107,6 +107,10 @@
         """Return how many attempts this instance may have in flight."""
         return float("inf")
 
+    def ejected_share(self, service: str, now: float) -> float:
+        """Return the share of a service's endpoints that is ejected."""
+        return 0.0
+
 
 class RoundRobinRouter(Router):
     """Take live endpoints in turn; the baseline of the benchmark."""
--- a/plantainstack/services/endpoints.py
+++ b/plantainstack/services/endpoints.py
@@ -7,12 +7,12 @@
 import xxhash
 from anyio.abc import TaskGroup
 
-from plantainstack import log
+from plantainstack import log, metrics
 from plantainstack.kernel import Kernel
 from plantainstack.platform.base import EngineStatus, InstanceKind, InstanceRecord
 from plantainstack.plugins import Plugin
-from plantainstack.policy.limits import Admission, PriorityAdmission
-from plantainstack.policy.retries import BudgetedRetries, RetryPolicy
+from plantainstack.policy.limits import PriorityAdmission
+from plantainstack.policy.retries import BudgetedRetries
 from plantainstack.policy.routing import LoadAwareRouter, Router
 from plantainstack.settings.fleet import FleetConfig
 
@@ -32,8 +32,8 @@
         self.statuses: dict[str, EngineStatus] = {}
         seed = xxhash.xxh3_64_intdigest(kernel.settings.instance.id.encode())
         self.router: Router = LoadAwareRouter(kernel.settings, kernel.config, seed)
-        self.admission: Admission = PriorityAdmission(kernel.config, self.router)
-        self.retries: RetryPolicy = BudgetedRetries(kernel.config, seed)
+        self.admission = PriorityAdmission(kernel.config, self.router)
+        self.retries = BudgetedRetries(kernel.config, seed)
         self._random = random.Random(seed)
         self._limiter = anyio.Semaphore(LOAD_POLLS_MAX)
         self._polling: set[str] = set()
@@ -105,6 +105,20 @@
                     record.id, status, now, round_trip=now - started_at
                 )
 
+    def export_metrics(self) -> None:
+        """Show the state of the policies at /metrics."""
+        now = self.kernel.clock.now()
+        metrics.ADMISSION_QUEUE.set(self.admission.queue_length())
+        kinds = {record.service: record.kind for record in self.records}
+        for service, kind in kinds.items():
+            if kind is InstanceKind.ENTRY:
+                continue
+            share = self.router.ejected_share(service, now)
+            metrics.CAPACITY.labels(service).set(self.router.capacity(service, now))
+            metrics.EJECTED_SHARE.labels(service).set(share)
+            used = self.retries.used_share(service, now)
+            metrics.RETRY_SHARE.labels(service).set(used)
+
     async def _follow_list(self) -> None:
         while True:
             await self._wait(self.kernel.config.defaults().list_poll_interval)
@@ -114,6 +128,7 @@
         while True:
             for record in self.polled():
                 tasks.start_soon(self.poll_load, record)
+            self.export_metrics()
             await self._wait(self.kernel.config.defaults().load_poll_interval)
 
     async def _wait(self, interval: float) -> None:
--- a/tests/services/test_endpoints.py
+++ b/tests/services/test_endpoints.py
@@ -4,10 +4,12 @@
 
 import anyio
 import pytest
+from prometheus_client import generate_latest
 from result import Err, Ok
 
 from plantainstack.clock import FakeClock
 from plantainstack.errors import ErrorKind, Failure
+from plantainstack.metrics import REGISTRY
 from plantainstack.platform.base import (
     EngineStatus,
     InstanceKind,
@@ -120,6 +122,16 @@
     assert kernel.plugins["links"].peak <= 16
 
 
+async def test_state_of_the_policies_is_exported(kernel):
+    """Guards against operators who cannot see why requests wait."""
+    plugin = Endpoints(kernel)
+    await plugin.poll_list()
+    plugin.export_metrics()
+    text = generate_latest(REGISTRY).decode()
+    assert 'plantainstack_capacity{service="llm"} 16.0' in text
+    assert 'plantainstack_ejected_share{service="llm"} 0.0' in text
+
+
 REQ = RouteRequest("llm", Priority.CALLER, "member", deadline=1e9)
 
 
