--- a/tools/proofs.py
+++ b/tools/proofs.py
@@ -79,7 +79,9 @@
 def collect() -> Collector:
     """Collect all tests without running them."""
     collector = Collector()
-    pytest.main(["--collect-only", "-p", "no:terminal", "-o", "addopts="], plugins=[collector])
+    pytest.main(
+        ["--collect-only", "-p", "no:terminal", "-o", "addopts="], plugins=[collector]
+    )
     return collector
 
 
