Refuse work of a thawed process before it claims

Cause: a keyed call that met a process just thawed wrote a claim and voided it again; warnings of uvicorn went to standard error as text.

Change: the front checks for a pause before it reads a request. The warnings of uvicorn become JSON lines of the log.

Conclusion: no table write precedes the refusal.

--- a/plantainstack/front/callers.py
+++ b/plantainstack/front/callers.py
@@ -268,6 +268,9 @@
         return body.map(lambda data: (data, deadline.ok_value))
 
     def _unready(self) -> Failure | None:
+        if self._kernel.pause.check():
+            message = "the instance was paused and refreshes its state"
+            return Failure.of(ErrorKind.NOT_READY, message)
         reason = self._kernel.unready_reason()
         if reason is None:
             return None
--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -1,12 +1,14 @@
 """The uvicorn server, run as one task of the kernel."""
 
 import contextlib
+import logging
 import socket
 import sys
 
 import anyio
 import h11
 import uvicorn
+from eliot.stdlib import EliotHandler
 from starlette.responses import JSONResponse
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
@@ -61,6 +63,7 @@
             h11_max_incomplete_event_size=PARSER_LIMIT_BYTES,
         )
         super().__init__(config)
+        _log_as_json()
         self._socket = _listen(address)
         self.address = Address(*self._socket.getsockname()[:2])
         self._ended = anyio.Event()
@@ -83,6 +86,15 @@
         await self._ended.wait()
 
 
+def _log_as_json() -> None:
+    """Send the warnings of uvicorn to the log of the process."""
+    logger = logging.getLogger("uvicorn.error")
+    if not logger.handlers:
+        logger.addHandler(EliotHandler())
+        logger.setLevel(logging.WARNING)
+        logger.propagate = False
+
+
 def _listen(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     # asyncio disables Nagle's algorithm only on sockets that name TCP. Otherwise
