--- a/plantainstack/services/membership.py
+++ b/plantainstack/services/membership.py
@@ -68,6 +68,13 @@
         self._policy.leave()
         self._emit_changes()
 
+    async def drain(self, deadline: float) -> None:
+        """Give the peers time to learn that this instance is leaving."""
+        if self.kernel.settings.instance.control:
+            self._send_urgent()
+            clock = self.kernel.clock
+            await clock.sleep_until(min(deadline, clock.now() + TICK_S))
+
     async def _run(self) -> None:
         clock = self.kernel.clock
         while True:
--- a/tests/services/test_membership.py
+++ b/tests/services/test_membership.py
@@ -21,6 +21,20 @@
         assert all(states(node) == expected for node in fleet.nodes)
 
 
+async def test_a_stopping_instance_is_leaving_until_it_is_gone():
+    """Guards against a stopping instance that is taken for an owner of work."""
+    async with running_fleet(SIZE, seed=3) as fleet:
+        leaver, others = fleet.nodes[2], [n for n in fleet.nodes if n.id != "entry-2"]
+        leaver.kernel.request_stop()
+        await fleet.advance(2.0)
+        assert leaver not in fleet.nodes
+        seen = set()
+        for _ in range(40):
+            seen |= {states(node).get(leaver.id) for node in others}
+            await fleet.advance(0.5)
+        assert seen == {MemberState.LEAVING, None}
+
+
 async def test_a_killed_instance_is_suspected_then_removed():
     """Guards against an instance that is declared dead without a suspicion."""
     async with running_fleet(SIZE, seed=2) as fleet:
