Commit claims through the table's own group commit

Change: bookings commit through the table; the adapter now also refuses an answer with another number of outcomes, which the removed class did. The tests of the removed class are covered by those of the adapter, with that case added. Ruled out: httpx-sse for the streams of engines, since its decoder needs httpx's own responses.

--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -80,7 +80,10 @@
 
 
 class EventDecoder:
-    """Split a byte stream into the data of server-sent events."""
+    """Split a byte stream into the data of server-sent events.
+
+    The decoder of the package httpx-sse is tied to httpx's own responses.
+    """
 
     def __init__(self):
         self._rest = b""
--- a/plantainstack/platform/batching.py
+++ b/plantainstack/platform/batching.py
@@ -104,8 +104,11 @@
 
     async def _run_batch(self, batch: list[_Call]) -> None:
         outcome = Err(unknown("the request was abandoned"))
+        items = [item for call in batch for item in call.items]
         try:
-            outcome = await self._send([item for call in batch for item in call.items])
+            outcome = await self._send(items)
+            if outcome.is_ok() and len(outcome.ok_value) != len(items):
+                outcome = Err(unknown("the answer has another number of outcomes"))
         except Exception as exc:
             log.event("batching.failed", error=repr(exc))
         finally:
--- a/plantainstack/services/bookings.py
+++ b/plantainstack/services/bookings.py
@@ -35,7 +35,6 @@
     unknown,
 )
 from plantainstack.requests import DeadlineGuard, RequestContext, new_id
-from plantainstack.services.commits import GroupCommit
 from plantainstack.services.dispatch import Answered, AttemptLog
 from plantainstack.settings.fleet import Scope
 
@@ -162,7 +161,6 @@
         platform = self.kernel.plugin("platform")
         self._table = platform.table
         self._objects = platform.objects
-        self._commits = GroupCommit(platform.table)
         self.kernel.plugin("peers").register(CLAIM_QUERY, self._on_query)
         tasks.start_soon(self._every, STORE_RETRY_S, self.store_ends)
         tasks.start_soon(self._every, SWEEP_INTERVAL_S, self.sweep)
@@ -512,7 +510,8 @@
     async def _write(self, key: str, version: int, value: dict):
         check = Check(key, version)
         mutation = Mutation(new_id(), (check,), (Write(key, value),))
-        return await self._commits.commit(mutation)
+        committed = await self._table.commit([mutation])
+        return committed.map(lambda outcomes: outcomes[0])
 
     def _new_claim(self, ctx: RequestContext, req: PlainRequest) -> Claim:
         options = self.kernel.config.scoped(Scope(service=ctx.service))
--- a/tests/platform/test_batching.py
+++ b/tests/platform/test_batching.py
@@ -152,6 +152,7 @@
         (Err(not_applied("down")), ErrorKind.TABLE_UNAVAILABLE),
         (Err(unknown("lost")), ErrorKind.TABLE_OUTCOME_UNKNOWN),
         (ValueError("a fault of the adapter"), ErrorKind.TABLE_OUTCOME_UNKNOWN),
+        (Ok([]), ErrorKind.TABLE_OUTCOME_UNKNOWN),
     ],
 )
 async def test_failed_batch_fails_each_call_and_later_calls_work(failure, kind):
--- a/tests/proofs/test_guards.py
+++ b/tests/proofs/test_guards.py
@@ -239,7 +239,8 @@
 
 
 async def naive_write(bookings, key, version, value):
-    return await bookings._commits.commit(Mutation("m", (), (Write(key, value),)))
+    committed = await bookings._table.commit([Mutation("m", (), (Write(key, value),))])
+    return committed.map(lambda outcomes: outcomes[0])
 
 
 def claim_faults(*faults):
