--- a/tests/bench/test_goals.py
+++ b/tests/bench/test_goals.py
@@ -5,7 +5,7 @@
 from bench.goals import judge
 from bench.report import MEASURES
 
-GOOD = {name: 0.0 for name in MEASURES} | {
+GOOD = dict.fromkeys(MEASURES, 0.0) | {
     "attempts_per_request": 1.2,
     "callers_on_time": 0.999,
     "trainer_idle_s": 5.0,
