--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -40,6 +40,7 @@
         Scenario("quiet", callers=steady(1.0), bookings=steady(0.5), trainers=(0.25,)),
         Scenario("peak", callers=steady(12.0), bookings=steady(6.0)),
         Scenario("burst", callers=burst(4.0, 150.0, 200.0, 5.0)),
+        Scenario("overload", callers=burst(4.0, 150.0, 210.0, 11.0)),
         Scenario("update", faults=UPDATE),
         Scenario("slow-engine", faults=SLOW),
         Scenario("crash", faults=CRASH),
