--- a/plantainstack/policy/limits.py
+++ b/plantainstack/policy/limits.py
@@ -14,7 +14,7 @@
 from plantainstack.settings.fleet import FleetConfig, FleetOptions, Scope
 
 SERVICE_TIME_WEIGHT = 0.05
-SERVICE_TIME_MARGIN = 0.5
+SERVICE_TIME_MARGIN = 1.0
 PEAK_DECAY_S = 30.0
 
 
