--- a/tests/policy/policy_fleet.py
+++ b/tests/policy/policy_fleet.py
@@ -55,7 +55,7 @@
 class PolicyFleet:
     """Move time on in ticks and carry the messages of all instances."""
 
-    def __init__(self, ids, seed, conditions, links=4, policy=Membership):
+    def __init__(self, ids, seed, conditions, links=4, policy=Membership, age=0.0):
         self.random = random.Random(seed)
         self.conditions = conditions
         self.now = 1000.0
@@ -63,6 +63,7 @@
         self.listed = list(ids)
         self._links = links
         self._policy = policy
+        self._age = age
         self._order = itertools.count()
         self._under_way = []
         for node_id in ids:
@@ -73,7 +74,7 @@
         epoch = int(self.now) if epoch is None else epoch
         data_centre = node_id.rpartition("-")[0]
         node = PolicyNode(
-            node_id, data_centre, epoch, self._links, self.now, self._policy
+            node_id, data_centre, epoch, self._links, self.now - self._age, self._policy
         )
         self.nodes[node_id] = node
         node.policy.update_candidates(
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -201,13 +201,18 @@
 
 
 BYTES_PER_S_MAX = 3000
+DAY_S = 86_400
+CHANGES_PER_DAY = 4_000
 
 
 def test_traffic_of_an_instance_does_not_grow_with_the_fleet():
     """Guards against control traffic beyond its bound at the target size."""
     rates = {}
     for ids in (FLEET_IDS[:: len(FLEET_IDS) // 34], FLEET_IDS):
-        fleet = PolicyFleet(ids, 9, Conditions(loss=0.02))
+        # Numbers grow with the age of a fleet, and with them the messages.
+        fleet = PolicyFleet(ids, 9, Conditions(loss=0.02), age=5 * DAY_S)
+        for node in fleet.nodes.values():
+            node.config_version = 5 * CHANGES_PER_DAY
         fleet.run(25)
         fleet.take_bytes()
         fleet.run(4)
