--- a/plantainstack/policy/weights.py
+++ b/plantainstack/policy/weights.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from plantainstack.platform.base import EngineStatus
+from plantainstack.policy.pacing import may_go
 
 # The limit of 16 s starts when the version is published; 2 s of it are left for
 # noticing the version and for reading back the last engines.
@@ -35,10 +36,12 @@
     """Swap engines in waves that leave capacity for callers.
 
     All times are monotonic seconds. A wave is as small as the time limit and the
-    measured time of a swap permit, and never more than half of the engines.
+    measured time of a swap permit, and never more than the share `share_max` of
+    the engines.
     """
 
-    def __init__(self):
+    def __init__(self, share_max: float = SHARE_MAX):
+        self.share_max = share_max
         self.target = 0
         self._target_since = 0.0
         self._swap_seconds = SWAP_SECONDS_DEFAULT
@@ -90,10 +93,14 @@
 
     def due_orders(self, now: float) -> list[str]:
         """Return the engines to be ordered now, the least busy first."""
-        free = self.wave_size(now) - self._loading(now)
+        loading = self._loading()
+        free = max(0, self.wave_size(now) - len(loading))
         waiting = [id for id, swap in self._engines.items() if self._wants(swap, now)]
         waiting.sort(key=lambda id: (self._busy(id), id))
-        return waiting[: max(0, free)]
+        return self._may_go(waiting, loading)[:free]
+
+    def _may_go(self, waiting: list[str], loading: list[str]) -> list[str]:
+        return may_go(waiting, loading, len(self._engines), self.share_max)
 
     def wave_size(self, now: float) -> int:
         """Return how many engines may load at the same time."""
@@ -102,7 +109,7 @@
         behind = sum(1 for swap in self._engines.values() if not self._at_target(swap))
         rounds = max(1, math.floor(time_left / self._swap_seconds))
         wanted = max(math.ceil(behind / rounds), math.ceil(count * SHARE_MIN))
-        return max(1, min(wanted, math.floor(count * SHARE_MAX)))
+        return max(1, min(wanted, math.floor(count * self.share_max)))
 
     def behind(self) -> list[str]:
         """Return the engines that do not report the target version."""
@@ -146,12 +153,12 @@
     def _at_target(self, swap: _Swap) -> bool:
         return swap.status is not None and swap.status.version >= self.target
 
-    def _loading(self, now: float) -> int:
-        return sum(
-            1
-            for swap in self._engines.values()
+    def _loading(self) -> list[str]:
+        return [
+            id
+            for id, swap in self._engines.items()
             if swap.ordered_at is not None or self._is_loading(swap)
-        )
+        ]
 
     @staticmethod
     def _is_loading(swap: _Swap) -> bool:
@@ -169,6 +176,9 @@
         """Return the number of engines."""
         return len(self._engines)
 
+    def _may_go(self, waiting: list[str], loading: list[str]) -> list[str]:
+        return waiting
+
 
 class OrderGate:
     """Decide whether the holder of the order lease may order an engine.
--- a/plantainstack/services/dispatch.py
+++ b/plantainstack/services/dispatch.py
@@ -328,7 +328,7 @@
         ctx = run.ctx
         clock = self.kernel.clock
         at = self.retries.retry_at(
-            ctx.service, run.log.count, ctx.deadline, clock.now()
+            ctx.service, run.log.count, ctx.deadline, clock.now(), ctx.priority
         )
         if at is None or at >= ctx.deadline:
             return False
--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -29,6 +29,7 @@
     Write,
 )
 from plantainstack.plugins import Plugin
+from plantainstack.policy.freshness import FreshnessWait
 from plantainstack.policy.leases import rank, restarted
 from plantainstack.policy.samples import (
     SHARDS,
@@ -94,6 +95,7 @@
     clock: Clock
     trace: TraceRing
     options: Callable[[StepRecord], FleetOptions]
+    may_hedge: Callable[[StepRecord], bool] = lambda record: True
 
 
 class Guards(NamedTuple):
@@ -158,6 +160,7 @@
         self._scores: dict[str, float] = {}
         self._attempts: dict[str, _Attempt] = {}
         self._stragglers: Stragglers | None = None
+        self._fresh: FreshnessWait | None = None
         self._wake = anyio.Event()
         self._handing_over = False
         self._grace_until = 0.0
@@ -201,6 +204,13 @@
         )
         self.progress.load(rows)
         self._stragglers = self.guards.stragglers(len(self.progress.keys))
+        options = self.ports.options(record)
+        self._fresh = FreshnessWait(
+            record.groups,
+            options.fresh_share,
+            record.policy_version,
+            record.opened_at + options.fresh_wait,
+        )
         log.event(
             "step.owned",
             trainer=record.trainer,
@@ -254,18 +264,26 @@
     def _start_due(self, tasks) -> None:
         """Start samples that are missing; hedges start only when there are none."""
         now = self.ports.clock.now()
-        keys = self.progress.to_generate(now, RUNNING_MAX)
+        keys = [
+            key
+            for key in self.progress.to_generate(now, RUNNING_MAX)
+            if not self._waits(key)
+        ]
         for key in keys:
             self._start(tasks, key, [])
         if keys or self.progress.running_count() >= RUNNING_MAX:
             return
         for slow_id in self._stragglers.due(now):
             slow = self._attempts.get(slow_id)
-            if slow is not None:
+            if slow is not None and self.ports.may_hedge(self.progress.record):
                 parts = self._resumable(slow.parts)
                 hedge_id = self._start(tasks, slow.key, parts, slow.hedges + 1)
                 self._trace(slow_id, "hedged", hedge=hedge_id, tokens=_tokens(parts))
 
+    def _waits(self, key: SampleKey) -> bool:
+        wall = self.ports.clock.wall()
+        return self._fresh.holds(key.group, self.progress.newest, wall)
+
     def _resumable(self, parts: list[Part]) -> list[Part]:
         """Return the parts from which another engine can go on."""
         usable = all(
@@ -887,6 +905,7 @@
             clock=self.kernel.clock,
             trace=self.kernel.trace,
             options=self._options,
+            may_hedge=self._may_hedge,
         )
         self.desk = StepDesk(self._ports)
         tasks.start_soon(self._discover)
@@ -923,6 +942,16 @@
         scope = Scope(service=record.model, trainer=record.trainer)
         return self.kernel.config.scoped(scope)
 
+    def _may_hedge(self, record: StepRecord) -> bool:
+        """Draw a hedge from the retry budget that all attempts share."""
+        clock = self.kernel.clock
+        deadline = clock.deadline_from_wall(record.deadline)
+        retries = self.kernel.plugin("dispatch").retries
+        at = retries.retry_at(
+            record.model, 1, deadline, clock.now(), Priority.ROLLOUT, hedge=True
+        )
+        return at is not None
+
     async def _purge(self) -> None:
         clock = self.kernel.clock
         while True:
--- a/plantainstack/services/weights.py
+++ b/plantainstack/services/weights.py
@@ -25,7 +25,7 @@
 )
 from plantainstack.plugins import Plugin
 from plantainstack.policy.leases import rank
-from plantainstack.policy.weights import OrderGate, SwapPlan
+from plantainstack.policy.weights import SHARE_MAX, OrderGate, SwapPlan
 from plantainstack.services.leases import LeaseClient
 from plantainstack.settings.fleet import FleetConfig, FleetOptions, Scope
 
@@ -143,6 +143,7 @@
         if held is None and (not may_take or not await self._take()):
             return
         await self._refresh_target()
+        self.plan.share_max = self._share_max()
         for id in self.plan.due_polls(self.ports.clock.now()):
             self._start(tasks, self._poll, id)
         for id in self.plan.due_orders(self.ports.clock.now()):
@@ -192,6 +193,13 @@
         log.event("weights.lease_taken", service=self.service, fence=fence)
         return True
 
+    def _share_max(self) -> float:
+        shares = (
+            self.ports.options(record).away_share_max
+            for record in self._records.values()
+        )
+        return min(shares, default=SHARE_MAX)
+
     async def _refresh_target(self) -> None:
         now = self.ports.clock.now()
         if now < self._head_due:
--- a/plantainstack/settings/fleet.py
+++ b/plantainstack/settings/fleet.py
@@ -60,7 +60,7 @@
     load_poll_interval = Duration("1 s", "Time between reads of a load report.")
     leaving_bound = Duration("5 s", "Longest time a leaving endpoint gets work.")
     away_share_max = Number(
-        "0.4", "Largest share swapped or restarted at once.", maximum=1.0
+        "0.5", "Largest share swapped or restarted at once.", maximum=1.0
     )
     checks_fencing = Boolean("no", "Whether engines refuse old fencing numbers.")
     drain = Boolean("no", "Give no new work to an endpoint or entry instance.")
@@ -74,6 +74,7 @@
     fresh_share = Number(
         "0.0", "Share of a step's groups that wait for a new version.", maximum=1.0
     )
+    fresh_wait = Duration("1 min", "Longest time that groups wait for a version.")
     step_timeout = Duration("24 min", "Longest time until a step is complete.")
 
 
--- a/tests/services/test_stragglers.py
+++ b/tests/services/test_stragglers.py
@@ -14,6 +14,7 @@
 from plantainstack.platform.base import Part
 from plantainstack.policy.stragglers import BUDGET_SHARE, NoHedging, Stragglers
 from plantainstack.services.steps import Guards
+from plantainstack.settings.fleet import FleetConfig, FleetContent
 from tests.services.fleet import TRAINER, Fleet, running
 from tests.services.test_step_proofs import runs
 
@@ -108,3 +109,36 @@
 
 if __name__ == "__main__":
     compare()
+
+
+@pytest.mark.parametrize("published", [True, False])
+async def test_a_share_of_the_groups_waits_for_the_next_version(published):
+    """Guards against an option without effect, and against a wait without end."""
+    fleet = Fleet()
+    cfg = FleetConfig(1, FleetContent(defaults={"fresh_share": "0.5"}, exceptions=[]))
+    owner = fleet.instance("a")
+    ports = owner.ports._replace(options=lambda record: cfg.defaults())
+    owner.ports = ports
+    await fleet.publish(7)
+    await owner.desk.open(TRAINER, fleet.request(groups=4, samples=2))
+    async with running() as tasks:
+        await fleet.own(tasks, owner)
+        await fleet.clock.advance(10)
+        assert fleet.engines.starts == 4
+        if published:
+            await fleet.publish(8)
+        await fleet.clock.advance(20 if published else cfg.defaults().fresh_wait)
+        assert fleet.engines.starts == 8
+
+
+async def test_hedges_draw_on_the_shared_budget():
+    """Guards against hedges that exceed the retry budget of the fleet."""
+    fleet = Fleet()
+    fleet.engines = UnevenEngines(fleet.clock, 1)
+    owner = fleet.instance("a")
+    owner.ports = owner.ports._replace(may_hedge=lambda record: False)
+    await owner.desk.open(TRAINER, fleet.request(groups=16, samples=4))
+    async with running() as tasks:
+        await fleet.own(tasks, owner)
+        await fleet.clock.advance(200)
+    assert fleet.engines.starts == 64
--- a/tests/services/test_weights.py
+++ b/tests/services/test_weights.py
@@ -14,7 +14,13 @@
     InstanceState,
 )
 from plantainstack.policy.leases import LeaseBook, NaiveLeaseBook
-from plantainstack.policy.weights import AllAtOnce, NaiveOrderGate, OrderGate, SwapPlan
+from plantainstack.policy.weights import (
+    SHARE_MAX,
+    AllAtOnce,
+    NaiveOrderGate,
+    OrderGate,
+    SwapPlan,
+)
 from plantainstack.services.weights import (
     ROUND_INTERVAL_S,
     OrderHolder,
@@ -84,7 +90,9 @@
     def holder(self, name, plan=SwapPlan, gate=OrderGate):
         instance = self.fleet.instance(name)
         options = SimpleNamespace(
-            checks_fencing=self.checks, order_timeout=ORDER_TIMEOUT_S
+            checks_fencing=self.checks,
+            order_timeout=ORDER_TIMEOUT_S,
+            away_share_max=SHARE_MAX,
         )
         ports = OrderPorts(
             heads=instance.ports.heads,
