--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -36,6 +36,10 @@
 CHANGES_PER_DAY = 4_000
 RESTARTS_PER_DAY = 416
 EXCEPTIONS = 20
+# Smaller fleets have too few peers for all links, and so move fewer bytes.
+ALL_LINKS_FROM = 8
+# A line through fewer points has no standard error.
+FIT_POINTS = 2
 OUTPUT = Path("docs/measurements")
 
 TARGETS = {
@@ -50,21 +54,35 @@
 @click.option("--rest", "rest_s", default=25.0, show_default=True, help="Seconds.")
 @click.option("--busy", "busy_s", default=45.0, show_default=True, help="Seconds.")
 @click.option("--output", type=click.Path(path_type=Path), default=OUTPUT)
-def main(sizes: str, rest_s: float, busy_s: float, output: Path) -> None:
+@click.option(
+    "--windows",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="Fit the windows of an earlier run instead of measuring.",
+)
+def main(
+    sizes: str, rest_s: float, busy_s: float, output: Path, windows: Path | None
+) -> None:
     """Measure control at several fleet sizes and write the results."""
     numbers = [int(text) for text in sizes.split(",")]
-    try:
-        found = anyio.run(_measure_all, numbers, rest_s, busy_s)
-    except* (MeasureError, TimeoutError) as group:
-        raise click.ClickException(_leaf(group)) from group
+    if windows is not None:
+        head, found = _load(windows)
+    else:
+        head, found = _head(), _run(numbers, rest_s, busy_s)
     fits = _fits(found)
     for name, fit in fits.items():
         click.echo(describe(name, fit))
     output.mkdir(parents=True, exist_ok=True)
-    _write(found, fits, output / "slopes.json")
+    _write(head, found, fits, output / "slopes.json")
     plot(fits, output / "slopes.png")
 
 
+def _run(sizes: list[int], rest_s: float, busy_s: float) -> list[Measurement]:
+    try:
+        return anyio.run(_measure_all, sizes, rest_s, busy_s)
+    except* (MeasureError, TimeoutError) as group:
+        raise click.ClickException(_leaf(group)) from group
+
+
 def _leaf(exc: BaseException) -> str:
     while isinstance(exc, BaseExceptionGroup):
         exc = exc.exceptions[0]
@@ -183,24 +201,51 @@
 
 
 def _fits(found: list[Measurement]) -> dict[str, Fit]:
-    fits = {}
-    for name, target in TARGETS.items():
-        for state in ("rest", "field"):
-            points = []
-            for each in found:
-                costs = each.rest.cost() if state == "rest" else each.scaled()
-                points.append(Point(each.instances, *costs[name]))
-            fits[f"{name} ({state})"] = fit_line(points, target)
+    fits = {
+        f"{name} ({state})": fit_line(_points(found, name, state), target)
+        for name, target in TARGETS.items()
+        for state in ("rest", "field")
+    }
+    larger = [each for each in found if each.instances >= ALL_LINKS_FROM]
+    if len(larger) > FIT_POINTS:
+        points = _points(larger, "bytes", "field")
+        name = f"bytes (field, from {ALL_LINKS_FROM} instances)"
+        fits[name] = fit_line(points, TARGETS["bytes"])
     return fits
 
 
-def _write(found: list[Measurement], fits: dict[str, Fit], path: Path) -> None:
-    content = {
+def _points(found: list[Measurement], name: str, state: str) -> list[Point]:
+    costs = [each.rest.cost() if state == "rest" else each.scaled() for each in found]
+    return [
+        Point(each.instances, *cost[name])
+        for each, cost in zip(found, costs, strict=True)
+    ]
+
+
+def _head() -> dict:
+    return {
         "measured_at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
         "cores": os.cpu_count(),
         "memory_bytes": psutil.virtual_memory().total,
         "load_average": os.getloadavg(),
         "speed_up": SPEED_UP,
+    }
+
+
+def _load(path: Path) -> tuple[dict, list[Measurement]]:
+    content = json.loads(path.read_text())
+    found = [
+        Measurement(each["instances"], Window(**each["rest"]), Window(**each["busy"]))
+        for each in content["windows"]
+    ]
+    return {name: content[name] for name in _head()}, found
+
+
+def _write(
+    head: dict, found: list[Measurement], fits: dict[str, Fit], path: Path
+) -> None:
+    content = {
+        **head,
         "units": {"cpu": "cores", "memory": "bytes", "bytes": "bytes a second"},
         "fits": {
             name: {**fit._asdict(), "points": [p._asdict() for p in fit.points]}
