Read the instance list only when it has changed

Cause: each instance reads the whole list every second; at the target that is 1,440 entries. Change: the adapter sends the tag of its last list, and an unchanged list is answered with status 304. Conclusion: reads cost bytes only with changes of the list.

--- a/plantainstack/platform/instances.py
+++ b/plantainstack/platform/instances.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TypedDict
 
-from result import Result
+from result import Ok, Result
 
 from plantainstack.errors import Failure
 from plantainstack.platform.base import (
@@ -36,12 +37,23 @@
 
     def __init__(self, store: StoreClient):
         self._store = store
+        self._tag = ""
+        self._records: list[InstanceRecord] = []
 
     async def list(self) -> Result[list[InstanceRecord], Failure]:
-        """Return all instances."""
-        outcome = await self._store.call("GET", "/instances")
+        """Return all instances.
+
+        The list is read every second, so an unchanged one is not sent again.
+        """
+        headers = [("If-None-Match", self._tag)] if self._tag else []
+        outcome = await self._store.call("GET", "/instances", headers=headers)
+        if outcome.is_ok() and outcome.ok_value.status == HTTPStatus.NOT_MODIFIED:
+            return Ok(self._records)
         found = outcome.and_then(lambda answer: decode(answer, _ListBody))
-        return found.map(lambda body: [_record(item) for item in body["instances"]])
+        if found.is_ok():
+            self._tag = outcome.ok_value.headers.get("etag", "")
+            self._records = [_record(item) for item in found.ok_value["instances"]]
+        return found.map(lambda _: self._records)
 
 
 def _record(body: _RecordBody) -> InstanceRecord:
--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from plantainstack.errors import ErrorKind, Failure, Outcome
-from plantainstack.platform.http import Answer, HttpClient
+from plantainstack.platform.http import Answer, Headers, HttpClient
 
 T = TypeVar("T")
 
@@ -20,10 +20,15 @@
         self._client = client
 
     async def call(
-        self, method: str, path: str, body: bytes = b"", deadline: float | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        deadline: float | None = None,
+        headers: Headers = (),
     ) -> Result[Answer, Failure]:
         """Return the complete answer; status 503 is a failure of outcome not_run."""
-        exchange = await self._client.exchange(method, path, body, deadline)
+        exchange = await self._client.exchange(method, path, body, deadline, headers)
         if exchange.is_err():
             stop = exchange.unwrap_err()
             outcome = Outcome.MAY_HAVE_RUN if stop.sent else Outcome.NOT_RUN
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import msgspec
+import xxhash
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import BaseRoute, Route
@@ -44,7 +45,12 @@
     async def _list(self, request: Request) -> Response:
         fault = self.faults.take(Action.LAG, request.url.path)
         lag = fault.seconds if fault else self._lag
-        return reply({"instances": self._history.ago(lag)})
+        answer = reply({"instances": self._history.ago(lag)})
+        tag = f'"{xxhash.xxh3_64_hexdigest(answer.body)}"'
+        if request.headers.get("if-none-match") == tag:
+            return Response(status_code=304, headers={"ETag": tag})
+        answer.headers["ETag"] = tag
+        return answer
 
     async def _put(self, request: Request) -> Response:
         self._instances[request.path_params["id"]] = await body(request, _Instance)
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -181,3 +181,26 @@
         standin.faults.replace([Fault("/instances", Action.LAG, seconds=0.0)])
         (record,) = (await instances.list()).unwrap()
         assert record.state is InstanceState.LEAVING
+
+
+async def test_an_unchanged_instance_list_is_not_sent_again():
+    """Guards against a read each second that grows with the fleet."""
+    standin = InstancesStandin()
+    async with serving(standin) as address:
+        client = HttpClient(address, SystemClock())
+        instances = HttpInstances(StoreClient(client))
+        statuses = []
+        exchange = client.exchange
+
+        async def noting(*args, **kwargs):
+            answer = await exchange(*args, **kwargs)
+            statuses.append(answer.unwrap().status)
+            return answer
+
+        client.exchange = noting
+        for name in ("e1", "e1", "e2"):
+            data = msgspec.json.encode({**RECORD, "host": "127.0.0.1", "port": 80})
+            await exchange("PUT", f"/instances/{name}", data)
+            found = (await instances.list()).unwrap()
+        assert statuses == [200, 304, 200]
+        assert [record.id for record in found] == ["e1", "e2"]
