Measure what a unit of work costs in each role

Cause: the capacity at the target size has to follow from measured slopes, and only control had a tool. The stand-ins count rows read and written, objects and reads of the load report.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.requirements
 
-.PHONY: all bench demo test format lint check proofs reference known-red slopes
+.PHONY: all bench demo test format lint check proofs reference known-red slopes roles
 
 all: test
 
@@ -43,3 +43,6 @@
 
 slopes: $(STAMP)
 	$(VENV)/bin/python -m tools.slopes
+
+roles: $(STAMP)
+	$(VENV)/bin/python -m tools.roles
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -49,6 +49,7 @@
         self._batch = Batch(options, self.clock.now(), self._changed)
         self._history = History(self.clock, self._report())
         self._orders: list[dict[str, Any]] = []
+        self._load_reads = 0
 
     def routes(self) -> list[BaseRoute]:
         """Return the routes of an engine."""
@@ -70,6 +71,7 @@
             **self._report(),
             **self._batch.counts,
             "orders": self._orders,
+            "load_reads": self._load_reads,
         }
 
     async def run(self) -> None:
@@ -131,6 +133,7 @@
             self._batch.remove(stream)
 
     async def _load(self, request: Request) -> Response:
+        self._load_reads += 1
         fault = self.faults.take(Action.LAG, request.url.path)
         lag = fault.seconds if fault else self._options.load_lag_s
         return reply(self._history.ago(lag))
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -16,6 +16,7 @@
     def __init__(self, clock=None):
         super().__init__(clock)
         self._objects: dict[str, bytes] = {}
+        self._counts = {"puts": 0, "gets": 0}
 
     def routes(self) -> list[BaseRoute]:
         """Return the routes of the object store."""
@@ -25,12 +26,13 @@
         ]
 
     def state(self) -> dict[str, Any]:
-        """Return the number and total size of the objects."""
+        """Return the number and total size of the objects, and the counts of calls."""
         size = sum(len(data) for data in self._objects.values())
-        return {"objects": len(self._objects), "bytes": size}
+        return {"objects": len(self._objects), "bytes": size, **self._counts}
 
     async def _put(self, request: Request) -> Response:
         name, data = request.path_params["name"], await request.body()
+        self._counts["puts"] += 1
         if name not in self._objects:
             self._objects[name] = data
             return reply({}, HTTPStatus.CREATED)
@@ -38,6 +40,7 @@
         return reply({}, HTTPStatus.OK if same else HTTPStatus.CONFLICT)
 
     async def _get(self, request: Request) -> Response:
+        self._counts["gets"] += 1
         data = self._objects.get(request.path_params["name"])
         if data is None:
             return reply({}, HTTPStatus.NOT_FOUND)
--- a/standins/table.py
+++ b/standins/table.py
@@ -47,7 +47,14 @@
         super().__init__(clock)
         self._values: dict[str, dict[str, Any]] = {}
         self._versions: dict[str, int] = {}
-        self._counts = {"reads": 0, "scans": 0, "commits": 0, "mutations": 0}
+        self._counts = {
+            "reads": 0,
+            "rows_read": 0,
+            "scans": 0,
+            "commits": 0,
+            "mutations": 0,
+            "rows_written": 0,
+        }
 
     def routes(self) -> list[BaseRoute]:
         """Return the routes of the table service."""
@@ -64,6 +71,7 @@
     async def _read(self, request: Request) -> Response:
         asked = await body(request, _ReadBody)
         self._counts["reads"] += 1
+        self._counts["rows_read"] += len(asked.keys)
         return reply({"rows": [self._row(key) for key in asked.keys]})
 
     async def _scan(self, request: Request) -> Response:
@@ -89,6 +97,7 @@
             if self._row(check.key)["version"] != check.version
         ]
         if not conflicts:
+            self._counts["rows_written"] += len(mutation.writes)
             for write in mutation.writes:
                 self._write(write)
         return {"applied": not conflicts, "conflicts": conflicts}
