Derive the capacity at the target size from measured slopes

Cause: nothing showed which roles carry the target size, and by how much. A test compares each keyed figure with the committed run, and fails when one is altered.

--- /dev/null
+++ b/tools/roles_target.py
@@ -0,0 +1,92 @@
+"""Work out from measured slopes what the target size needs.
+
+The sizes are those of section 1.7 of the design. Each name of a figure is used in
+docs/CAPACITY.md, which a test compares with the committed measurements.
+"""
+
+from typing import Any
+
+INSTANCES = 340
+DATA_CENTRES = 4
+REQUESTS_PER_S = 14_000
+TOKENS_PER_S = 3.9e6
+ENGINES = 1_100
+SWAP_LIMIT_S = 16.0
+SWAP_PERIOD_S = 360.0
+SAMPLES_PER_S = 11 * 4_096 / (24 * 60.0)
+CHANGES_PER_S = 4_000 / 86_400
+HEAD_POLL_S = 2.0
+SHARD_SCANS_PER_S = 48.0
+HEAD_READS_PER_S = 11.0
+# From docs/decisions/steps.md: the scans of an idle instance vary by more than the
+# reads of a sample, so that the measured slope cannot be told from zero.
+STEP_READS_PER_S = 6.0
+# A core that is busier than this adds too much delay to each request.
+CORE_SHARE = 0.7
+CHUNK_SIZES = (1, 4, 16, 64)
+
+
+def figures(content: dict[str, Any]) -> dict[str, float]:
+    """Return every figure by name: as measured, and worked out for the target."""
+    found = dict(content["values"])
+    for name, fit in content["fits"].items():
+        found[name] = fit["slope"]
+        found[f"{name}.error"] = fit["slope_error"]
+        if "intercept" in fit:
+            found[f"{name}.intercept"] = fit["intercept"]
+    return {**found, **_relay(found), **_shared(found)}
+
+
+def _relay(found: dict[str, float]) -> dict[str, float]:
+    """Return what relaying needs, with the measured cost in milliseconds."""
+    request, chunk, token = (
+        found[f"stream.{name}_cpu"] for name in ("request", "chunk", "token")
+    )
+    requests, tokens = REQUESTS_PER_S / INSTANCES, TOKENS_PER_S / INSTANCES
+    length = TOKENS_PER_S / REQUESTS_PER_S
+    free_ms = CORE_SHARE * 1e3 - requests * request - tokens * token
+    left = (DATA_CENTRES - 1) / DATA_CENTRES
+    left_free_ms = CORE_SHARE * 1e3 - requests / left * request - tokens / left * token
+    needed = {
+        "target.requests_per_instance": requests,
+        "target.tokens_per_instance": tokens,
+        "target.tokens_per_request": length,
+        "target.request_ms_per_s": requests * request,
+        "target.token_ms_per_s": tokens * token,
+        "target.chunks_per_core": 1e3 / chunk,
+        "target.tokens_per_chunk": tokens * chunk / free_ms,
+        "target.tokens_per_chunk_without_centre": tokens / left * chunk / left_free_ms,
+        "target.open_streams": requests * length / 50.0,
+        "target.stream_mib": requests * length / 50.0 * found["stream.memory"] / 1024,
+        "target.lookup_share": requests * found["lookup.cpu"] / 1e3,
+    }
+    for size in CHUNK_SIZES:
+        per_token = chunk / size + token + request / length
+        needed[f"target.tokens_per_core_at_{size}"] = 1e3 / per_token
+        needed[f"target.cores_at_{size}"] = tokens * per_token / 1e3
+    return needed
+
+
+def _shared(found: dict[str, float]) -> dict[str, float]:
+    """Return what steps, weights and configuration need from the whole fleet."""
+    step_writes = SAMPLES_PER_S * found["step.rows_written"]
+    step_commits = SAMPLES_PER_S * found["step.commits"]
+    head_polls = INSTANCES / HEAD_POLL_S
+    return {
+        "target.samples_per_s": SAMPLES_PER_S,
+        "target.step_rows_written": step_writes,
+        "target.step_commits": step_commits,
+        "target.step_objects": SAMPLES_PER_S * found["step.puts"],
+        "target.step_cores": SAMPLES_PER_S * found["step.cpu"] / 1e3,
+        "target.changes_per_s": CHANGES_PER_S,
+        "target.head_polls": head_polls,
+        "target.rows_written": step_writes + CHANGES_PER_S * 3,
+        "target.reads": STEP_READS_PER_S
+        + head_polls
+        + SHARD_SCANS_PER_S
+        + HEAD_READS_PER_S,
+        "target.orders_per_s": ENGINES / SWAP_LIMIT_S,
+        "target.swap_messages": ENGINES * found["swap.messages"],
+        "target.swap_messages_per_s": ENGINES * found["swap.messages"] / SWAP_LIMIT_S,
+        "target.swap_core_share": ENGINES * found["swap.cpu"] / 1e3 / SWAP_LIMIT_S,
+    }
