--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.requirements
 
-.PHONY: all bench demo test format lint check proofs reference known-red slopes fuzz
+.PHONY: all bench check demo format fuzz known-red lint proofs reference roles slopes test
 
 all: test
 
@@ -45,5 +45,9 @@
 	$(VENV)/bin/python -m tools.slopes
 
 SECONDS ?= 300
+
 fuzz: $(STAMP)
 	$(VENV)/bin/python -m tools.fuzz --seconds $(SECONDS)
+
+roles: $(STAMP)
+	$(VENV)/bin/python -m tools.roles
