Prove guarantees with real processes that fail

Cause: killed, frozen and cut-off processes were only met with fakes, and the table of proofs had no cell for bookings or answers.

Change: tests/processes/ starts the demo's fleet once and kills, freezes and cuts off its processes during bookings, streams and steps.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,5 +1,7 @@
 """The command `python -m standins KIND`, which serves one stand-in."""
 
+from pathlib import Path
+
 import click
 
 from plantainstack.settings.options import Address, AddressOption
@@ -56,9 +58,10 @@
 
 
 @_kind("table")
-def table() -> Standin:
+@click.option("--journal", type=click.Path(path_type=Path), help="Keeps the rows.")
+def table(journal: Path | None) -> Standin:
     """Serve a table service."""
-    return TableStandin()
+    return TableStandin(journal=journal)
 
 
 @_kind("objects")
--- a/standins/table.py
+++ b/standins/table.py
@@ -1,5 +1,6 @@
-"""A stand-in for the transactional table service, in memory."""
+"""A stand-in for the transactional table service, in memory or with a journal."""
 
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -41,13 +42,20 @@
 
 
 class TableStandin(Standin):
-    """Keep rows; the versions of a key go on after it was deleted."""
+    """Keep rows; the versions of a key go on after it was deleted.
 
-    def __init__(self, clock=None):
+    With a journal, a stand-in that was killed and started again has its rows.
+    """
+
+    def __init__(self, clock=None, journal: Path | None = None):
         super().__init__(clock)
         self._values: dict[str, dict[str, Any]] = {}
         self._versions: dict[str, int] = {}
         self._counts = {"reads": 0, "scans": 0, "commits": 0, "mutations": 0}
+        self._journal = None
+        if journal is not None:
+            self._replay(journal)
+            self._journal = journal.open("ab", buffering=0)
 
     def routes(self) -> list[BaseRoute]:
         """Return the routes of the table service."""
@@ -91,8 +99,16 @@
         if not conflicts:
             for write in mutation.writes:
                 self._write(write)
+            if self._journal is not None:
+                self._journal.write(msgspec.json.encode(mutation.writes) + b"\n")
         return {"applied": not conflicts, "conflicts": conflicts}
 
+    def _replay(self, journal: Path) -> None:
+        lines = journal.read_bytes().splitlines() if journal.exists() else []
+        for line in lines:
+            for write in msgspec.json.decode(line, type=list[_Write]):
+                self._write(write)
+
     def _write(self, write: _Write) -> None:
         self._versions[write.key] = self._versions.get(write.key, 0) + 1
         if write.value is None:
--- /dev/null
+++ b/tests/processes/conftest.py
@@ -0,0 +1,42 @@
+"""A fleet of real processes, shared by the tests of this directory."""
+
+import signal
+
+import anyio
+import pytest
+
+from tests.processes.harness import START_LIMIT_S, World
+from tools.demo_fleet import ENTRIES, Fleet
+
+
+@pytest.fixture(scope="session")
+def shared_fleet(tmp_path_factory):
+    found = Fleet(tmp_path_factory.mktemp("fleet"), START_LIMIT_S)
+    try:
+        anyio.run(found.start)
+        yield found
+    finally:
+        found.processes.stop_all()
+
+
+@pytest.fixture
+def world(shared_fleet):
+    """Give the fleet whole to a test, and wake what a failed test left frozen."""
+    anyio.run(make_whole, shared_fleet)
+    yield World(shared_fleet)
+    thaw(shared_fleet)
+
+
+def thaw(fleet):
+    for name in {*fleet.standins, *ENTRIES} - set(fleet.processes.ended()):
+        fleet.processes.signal(name, signal.SIGCONT)
+
+
+async def make_whole(fleet):
+    for name in sorted(fleet.processes.ended(), key=lambda name: name in ENTRIES):
+        await fleet.restart(name)
+    for name in fleet.standins:
+        await fleet.set_faults(name)
+    world = World(fleet)
+    for name in ENTRIES:
+        await world.until(lambda name=name: world.serves(name))
--- a/tools/demo_fleet.py
+++ b/tools/demo_fleet.py
@@ -72,8 +72,9 @@
 class Fleet:
     """Start the processes of the demo, and know their addresses."""
 
-    def __init__(self, directory: Path):
+    def __init__(self, directory: Path, start_limit_s: float = ENTRY_START_LIMIT_S):
         self.processes = Processes(directory)
+        self._start_limit_s = start_limit_s
         self._directory = directory
         self._tokens = {
             role: secrets.token_hex(16) for role in ("caller", "trainer", "operator")
@@ -100,18 +101,21 @@
     async def start(self) -> None:
         """Start everything; raises DemoError if a process does not come up."""
         self._write_credentials()
-        for name in SERVICES:
-            self._start_standin(name, name)
-        for each in ENDPOINTS:
-            self._start_endpoint(each)
-        self._start_trainer()
-        for name, address in self.standins.items():
-            await self._wait_for(name, address, "/_state", STANDIN_START_LIMIT_S)
+        for name in self.standins:
+            self._start(name)
+        for name in self.standins:
+            await self._wait_until_up(name)
         await self._register()
         for name in ENTRIES:
-            self._start_entry(name)
-        for name, address in self.entries.items():
-            await self._wait_for(name, address, "/readyz", ENTRY_START_LIMIT_S)
+            self._start(name)
+        for name in ENTRIES:
+            await self._wait_until_up(name)
+
+    async def restart(self, name: str) -> None:
+        """Start a process again that has ended, at the same address."""
+        self.killed.discard(name)
+        self._start(name)
+        await self._wait_until_up(name)
 
     async def publish(self, model: str, version: int) -> None:
         """Publish a version of a model, as a trainer does."""
@@ -123,6 +127,10 @@
         reply = await call(self.standins[name], "GET", "/_state")
         return reply.content if reply.ok else {}
 
+    async def set_faults(self, name: str, *faults: dict) -> None:
+        """Put other faults of a stand-in in force."""
+        await call(self.standins[name], "PUT", "/_faults", {"faults": faults})
+
     async def want_steps(self, steps: int) -> None:
         """Ask the trainer to run steps."""
         await call(self.standins["trainer"], "POST", "/_steps", {"steps": steps})
@@ -136,6 +144,29 @@
         """Return the names of the entry instances that were not killed."""
         return [name for name in ENTRIES if name not in self.killed]
 
+    def _start(self, name: str) -> None:
+        endpoints = {each.name: each for each in ENDPOINTS}
+        if name in ENTRIES:
+            self._start_entry(name)
+        elif name in endpoints:
+            self._start_endpoint(endpoints[name])
+        elif name == "trainer":
+            self._start_trainer()
+        elif name == "table":
+            journal = str(self._directory / "table.journal")
+            self._start_standin(name, name, "--journal", journal)
+        else:
+            self._start_standin(name, name)
+
+    async def _wait_until_up(self, name: str) -> None:
+        if name in ENTRIES:
+            address, path = self.entries[name], "/readyz"
+            await self._wait_for(name, address, path, self._start_limit_s)
+        else:
+            address, path = self.standins[name], "/_state"
+            limit_s = max(STANDIN_START_LIMIT_S, self._start_limit_s)
+            await self._wait_for(name, address, path, limit_s)
+
     async def _wait_for(
         self, name: str, address: Address, path: str, limit_s: float
     ) -> None:
