Run the property tests with new seeds for a given time

Cause: the suite derandomizes the property tests, so that it repeats the same examples on every run.

Change: `make fuzz SECONDS=300` runs each listed property test in a process of its own, with a new seed and five times the examples, until the time is over. A failure is printed with its seed and its shrunk example, and the exit status is then 1.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.requirements
 
-.PHONY: all bench demo test format lint check proofs reference known-red slopes
+.PHONY: all bench demo test format lint check proofs reference known-red slopes fuzz
 
 all: test
 
@@ -43,3 +43,7 @@
 
 slopes: $(STAMP)
 	$(VENV)/bin/python -m tools.slopes
+
+SECONDS ?= 300
+fuzz: $(STAMP)
+	$(VENV)/bin/python -m tools.fuzz --seconds $(SECONDS)
--- /dev/null
+++ b/tests/tools/failing_property.py
@@ -0,0 +1,10 @@
+"""A property that does not hold, for the tests of the fuzzer."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+@settings(derandomize=True, database=None)
+@given(st.integers())
+def test_is_small(number):
+    assert number < 1000
