--- a/tests/proofs/test_interleavings.py
+++ b/tests/proofs/test_interleavings.py
@@ -226,6 +226,14 @@
     run_machine(Interleavings, settings=limits)
 
 
+@pytest.mark.proof("not-run", "killed")
+@pytest.mark.proof("not-run", "race")
+@pytest.mark.proof("not-run", "answer-lost")
+@pytest.mark.proof("not-run", "store-down")
+@pytest.mark.proof("at-most-once", "killed")
+@pytest.mark.proof("at-most-once", "race")
+@pytest.mark.proof("at-most-once", "answer-lost")
+@pytest.mark.proof("at-most-once", "store-down")
 def test_guarantees_hold_in_random_interleavings():
     check(100)
 
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -71,6 +71,8 @@
         assert len(links.fake_plain.runs) <= 1
 
 
+@pytest.mark.proof("whole-answer", "crash")
+@pytest.mark.proof("whole-answer", "silent")
 @pytest.mark.parametrize("failed", [LATE, CROSSED, TRUNCATED, BROKEN])
 async def test_an_interrupted_stream_is_resumed_from_its_text(failed):
     """Guards against a stream that is cut short, or begins anew."""
--- a/tests/services/test_endpoints.py
+++ b/tests/services/test_endpoints.py
@@ -167,6 +167,7 @@
     return max(await work_after_leaving(kernel, plugin), default=0.0) <= bound
 
 
+@pytest.mark.proof("leaving", "list-lag")
 async def test_leaving_endpoint_gets_no_work_after_the_bound(kernel):
     """Guards against work for an endpoint that the lagging list still shows."""
     assert await holds_leaving_bound(kernel, Endpoints(kernel))
