Split the module of steps by its three jobs

Change: step_runner, step_desk and step_ports hold the first two and what they share; no code was changed.

--- a/plantainstack/front/trainers.py
+++ b/plantainstack/front/trainers.py
@@ -12,7 +12,8 @@
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.front.answers import error_response
 from plantainstack.policy.samples import StepRecord
-from plantainstack.services.steps import OpenRequest, StepDesk
+from plantainstack.services.step_desk import StepDesk
+from plantainstack.services.step_ports import OpenRequest
 from plantainstack.settings.fleet import Scope
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/plantainstack/services/step_ports.py
@@ -0,0 +1,96 @@
+"""What the owner of a step and the answers to trainers share."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+from result import Ok, Result
+
+from plantainstack.clock import Clock
+from plantainstack.errors import Failure
+from plantainstack.platform.base import (
+    GenerateRequest,
+    ObjectStore,
+    Part,
+    Row,
+    Scorer,
+    TableService,
+)
+from plantainstack.policy.samples import (
+    Bound,
+    Labels,
+    ReportedLabels,
+    StepKeys,
+    StepProgress,
+    StepRecord,
+    StepWrites,
+)
+from plantainstack.policy.stragglers import Stragglers
+from plantainstack.requests import RequestContext
+from plantainstack.services.leases import LeaseClient
+from plantainstack.services.weights import WeightHeads
+from plantainstack.settings.fleet import FleetOptions
+from plantainstack.trace import TraceRing
+
+SCAN_LIMIT = 1000
+
+
+Generate = Callable[
+    [RequestContext, GenerateRequest], AsyncIterator[Result[Part, Failure]]
+]
+
+
+class Ports(NamedTuple):
+    """Hold what a step's owner uses of the outside."""
+
+    table: TableService
+    objects: ObjectStore
+    scorer: Scorer
+    generate: Generate
+    heads: WeightHeads
+    leases: LeaseClient
+    clock: Clock
+    trace: TraceRing
+    options: Callable[[StepRecord], FleetOptions]
+    may_hedge: Callable[[StepRecord], bool] = lambda record: True
+
+
+class Guards(NamedTuple):
+    """Hold the policies that the guarantees rely on."""
+
+    labels: Labels = ReportedLabels()
+    bound: Callable[[StepRecord], Bound] = Bound
+    writes: Callable[[StepKeys], StepWrites] = StepWrites
+    progress: type[StepProgress] = StepProgress
+    stragglers: type[Stragglers] = Stragglers
+
+
+class OpenRequest(NamedTuple):
+    """Hold a trainer's request for a step; the deadline is in Unix seconds."""
+
+    step: str
+    model: str
+    policy_version: int
+    version_bound: int
+    prompts: list[list[dict[str, str]]]
+    samples_per_group: int
+    max_tokens: int
+    deadline: float
+
+    def digest(self) -> str:
+        """Hash what makes two requests the same; a repeat may move its deadline."""
+        content = msgspec.json.encode(self._replace(deadline=0.0))
+        return xxhash.xxh3_128_hexdigest(content)
+
+
+async def scan_all(table: TableService, prefix: str) -> Result[list[Row], Failure]:
+    """Return all rows of a prefix, read in pages."""
+    rows: list[Row] = []
+    while True:
+        page = await table.scan(prefix, rows[-1].key if rows else "", SCAN_LIMIT)
+        if page.is_err():
+            return page
+        rows += page.unwrap()
+        if len(page.unwrap()) < SCAN_LIMIT:
+            return Ok(rows)
--- /dev/null
+++ b/plantainstack/services/step_runner.py
@@ -0,0 +1,509 @@
+"""Complete one step as its owner, under a lease with a fencing number."""
+
+import contextlib
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, NamedTuple
+
+import anyio
+import msgspec
+import xxhash
+from result import Result
+
+from plantainstack import log, metrics
+from plantainstack.errors import Failure
+from plantainstack.platform.base import (
+    Check,
+    GenerateRequest,
+    Mutation,
+    MutationOutcome,
+    Part,
+    Priority,
+    Row,
+    Write,
+)
+from plantainstack.policy.freshness import FreshnessWait
+from plantainstack.policy.samples import (
+    Draft,
+    Guard,
+    SampleKey,
+    StepKeys,
+    StepProgress,
+    StepRecord,
+    StepState,
+    oldest,
+)
+from plantainstack.policy.stragglers import Stragglers
+from plantainstack.requests import RequestContext, new_id
+from plantainstack.services.step_ports import Guards, Ports, scan_all
+from plantainstack.services.weights import head_version
+
+SCAN_LIMIT = 1000
+HEAD_INTERVAL_S = 2.0
+SUPERVISE_INTERVAL_S = 0.5
+BACKOFF_S = 0.5
+RUNNING_MAX = 512
+COMMIT_BATCH = 128
+# A step at the target scale finishes about 11 samples a second. Lingering packs
+# about 20 of them into one object, so that a fetch reads about 200 objects.
+COMMIT_LINGER_S = 2.0
+SCORE_TIMEOUT_S = 30.0
+
+
+class _Attempt(NamedTuple):
+    key: SampleKey
+    request_id: str
+    parts: list[Part]
+    hedges: int
+    scope: anyio.CancelScope
+
+
+class StepRunner:
+    """Complete one step as its owner, for as long as the lease is held."""
+
+    def __init__(self, ports: Ports, keys: StepKeys, guards: Guards = Guards()):  # noqa: B008
+        self.ports = ports
+        self.keys = keys
+        self.guards = guards
+        self.writes = guards.writes(keys)
+        self.progress: StepProgress | None = None
+        self._guard: Guard | None = None
+        self._prompts: list[list[dict[str, str]]] = []
+        self._scores: dict[str, float] = {}
+        self._attempts: dict[str, _Attempt] = {}
+        self._stragglers: Stragglers | None = None
+        self._fresh: FreshnessWait | None = None
+        self._wake = anyio.Event()
+        self._handing_over = False
+        self._grace_until = 0.0
+        self._ended = False
+        self._head_due = 0.0
+
+    async def run(self) -> None:
+        """Run until the step is sealed, expired, cleaned up, lost or handed over."""
+        row = await self._insist(self._read_step)
+        if row is None or row.value is None:
+            return
+        record = StepRecord(**row.value)
+        if record.state in (StepState.ACKED, StepState.EXPIRED):
+            await self._clean_up()
+            return
+        if record.state != StepState.OPEN:
+            await self._release(record.state)
+            return
+        if await self._load(record, row.version):
+            await self._work()
+
+    def hand_over(self, grace_until: float) -> None:
+        """Start no more samples, commit those that finish, and free the lease."""
+        self._handing_over = True
+        self._grace_until = grace_until
+        self._notify()
+
+    async def _load(self, record: StepRecord, step_version: int) -> bool:
+        held = self._held()
+        if held is None:
+            return False
+        self._guard = Guard(held.fence_version, step_version)
+        head = await self._insist(lambda: self.ports.heads.read(record.model))
+        rows = await self._insist(self._scan_samples)
+        content = await self._insist(lambda: self.ports.objects.get(record.prompts))
+        if head is None or rows is None or content is None:
+            return False
+        self._prompts = msgspec.json.decode(content)
+        self.progress = self.guards.progress(
+            record, self.guards.bound(record), head_version(head)
+        )
+        self.progress.load(rows)
+        self._stragglers = self.guards.stragglers(len(self.progress.keys))
+        options = self.ports.options(record)
+        self._fresh = FreshnessWait(
+            record.groups,
+            options.fresh_share,
+            record.policy_version,
+            record.opened_at + options.fresh_wait,
+        )
+        log.event(
+            "step.owned",
+            trainer=record.trainer,
+            step=record.step,
+            fence=held.fence,
+            committed=self.progress.committed_count(),
+        )
+        return True
+
+    async def _work(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._commit_loop)
+            await self._supervise(tasks)
+            while not self._ended:
+                await self._pause(SUPERVISE_INTERVAL_S)
+                await self._supervise(tasks)
+            tasks.cancel_scope.cancel()
+
+    async def _supervise(self, tasks) -> None:
+        clock = self.ports.clock
+        if self._held() is None:
+            self._ended = True
+            return
+        if self._handing_over:
+            await self._hand_over()
+            return
+        await self._refresh_head()
+        if clock.wall() >= self.progress.record.deadline:
+            await self._finish(StepState.EXPIRED)
+        elif self.progress.complete():
+            await self._finish(StepState.SEALED)
+        else:
+            self._start_due(tasks)
+
+    async def _hand_over(self) -> None:
+        if self.ports.clock.now() >= self._grace_until:
+            for attempt in list(self._attempts.values()):
+                attempt.scope.cancel()
+        if not self._attempts and not self.progress.drafts(1):
+            await self._release(StepState.OPEN)
+
+    async def _refresh_head(self) -> None:
+        now = self.ports.clock.now()
+        if now < self._head_due:
+            return
+        self._head_due = now + HEAD_INTERVAL_S
+        read = await self.ports.heads.read(self.progress.record.model)
+        if read.is_ok():
+            self.progress.raise_newest(head_version(read.unwrap()))
+
+    def _start_due(self, tasks) -> None:
+        """Start samples that are missing; hedges start only when there are none."""
+        now = self.ports.clock.now()
+        keys = [
+            key
+            for key in self.progress.to_generate(now, RUNNING_MAX)
+            if not self._waits(key)
+        ]
+        for key in keys:
+            self._start(tasks, key, [])
+        if keys or self.progress.running_count() >= RUNNING_MAX:
+            return
+        for slow_id in self._stragglers.due(now):
+            slow = self._attempts.get(slow_id)
+            if slow is not None and self.ports.may_hedge(self.progress.record):
+                parts = self._resumable(slow.parts)
+                hedge_id = self._start(tasks, slow.key, parts, slow.hedges + 1)
+                self._trace(slow_id, "hedged", hedge=hedge_id, tokens=_tokens(parts))
+
+    def _waits(self, key: SampleKey) -> bool:
+        wall = self.ports.clock.wall()
+        return self._fresh.holds(key.group, self.progress.newest, wall)
+
+    def _resumable(self, parts: list[Part]) -> list[Part]:
+        """Return the parts from which another engine can go on."""
+        usable = all(
+            part.version is not None and not self.progress.hopeless(part.version)
+            for part in parts
+        )
+        left = _tokens(parts) < self.progress.record.max_tokens
+        return list(parts) if usable and left else []
+
+    def _start(self, tasks, key: SampleKey, parts: list[Part], hedges: int = 0) -> None:
+        request_id = new_id()
+        now = self.ports.clock.now()
+        self.progress.started(key, request_id)
+        self._stragglers.started(request_id, now)
+        attempt = _Attempt(key, request_id, parts, hedges, anyio.CancelScope())
+        self._attempts[request_id] = attempt
+        tasks.start_soon(self._run_attempt, attempt)
+        return request_id
+
+    async def _run_attempt(self, attempt: "_Attempt") -> None:
+        done = False
+        with attempt.scope:
+            done = await self._collect(attempt)
+        del self._attempts[attempt.request_id]
+        self._take(attempt, done)
+        self._notify()
+
+    async def _collect(self, attempt: "_Attempt") -> bool:
+        ctx, req = self._request(attempt)
+        async with contextlib.aclosing(self.ports.generate(ctx, req)) as stream:
+            async for result in stream:
+                if result.is_err():
+                    kind = result.unwrap_err().kind
+                    self._trace(attempt.request_id, "failed", kind=kind)
+                    return False
+                part = result.unwrap()
+                if self.progress.hopeless(part.version):
+                    version = part.version
+                    self._trace(attempt.request_id, "over_bound", version=version)
+                    return False
+                attempt.parts.append(part)
+                now = self.ports.clock.now()
+                self._stragglers.advanced(attempt.request_id, part.tokens, now)
+        return True
+
+    def _request(self, attempt: "_Attempt"):
+        record = self.progress.record
+        group = attempt.key.group
+        # A hedge has a group of its own, because the samples of one group are
+        # placed together and the slow engine is the one to be avoided.
+        place = f"{group}/{attempt.key.index}/{attempt.hedges}"
+        place = place if attempt.hedges else f"{group}"
+        ctx = RequestContext(
+            request_id=attempt.request_id,
+            caller=record.trainer,
+            service=record.model,
+            priority=Priority.ROLLOUT,
+            arrived_at=self.ports.clock.now(),
+            deadline=self.ports.clock.deadline_from_wall(record.deadline),
+            group=f"{record.trainer}/{record.step}/{place}",
+        )
+        req = GenerateRequest(
+            attempt_id=attempt.request_id,
+            model=record.model,
+            messages=self._prompts[group],
+            max_tokens=record.max_tokens - _tokens(attempt.parts),
+            priority=Priority.ROLLOUT,
+            seed=xxhash.xxh32_intdigest(self.keys.sample(attempt.key).encode()),
+            prefix="".join(part.text for part in attempt.parts),
+        )
+        return ctx, req
+
+    def _take(self, attempt: "_Attempt", done: bool) -> None:
+        now = self.ports.clock.now()
+        self._stragglers.ended(attempt.request_id, done, now)
+        spans = None
+        if done:
+            spans = self.guards.labels.spans(attempt.parts, self.progress.newest)
+        if spans is None:
+            self.progress.failed(attempt.key, attempt.request_id, now)
+            if done:
+                self._trace(attempt.request_id, "unlabelled")
+            return
+        text = "".join(part.text for part in attempt.parts)
+        draft = Draft(attempt.key, attempt.request_id, text, spans)
+        if self.progress.finished(draft, now):
+            self._cancel_others(attempt.key)
+
+    def _cancel_others(self, key: SampleKey) -> None:
+        for other in list(self._attempts.values()):
+            if other.key == key:
+                other.scope.cancel()
+
+    async def _commit_loop(self) -> None:
+        while True:
+            if not self.progress.drafts(1):
+                await self._pause(SUPERVISE_INTERVAL_S)
+                continue
+            await self._linger()
+            committed = await self._commit_batch(self.progress.drafts(COMMIT_BATCH))
+            self._notify()
+            if not committed:
+                await self._sleep(BACKOFF_S)
+
+    async def _linger(self) -> None:
+        """Let a batch gather, unless nothing more is to be expected soon."""
+        until = self.ports.clock.now() + COMMIT_LINGER_S
+        while len(self.progress.drafts(COMMIT_BATCH)) < COMMIT_BATCH:
+            left = until - self.ports.clock.now()
+            if left <= 0 or self._handing_over or not self.progress.running_count():
+                return
+            await self._pause(left)
+
+    async def _commit_batch(self, drafts: list[Draft]) -> bool:
+        if not await self._score(drafts):
+            return False
+        drafts = [draft for draft in drafts if self.progress.is_draft(draft)]
+        if not drafts:
+            return True
+        name = f"samples/{self.keys.trainer}/{self.keys.step}/{new_id()}"
+        content = msgspec.json.encode([draft.text for draft in drafts])
+        stored = await self.ports.objects.put(name, content)
+        if stored.is_err() or not self._may_act():
+            return False
+        mutations = [
+            self.writes.insert(
+                draft.key,
+                self._value(draft, name, place),
+                self.progress.row_version(draft.key),
+                self._guard,
+            )
+            for place, draft in enumerate(drafts)
+        ]
+        committed = await self.ports.table.commit(mutations)
+        if committed.is_err():
+            return False
+        for draft, outcome in zip(drafts, committed.unwrap(), strict=True):
+            self._note(draft, outcome)
+        return True
+
+    def _value(self, draft: Draft, name: str, place: int) -> dict[str, Any]:
+        return {
+            "object": name,
+            "place": place,
+            "spans": [list(span) for span in draft.spans],
+            "score": self._scores[draft.request_id],
+            "request_id": draft.request_id,
+        }
+
+    def _note(self, draft: Draft, outcome: MutationOutcome) -> None:
+        if outcome.applied:
+            version = self.progress.row_version(draft.key) + 1
+            self.progress.committed(draft.key, version, oldest(draft.spans))
+            self._trace(draft.request_id, "committed", spans=list(draft.spans))
+            self._scores.pop(draft.request_id, None)
+            return
+        rows = {row.key: row for row in outcome.conflicts}
+        if self.keys.fence in rows or self.keys.row in rows:
+            self._lose()
+            return
+        # The row is that of an earlier commit whose answer was lost.
+        row = rows[self.keys.sample(draft.key)]
+        if row.value is not None:
+            self.progress.committed(draft.key, row.version, oldest(row.value["spans"]))
+            self._cancel_others(draft.key)
+
+    async def _score(self, drafts: list[Draft]) -> bool:
+        unscored = [draft for draft in drafts if draft.request_id not in self._scores]
+        if not unscored:
+            return True
+        record = self.progress.record
+        samples = [
+            {
+                "text": draft.text,
+                "messages": self._prompts[draft.key.group],
+                "trainer": record.trainer,
+                "step": record.step,
+                "group": draft.key.group,
+                "index": draft.key.index,
+            }
+            for draft in unscored
+        ]
+        deadline = self.ports.clock.now() + SCORE_TIMEOUT_S
+        scored = await self.ports.scorer.score(samples, deadline)
+        if scored.is_err() or len(scored.unwrap()) != len(unscored):
+            log.event("step.scorer_failed", step=record.step, samples=len(unscored))
+            return False
+        for draft, score in zip(unscored, scored.unwrap(), strict=True):
+            self._scores[draft.request_id] = score
+        return True
+
+    async def _finish(self, state: StepState) -> None:
+        """Seal or expire the step; after a failure the next round tries again."""
+        held = self._held()
+        if held is None or not self._may_act():
+            return
+        release = self.ports.leases.book.release(held, {"phase": state.value})
+        record = self.progress.record
+        build = self.writes.seal if state is StepState.SEALED else self.writes.expire
+        committed = await self.ports.table.commit([build(record, self._guard, release)])
+        if committed.is_err():
+            await self._check_finished()
+            return
+        outcome = committed.unwrap()[0]
+        if outcome.applied:
+            log.event("step.finished", step=record.step, state=state.value)
+            self._lose()
+            return
+        rows = {row.key: row for row in outcome.conflicts}
+        lease_row = rows.pop(self.keys.lease, None)
+        if lease_row is not None:
+            self.ports.leases.book.conflicted(lease_row)
+        if rows:
+            self._lose()
+
+    async def _check_finished(self) -> None:
+        read = await self._read_step()
+        if read.is_ok() and read.unwrap().version != self._guard.step_version:
+            self._lose()
+
+    async def _clean_up(self) -> None:
+        """Delete the rows of a step that has ended, and its lease last."""
+        while True:
+            page = await self._insist(
+                lambda: self.ports.table.scan(self.keys.samples, "", SCAN_LIMIT)
+            )
+            if page is None:
+                return
+            if not page:
+                break
+            deletes = [
+                Mutation(
+                    row.key, (Check(row.key, row.version),), (Write(row.key, None),)
+                )
+                for row in page
+            ]
+            await self._insist(lambda deletes=deletes: self.ports.table.commit(deletes))
+        held = self._held()
+        if held is not None:
+            self._lose()
+            writes = (Write(self.keys.lease, None), Write(self.keys.fence, None))
+            checks = (Check(self.keys.fence, held.fence_version),)
+            await self.ports.table.commit([Mutation(held.key, checks, writes)])
+
+    async def _release(self, phase: str) -> None:
+        held = self._held()
+        self._ended = True
+        if held is not None:
+            await self.ports.leases.release(held, {"phase": StepState(phase).value})
+
+    async def _read_step(self) -> Result[Row, Failure]:
+        read = await self.ports.table.read([self.keys.row])
+        return read.map(lambda rows: rows[self.keys.row])
+
+    async def _scan_samples(self) -> Result[list[Row], Failure]:
+        return await scan_all(self.ports.table, self.keys.samples)
+
+    async def _insist(self, call: Callable[[], Awaitable[Result[Any, Failure]]]):
+        """Repeat a call until it succeeds; return None once the lease is lost."""
+        while self._held() is not None and not self._handing_over:
+            result = await call()
+            if result.is_ok():
+                return result.unwrap()
+            await self._sleep(BACKOFF_S)
+        if self._handing_over:
+            await self._release(StepState.OPEN)
+        return None
+
+    def _held(self):
+        return self.ports.leases.book.held(self.keys.lease)
+
+    def _may_act(self) -> bool:
+        return self.ports.leases.book.holds(self.keys.lease, self.ports.clock.now())
+
+    def _lose(self) -> None:
+        self._ended = True
+        self.ports.leases.book.drop(self.keys.lease)
+        self._notify()
+
+    def _notify(self) -> None:
+        self._wake.set()
+        self._wake = anyio.Event()
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait for a notification, at most for some seconds."""
+        wake = self._wake
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._sleep_then, seconds, tasks.cancel_scope.cancel)
+            await wake.wait()
+            tasks.cancel_scope.cancel()
+
+    async def _sleep_then(self, seconds: float, call: Callable[[], None]) -> None:
+        await self._sleep(seconds)
+        call()
+
+    async def _sleep(self, seconds: float) -> None:
+        await self.ports.clock.sleep_until(self.ports.clock.now() + seconds)
+
+    def _trace(self, request_id: str, event: str, **fields: Any) -> None:
+        record = self.progress.record
+        metrics.SAMPLE_ATTEMPTS.labels(record.trainer, event).inc()
+        self.ports.trace.record(
+            request_id,
+            f"sample.{event}",
+            trainer=record.trainer,
+            step=record.step,
+            **fields,
+        )
+
+
+def _tokens(parts: Sequence[Part]) -> int:
+    return sum(part.tokens for part in parts)
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -23,13 +23,9 @@
 from plantainstack.policy.leases import LeaseBook, LeaseTerms
 from plantainstack.policy.samples import StepKeys
 from plantainstack.services.leases import LeaseClient
-from plantainstack.services.steps import (
-    Guards,
-    OpenRequest,
-    Ports,
-    StepDesk,
-    StepRunner,
-)
+from plantainstack.services.step_desk import StepDesk
+from plantainstack.services.step_ports import Guards, OpenRequest, Ports
+from plantainstack.services.step_runner import StepRunner
 from plantainstack.services.weights import WeightHeads
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.trace import TraceRing
--- a/tests/services/test_step_proofs.py
+++ b/tests/services/test_step_proofs.py
@@ -18,7 +18,7 @@
     StepProgress,
     oldest,
 )
-from plantainstack.services.steps import Guards
+from plantainstack.services.step_ports import Guards
 from tests.services.fleet import MODEL, TRAINER, Fleet, lost, running
 
 pytestmark = pytest.mark.anyio
--- a/tests/services/test_stragglers.py
+++ b/tests/services/test_stragglers.py
@@ -13,7 +13,7 @@
 
 from plantainstack.platform.base import Part
 from plantainstack.policy.stragglers import BUDGET_SHARE, NoHedging, Stragglers
-from plantainstack.services.steps import Guards
+from plantainstack.services.step_ports import Guards
 from plantainstack.settings.fleet import FleetConfig, FleetContent
 from tests.services.fleet import TRAINER, Fleet, running
 from tests.services.test_step_proofs import runs
