Prepare the capacity page for the figures of control

Cause: the page's test looked up figures of one measurement only. Change: figures of the slopes of control have keys too; the limit of a scan is named once.

--- a/plantainstack/services/step_desk.py
+++ b/plantainstack/services/step_desk.py
@@ -12,10 +12,15 @@
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.platform.base import Check, Mutation, Row, Write
 from plantainstack.policy.samples import StepKeys, StepRecord, StepState, oldest
-from plantainstack.services.step_ports import Guards, OpenRequest, Ports, scan_all
+from plantainstack.services.step_ports import (
+    SCAN_LIMIT,
+    Guards,
+    OpenRequest,
+    Ports,
+    scan_all,
+)
 from plantainstack.services.weights import head_version
 
-SCAN_LIMIT = 1000
 FETCH_FAN_OUT = 16
 TRANSITIONS_MAX = 5
 OVERVIEW_MAX = 100
--- a/plantainstack/services/step_runner.py
+++ b/plantainstack/services/step_runner.py
@@ -34,10 +34,9 @@
 )
 from plantainstack.policy.stragglers import Stragglers
 from plantainstack.requests import RequestContext, new_id
-from plantainstack.services.step_ports import Guards, Ports, scan_all
+from plantainstack.services.step_ports import SCAN_LIMIT, Guards, Ports, scan_all
 from plantainstack.services.weights import head_version
 
-SCAN_LIMIT = 1000
 HEAD_INTERVAL_S = 2.0
 SUPERVISE_INTERVAL_S = 0.5
 BACKOFF_S = 0.5
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,17 +4,19 @@
 
 import pytest
 
-from tools.roles_target import figures
+from tools.roles_target import control_figures, figures
 
 ROOT = Path(__file__).parent.parent
 PAGE = ROOT / "docs" / "CAPACITY.md"
 MEASURED = ROOT / "docs" / "measurements" / "roles.json"
+CONTROL = ROOT / "docs" / "measurements" / "slopes.json"
 FIGURE = re.compile(r"(-?[\d,]+(?:\.\d+)?)[^\d{}|\n]*\{([a-z0-9_.]+)\}")
 
 
 def wrong(text: str) -> list[str]:
     """Return the keys whose figure is not that of the measurements, as rounded."""
     known = figures(json.loads(MEASURED.read_text()))
+    known |= control_figures(json.loads(CONTROL.read_text()))
     found = []
     for shown, key in FIGURE.findall(text):
         decimals = len(shown.partition(".")[2])
--- a/tools/roles_target.py
+++ b/tools/roles_target.py
@@ -37,6 +37,20 @@
     return {**found, **_relay(found), **_shared(found)}
 
 
+def control_figures(content: dict[str, Any]) -> dict[str, float]:
+    """Return the figures of control on one instance, from a run of the slopes."""
+    units = {"cpu": 100.0, "memory": 1e-6, "bytes": 1.0}
+    found = {}
+    for name, fit in content["fits"].items():
+        resource, _, state = name.partition(" ")
+        state = state.strip("()").replace(", from 8 instances", ".from8")
+        key = f"control.{resource}.{state}"
+        found[key] = fit["at_target"] * units[resource]
+        found[f"{key}.error"] = fit["at_target_error"] * units[resource]
+        found[f"{key}.slope"] = fit["slope"] * units[resource]
+    return found
+
+
 def _relay(found: dict[str, float]) -> dict[str, float]:
     """Return what relaying needs, with the measured cost in milliseconds."""
     request, chunk, token = (
