Send the items of the history with their names

Cause: plantainstack config history failed on every real answer, because named tuples became bare lists in the JSON; the tests of the client used their own answers. Change: the items are sent as objects. Two tests run every command of the client against real processes, and drain an endpoint. Conclusion: found by running the client against the demo.

--- a/plantainstack/front/operators.py
+++ b/plantainstack/front/operators.py
@@ -114,7 +114,7 @@
     outcome = await kernel.plugin("configuration").history(int(limit))
     if outcome.is_err():
         return error_response(outcome.unwrap_err())
-    return JSONResponse({"history": outcome.unwrap()})
+    return JSONResponse({"history": [item._asdict() for item in outcome.unwrap()]})
 
 
 async def show_status(kernel: Kernel, request: Request, operator: str) -> Response:
--- a/tests/front/test_operators.py
+++ b/tests/front/test_operators.py
@@ -7,6 +7,7 @@
 
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.plugins import Plugin
+from plantainstack.policy.configuration import HistoryItem
 from tests.front.harness import PLUGINS, running
 
 pytestmark = pytest.mark.anyio
@@ -32,6 +33,9 @@
             return Err(Failure.of(ErrorKind.CONFLICT, "version 1 by day"))
         return Ok(1)
 
+    async def history(self, limit):
+        return Ok([HistoryItem(1, "c1", "day", 0.0, ["retry_ratio"])][:limit])
+
 
 @pytest.fixture
 async def client(tmp_path):
@@ -82,3 +86,11 @@
     burn = (await client.send("GET", "/operator/burn", **OPERATOR)).json()
     assert burn["services"][0]["burns"][0]["good"] == 1
     assert burn["missing"] == ["entry-2"]
+
+
+async def test_history_names_its_fields(client):
+    """Guards against items that are sent as bare lists."""
+    answer = await client.send("GET", "/operator/history?limit=5", **OPERATOR)
+    assert answer.json()["history"][0]["author"] == "day"
+    answer = await client.send("GET", "/operator/history?limit=x", **OPERATOR)
+    assert answer.status == 400
--- /dev/null
+++ b/tests/processes/test_operators.py
@@ -0,0 +1,75 @@
+"""The operators' client against real processes."""
+
+import json
+
+import anyio
+import pytest
+from click.testing import CliRunner
+
+from plantainstack.__main__ import main
+from plantainstack.commands.client import ExitCode
+
+pytestmark = pytest.mark.anyio
+
+ENTRY = "entry-1"
+DRAINED = "shops-1"
+
+
+@pytest.fixture
+def run(world, tmp_path):
+    token = tmp_path / "token"
+    token.write_text(world.fleet.operator_token)
+    server = str(world.fleet.operators.addresses[ENTRY])
+
+    async def invoke(*args, codes=(ExitCode.OK,)):
+        given = ["--server", server, "--token-file", str(token), "--json", *args]
+        result = await anyio.to_thread.run_sync(CliRunner().invoke, main, given)
+        assert result.exit_code in codes, result.output
+        return json.loads(result.output)
+
+    return invoke
+
+
+async def test_every_command_is_understood_by_an_instance(world, run):
+    """Guards against a client and a daemon that differ in what they send."""
+    reply = await world.look_up(ENTRY)
+    assert reply.ok
+    status = await run("status")
+    assert {item["id"] for item in status["members"]} >= {ENTRY}
+    assert {item["id"] for item in status["endpoints"]} >= {DRAINED}
+    assert "steps" in await run("steps")
+    accepted = await run("config", "set", "slo_target", "0.998")
+    shown = await run("config", "show")
+    assert shown["values"]["slo_target"] == "0.998"
+    assert (await run("config", "status"))[ENTRY] == accepted["version"]
+    history = (await run("config", "history"))["history"]
+    assert history[0]["version"] == accepted["version"]
+    assert history[0]["author"] == "operator"
+    # An alert is right where other tests of this fleet have broken answers.
+    burn = await run("report", "burn", codes=(ExitCode.OK, ExitCode.FAILED))
+    services = {item["service"]: item for item in burn["services"]}
+    assert services["booking-app"]["target"] == 0.998
+    assert "events" in await run("trace", "unknown")
+
+
+async def test_a_drained_endpoint_gets_no_work_until_the_drain_is_undone(world, run):
+    """Guards against a drain that is accepted and has no effect."""
+
+    async def state():
+        found = (await run("status"))["endpoints"]
+        return {item["id"]: item["state"] for item in found}[DRAINED]
+
+    async def is_leaving():
+        return await state() == "leaving"
+
+    async def is_live():
+        return await state() == "live"
+
+    await run("drain", DRAINED, "--reason", "test")
+    await world.until(is_leaving)
+    references = [f"drained-{number}" for number in range(8)]
+    before = (await world.fleet.state(DRAINED))["runs"]
+    await world.book_all(ENTRY, references, {})
+    assert (await world.fleet.state(DRAINED))["runs"] == before
+    await run("drain", DRAINED, "--undo")
+    await world.until(is_live)
--- a/tools/demo_fleet.py
+++ b/tools/demo_fleet.py
@@ -98,6 +98,11 @@
         """Return the token of the demo's callers."""
         return self._tokens["caller"]
 
+    @property
+    def operator_token(self) -> str:
+        """Return the token of the demo's operator."""
+        return self._tokens["operator"]
+
     async def start(self) -> None:
         """Start everything; raises DemoError if a process does not come up."""
         self._write_credentials()
