--- a/bench/engine.py
+++ b/bench/engine.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from bench.loop import Loop
-from plantainstack.platform.base import EngineStatus, InstanceRecord
+from plantainstack.interfaces import EngineStatus, InstanceRecord
 from plantainstack.policy.routing import AttemptEnd
 
 REPORT_INTERVAL_S = 0.25
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -4,7 +4,7 @@
 
 from bench.engine import Attempt
 from bench.variants import Variant
-from plantainstack.platform.base import InstanceKind, Priority
+from plantainstack.interfaces import InstanceKind, Priority
 from plantainstack.policy.limits import OpenAdmission, PriorityAdmission
 from plantainstack.policy.retries import BudgetedRetries, FixedRetries
 from plantainstack.policy.routing import (
--- a/bench/world.py
+++ b/bench/world.py
@@ -10,7 +10,7 @@
 from bench.trainer import Trainer
 from bench.users import User
 from bench.variants import Variant
-from plantainstack.platform.base import InstanceKind, InstanceRecord, InstanceState
+from plantainstack.interfaces import InstanceKind, InstanceRecord, InstanceState
 from plantainstack.policy.pacing import may_go
 from plantainstack.settings.fleet import Scope
 from plantainstack.settings.options import Address
--- /dev/null
+++ b/plantainstack/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform and their HTTP adapters."""
--- a/plantainstack/platform/instances.py
+++ b/plantainstack/adapters/instances.py
@@ -7,14 +7,14 @@
 
 from result import Ok, Result
 
+from plantainstack.adapters.store import StoreClient, decode
 from plantainstack.errors import Failure
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     InstanceKind,
     InstanceList,
     InstanceRecord,
     InstanceState,
 )
-from plantainstack.platform.store import StoreClient, decode
 from plantainstack.settings.options import Address
 
 
--- a/plantainstack/platform/objects.py
+++ b/plantainstack/adapters/objects.py
@@ -5,9 +5,9 @@
 
 from result import Err, Ok, Result
 
+from plantainstack.adapters.store import StoreClient, unexpected
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import ObjectStore
-from plantainstack.platform.store import StoreClient, unexpected
+from plantainstack.interfaces import ObjectStore
 
 
 class HttpObjects(ObjectStore):
--- /dev/null
+++ b/plantainstack/adapters/plugin.py
@@ -0,0 +1,50 @@
+"""The plug-in that holds the adapters to the platform's services."""
+
+from anyio.abc import TaskGroup
+
+from plantainstack.adapters.http import HttpClient
+from plantainstack.adapters.instances import HttpInstances
+from plantainstack.adapters.objects import HttpObjects
+from plantainstack.adapters.scorer import HttpScorer
+from plantainstack.adapters.store import StoreClient
+from plantainstack.adapters.table import HttpTable
+from plantainstack.adapters.weights import HttpWeights
+from plantainstack.kernel import Kernel
+from plantainstack.plugins import Plugin
+from plantainstack.services.batching import BatchingTable
+from plantainstack.settings.options import Address
+
+
+class PlatformPlugin(Plugin):
+    """Hold one adapter for each platform service named in the settings."""
+
+    name = "platform"
+
+    def __init__(self, kernel: Kernel):
+        super().__init__(kernel)
+        addresses = kernel.settings.platform
+        self._clients: list[HttpClient] = []
+        self.table = BatchingTable(
+            HttpTable(self._client(addresses.table)), kernel.clock
+        )
+        self.objects = HttpObjects(self._store(addresses.objects))
+        self.instances = HttpInstances(self._store(addresses.instances))
+        self.weights = HttpWeights(self._store(addresses.weights))
+        self.scorer = HttpScorer(self._store(addresses.scorer))
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Start the workers of group commit."""
+        self.table.start(tasks)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for client in self._clients:
+            await client.aclose()
+
+    def _client(self, address: Address) -> HttpClient:
+        client = HttpClient(address, self.kernel.clock)
+        self._clients.append(client)
+        return client
+
+    def _store(self, address: Address) -> StoreClient:
+        return StoreClient(self._client(address))
--- a/plantainstack/platform/scorer.py
+++ b/plantainstack/adapters/scorer.py
@@ -6,9 +6,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from plantainstack.adapters.store import StoreClient, decode, unavailable
 from plantainstack.errors import Failure, Outcome
-from plantainstack.platform.base import Scorer
-from plantainstack.platform.store import StoreClient, decode, unavailable
+from plantainstack.interfaces import Scorer
 
 
 class _ScoresBody(TypedDict):
--- a/plantainstack/platform/table.py
+++ b/plantainstack/adapters/table.py
@@ -7,9 +7,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from plantainstack.adapters.http import HttpClient, Interruption
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import Mutation, MutationOutcome, Row, TableService
-from plantainstack.platform.http import HttpClient, Interruption
+from plantainstack.interfaces import Mutation, MutationOutcome, Row, TableService
 
 T = TypeVar("T")
 
--- a/plantainstack/platform/trainer.py
+++ b/plantainstack/adapters/trainer.py
@@ -5,9 +5,9 @@
 import msgspec
 from result import Ok, Result
 
+from plantainstack.adapters.store import StoreClient, unexpected
 from plantainstack.errors import Failure
-from plantainstack.platform.base import Trainer
-from plantainstack.platform.store import StoreClient, unexpected
+from plantainstack.interfaces import Trainer
 
 
 class HttpTrainer(Trainer):
--- a/plantainstack/platform/weights.py
+++ b/plantainstack/adapters/weights.py
@@ -5,10 +5,10 @@
 
 from result import Err, Ok, Result
 
+from plantainstack.adapters.http import Answer
+from plantainstack.adapters.store import StoreClient, decode, segment, unexpected
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import WeightStore
-from plantainstack.platform.http import Answer
-from plantainstack.platform.store import StoreClient, decode, segment, unexpected
+from plantainstack.interfaces import WeightStore
 
 
 class _VersionBody(TypedDict):
--- a/plantainstack/clock.py
+++ b/plantainstack/clock.py
@@ -32,12 +32,17 @@
         return self.wall() + (deadline - self.now())
 
 
+# Unlike CLOCK_MONOTONIC, counts the time for which a machine is suspended, so that
+# leases and deadlines end while it sleeps.
+_SUSPEND_AWARE_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 class SystemClock(Clock):
     """Read the clocks of the operating system."""
 
     def now(self) -> float:
         """Return monotonic seconds."""
-        return time.monotonic()
+        return time.clock_gettime(_SUSPEND_AWARE_CLOCK)
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
--- a/plantainstack/daemon.py
+++ b/plantainstack/daemon.py
@@ -1,7 +1,9 @@
 """The command `plantainstackd`, which runs one entry instance."""
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from typing import NamedTuple
 
 import anyio
 import click
@@ -9,24 +11,45 @@
 from plantainstack import log
 from plantainstack.errors import ConfigurationError
 from plantainstack.kernel import Kernel
-from plantainstack.plugins import load_builtin
-from plantainstack.settings.instance import load_instance
+from plantainstack.plugins import BUILTIN_MODULES, STORE_MODULES, load_builtin
+from plantainstack.settings.instance import InstanceSettings, load_instance
+from plantainstack.settings.node import NodeSettings, load_node
 
 EXIT_BAD_SETTINGS = 2
 
 
+class Deployment(NamedTuple):
+    """Name the settings and the plug-ins of one kind of deployment."""
+
+    load: Callable[[Path], InstanceSettings | NodeSettings]
+    modules: tuple[str, ...]
+
+
+DEPLOYMENTS = {
+    "services": Deployment(load_instance, BUILTIN_MODULES),
+    "store": Deployment(load_node, STORE_MODULES),
+}
+
+
 @click.command()
 @click.argument("settings_file", type=click.Path(exists=True, path_type=Path))
-def main(settings_file: Path) -> None:
+@click.option(
+    "--deployment",
+    type=click.Choice(list(DEPLOYMENTS)),
+    default="services",
+    help="Platform with a service for each task, or with one metadata store.",
+)
+def main(settings_file: Path, deployment: str) -> None:
     """Run one entry instance with the settings in SETTINGS_FILE."""
+    kind = DEPLOYMENTS[deployment]
     try:
-        settings = load_instance(settings_file)
+        settings = kind.load(settings_file)
     except ConfigurationError as exc:
         click.echo(exc, err=True)
         sys.exit(EXIT_BAD_SETTINGS)
     log.configure(settings.log_path())
     log.bind(instance=settings.instance.id)
-    kernel = Kernel(settings, load_builtin().values())
+    kernel = Kernel(settings, load_builtin(kind.modules).values())
     anyio.run(kernel.run)
 
 
--- a/plantainstack/front/callers.py
+++ b/plantainstack/front/callers.py
@@ -21,15 +21,15 @@
     error_content,
     error_response,
 )
-from plantainstack.kernel import State
-from plantainstack.links.endpoint import DONE, HOP_HEADERS
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     GenerateRequest,
     Part,
     PlainAnswer,
     PlainRequest,
     Priority,
 )
+from plantainstack.kernel import State
+from plantainstack.links.endpoint import DONE, HOP_HEADERS
 from plantainstack.requests import RequestContext, new_id
 from plantainstack.services.dispatch import AttemptLog
 from plantainstack.settings.fleet import FleetOptions, Scope
--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -1,6 +1,6 @@
 """HTTP adapters for endpoints, and the plug-in that owns their connections."""
 
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from contextlib import aclosing
 from typing import Any
 
@@ -11,15 +11,7 @@
 
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.links.slots import (
-    ATTEMPT_HEADER,
-    Exchange,
-    Head,
-    SendRefused,
-    Slots,
-    Timeouts,
-)
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     CacheEvent,
     Engine,
     EngineStatus,
@@ -31,6 +23,15 @@
     PlainRequest,
     PlainService,
 )
+from plantainstack.links.events import EventReader
+from plantainstack.links.slots import (
+    ATTEMPT_HEADER,
+    Exchange,
+    Head,
+    SendRefused,
+    Slots,
+    Timeouts,
+)
 from plantainstack.plugins import Plugin
 from plantainstack.settings.fleet import FleetOptions, Scope
 
@@ -79,28 +80,6 @@
 _CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
 
 
-class EventDecoder:
-    """Split a byte stream into the data of server-sent events.
-
-    The decoder of the package httpx-sse is tied to httpx's own responses.
-    """
-
-    def __init__(self):
-        self._rest = b""
-        self._data: list[str] = []
-
-    def feed(self, chunk: bytes) -> Iterator[str]:
-        """Yield the data of each event that the chunk completes."""
-        *lines, self._rest = (self._rest + chunk).split(b"\n")
-        for raw in lines:
-            line = raw.rstrip(b"\r")
-            if line.startswith(b"data:"):
-                self._data.append(line[5:].lstrip(b" ").decode("utf-8", "replace"))
-            elif not line and self._data:
-                yield "\n".join(self._data)
-                self._data = []
-
-
 class _Endpoint:
     """Send requests to one endpoint."""
 
@@ -216,7 +195,7 @@
         return exchange.failure(ErrorKind.ENDPOINT_FAILED, message)
 
     async def _parts(self, response, exchange: Exchange):
-        decoder = EventDecoder()
+        reader = EventReader()
         body = aiter(response.stream)
         while True:
             try:
@@ -226,7 +205,10 @@
                 message = "the stream ended without its end marker"
                 yield Err(exchange.failure(ErrorKind.ANSWER_TRUNCATED, message))
                 return
-            for data in decoder.feed(chunk):
+            for event in reader.feed(chunk):
+                data = event.data()
+                if data is None:
+                    continue
                 if data == DONE:
                     await _finish(body)
                     return
--- a/plantainstack/links/peer.py
+++ b/plantainstack/links/peer.py
@@ -14,8 +14,8 @@
 
 from plantainstack import log, metrics
 from plantainstack.errors import ErrorKind, Failure, Outcome, PeerError
+from plantainstack.interfaces import InstanceKind, InstanceRecord
 from plantainstack.links.handshake import Handshake, Role, decode, encode
-from plantainstack.platform.base import InstanceKind, InstanceRecord
 from plantainstack.plugins import Plugin
 from plantainstack.settings.options import Address
 
--- a/plantainstack/links/slots.py
+++ b/plantainstack/links/slots.py
@@ -105,12 +105,16 @@
 
 
 class Head(NamedTuple):
-    """Hold what to send; the target is an absolute path."""
+    """Hold what to send; the target is an absolute path.
+
+    Without a host, the endpoint's address is sent as one.
+    """
 
     method: str
     target: str
     headers: list[tuple[str, str]]
     body: bytes
+    host: str = ""
 
 
 class Timeouts(NamedTuple):
@@ -173,7 +177,8 @@
             await _close(conn)
 
     def _request(self, head: Head, progress: float) -> httpcore.Request:
-        headers = [("Host", str(self._address)), *head.headers]
+        host = head.host or str(self._address)
+        headers = [("Host", host), *head.headers]
         if head.body or head.method not in ("GET", "HEAD"):
             headers.append(("Content-Length", str(len(head.body))))
         # Values may hold any byte of Latin-1; httpcore itself takes only ASCII text.
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -81,3 +81,26 @@
     buckets=(1, 5, 15, 30, 60, 120, 300, 600, 1440),
     registry=REGISTRY,
 )
+FEED_FAILURES = Counter(
+    "plantainstack_feed_failures",
+    "Reads of a feed of the metadata store that failed, by feed.",
+    ["feed"],
+    registry=REGISTRY,
+)
+BATCH_SECONDS = Histogram(
+    "plantainstack_batch_item_seconds",
+    "Time from an item's first start to its end on this instance, in seconds.",
+    ["end"],
+    registry=REGISTRY,
+)
+ORDERS = Counter(
+    "plantainstack_version_orders",
+    "Orders to load a version, by the endpoint's answer.",
+    ["answer"],
+    registry=REGISTRY,
+)
+LINES_DROPPED = Counter(
+    "plantainstack_log_lines_dropped",
+    "Log lines left out because they came too fast or could not be written.",
+    registry=REGISTRY,
+)
--- a/plantainstack/platform/__init__.py
+++ b/plantainstack/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Interfaces to the platform and their HTTP adapters."""
+"""The adapter to the users' platform: names, formats and calls, no decisions."""
--- /dev/null
+++ b/plantainstack/platform/ingress.py
@@ -0,0 +1,314 @@
+"""The HTTP interface that the users' platform sends requests to."""
+
+import math
+from http import HTTPStatus
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from plantainstack import log, metrics
+from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
+from plantainstack.platform import names, records
+from plantainstack.policy.forwarding import RETRY_AFTER_S
+from plantainstack.services.forwarding import ClientCall
+from plantainstack.serving import RequestKind, Route
+
+# A reader's wait is at most this long (the platform's own figure is 1 s).
+WAIT_MAX_S = 1.5
+RESULTS_MAX_BYTES = 900_000
+# These statuses promise that a request has not run and never will.
+_PROMISES = (
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+)
+
+
+class _Reply(NamedTuple):
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes = b""
+
+
+class BrokenOff(Exception):
+    """End a client's connection in the middle of an answer."""
+
+
+class Ingress:
+    """Answer clients and trainers: an ASGI application."""
+
+    def __init__(self, kernel):
+        self._kernel = kernel
+        self._forwarding = kernel.plugin("forwarding")
+        self._batches = kernel.plugin("batches")
+        self._discovery = kernel.plugin("discovery")
+        self.open_requests = 0
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer one request; the client's leaving ends the work for it."""
+        self.open_requests += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.open_requests -= 1
+
+    async def _serve(self, scope, receive, send) -> None:
+        arrived_at = self._kernel.clock.now()
+        body = await self._read_body(receive)
+        if body is None:
+            return
+        answerer = _Answerer(self, scope, body, arrived_at, send)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_left, receive, tasks.cancel_scope)
+            await answerer.answer()
+            tasks.cancel_scope.cancel()
+
+    async def _read_body(self, receive) -> bytes | Failure | None:
+        cfg = self._discovery.serving
+        limit = cfg.limits.body_bytes if cfg else 32 * 1024 * 1024
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return None
+            chunks.append(message.get("body", b""))
+            size += len(chunks[-1])
+            if size > limit:
+                text = f"bodies are limited to {limit} bytes"
+                return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
+            if not message.get("more_body"):
+                return b"".join(chunks)
+
+
+class _Answerer:
+    """Answer one request whose body has been read."""
+
+    def __init__(self, ingress: Ingress, scope, body, arrived_at: float, send):
+        self._kernel = ingress._kernel
+        self._forwarding = ingress._forwarding
+        self._batches = ingress._batches
+        self._scope = scope
+        self._body = body
+        self._arrived_at = arrived_at
+        self._send = send
+        self._headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in scope["headers"]
+        ]
+        raw_path = scope["raw_path"].partition(b"?")[0].decode("latin-1")
+        query = scope["query_string"].decode("latin-1")
+        self._path = raw_path
+        self._query = query
+        self._target = f"{raw_path}?{query}" if query else raw_path
+        self._host = names.header(self._headers, "host") or ""
+        self._request_id = names.header(self._headers, names.REQUEST_ID) or ""
+
+    async def answer(self) -> None:
+        """Send the answer."""
+        if isinstance(self._body, Failure):
+            await self._reply(_refusal(self._body))
+            return
+        method = self._scope["method"]
+        if self._path.startswith(names.LOTS_PATH) and method in ("GET", "DELETE"):
+            await self._reply(await self._lot(method))
+            return
+        if self._path.startswith(names.ITEMS_PATH) and method == "GET":
+            await self._reply(await self._item_body())
+            return
+        found = self._forwarding.route(self._host, self._path)
+        if found.is_err():
+            self._log_refusal(found.unwrap_err())
+            await self._reply(_refusal(found.unwrap_err()))
+            return
+        await self._forward(found.unwrap())
+
+    async def _forward(self, route: Route) -> None:
+        if route.kind is RequestKind.BATCH:
+            await self._reply(await self._submit(route))
+        elif route.kind is RequestKind.STREAM:
+            await self._stream(route)
+        else:
+            await self._plain(route)
+
+    async def _plain(self, route: Route) -> None:
+        outcome = await self._forwarding.plain(self._call(route), route)
+        if outcome.is_err():
+            await self._reply(_refusal(outcome.unwrap_err()))
+            return
+        answer = outcome.unwrap().answer
+        await self._reply(_Reply(answer.status, answer.headers, answer.body))
+
+    async def _stream(self, route: Route) -> None:
+        begun = False
+        async for outcome in self._forwarding.stream(self._call(route), route):
+            if outcome.is_err():
+                if begun:
+                    raise BrokenOff(outcome.unwrap_err().message)
+                await self._reply(_refusal(outcome.unwrap_err()))
+                return
+            part = outcome.unwrap()
+            if isinstance(part, bytes):
+                await self._send_body(part, more=True)
+            else:
+                begun = True
+                await self._send_head(part.status, part.headers)
+        await self._send_body(b"", more=False)
+
+    async def _submit(self, route: Route) -> _Reply:
+        decoded = records.batch(self._request_id, self._host, self._path, self._body)
+        if not self._request_id or decoded.is_err():
+            reason = decoded.err() or "the request has no id"
+            failure = Failure.of(ErrorKind.BAD_REQUEST, reason)
+            self._log_refusal(failure)
+            return _refusal(failure)
+        outcome = await self._batches.submit(decoded.unwrap(), route)
+        if outcome.is_err():
+            return _refusal(outcome.unwrap_err())
+        return _Reply(HTTPStatus.ACCEPTED, [])
+
+    async def _lot(self, method: str) -> _Reply:
+        batch_id = self._path.removeprefix(names.LOTS_PATH)
+        if method == "DELETE":
+            ended = await self._batches.end(batch_id)
+            return _refusal(ended.unwrap_err()) if ended.is_err() else _json({})
+        after = self._number("after")
+        wait_ms = names.header(self._headers, names.WAIT_MS) or "0"
+        wait_s = min(WAIT_MAX_S, int(wait_ms) / 1000) if wait_ms.isdigit() else 0.0
+        found = await self._batches.results(batch_id, after, wait_s)
+        if found.is_err():
+            return _refusal(found.unwrap_err())
+        page = found.unwrap()
+        results: list[dict[str, Any]] = []
+        size = 0
+        for each in page.results:
+            size += len(each.text)
+            if results and size > RESULTS_MAX_BYTES:
+                break
+            results.append(records.result_fields(each))
+        return _json(
+            {"total": page.total, "next": after + len(results), "results": results}
+        )
+
+    async def _item_body(self) -> _Reply:
+        batch_id = self._path.removeprefix(names.ITEMS_PATH)
+        item_id = parse_qs(self._query).get("id", [""])[0]
+        found = await self._batches.item_body(batch_id, item_id)
+        if found.is_err():
+            return _refusal(found.unwrap_err())
+        kind = [("Content-Type", "application/octet-stream")]
+        return _Reply(HTTPStatus.OK, kind, found.unwrap())
+
+    def _number(self, name: str) -> int:
+        text = parse_qs(self._query).get(name, ["0"])[0]
+        return int(text) if text.isdigit() else 0
+
+    def _call(self, route: Route) -> ClientCall:
+        patience = names.header(self._headers, names.DEADLINE_MS) or ""
+        seconds = route.timeout_s
+        if patience.isdigit():
+            seconds = min(seconds, int(patience) / 1000)
+        kept = tuple(
+            (name, value)
+            for name, value in self._headers
+            if name not in names.HOP_HEADERS
+        )
+        return ClientCall(
+            self._request_id,
+            self._scope["method"],
+            self._target,
+            self._host,
+            kept,
+            self._body,
+            self._arrived_at + seconds,
+        )
+
+    def _log_refusal(self, failure: Failure) -> None:
+        log.event(
+            "request.refused",
+            self._request_id,
+            host=self._host,
+            path=self._path,
+            kind=failure.kind.value,
+            reason=failure.message,
+        )
+
+    async def _reply(self, reply: _Reply) -> None:
+        length = ("Content-Length", str(len(reply.body)))
+        headers = [*reply.headers, length]
+        if names.header(headers, names.REQUEST_ID) is None and self._request_id:
+            headers.append((names.REQUEST_ID, self._request_id))
+        await self._send_head(reply.status, headers)
+        await self._send_body(reply.body, more=False)
+
+    async def _send_head(self, status: int, headers) -> None:
+        if self._kernel.unready_reason() == "draining":
+            headers = [*headers, ("Connection", "close")]
+        encoded = [
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
+        ]
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": encoded}
+        )
+
+    async def _send_body(self, body: bytes, more: bool) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": more}
+        )
+
+
+class Probes:
+    """Answer the platform's question for readiness, and show the metrics."""
+
+    def __init__(self, kernel):
+        self._kernel = kernel
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer one request."""
+        status, body, kind = HTTPStatus.NOT_FOUND, b"", "text/plain"
+        if scope["path"] == names.READY_PATH:
+            reason = self._kernel.unready_reason()
+            status = HTTPStatus.SERVICE_UNAVAILABLE if reason else HTTPStatus.OK
+            body = (reason or "ready").encode()
+        elif scope["path"] == "/metrics":
+            status, body = HTTPStatus.OK, generate_latest(metrics.REGISTRY)
+            kind = CONTENT_TYPE_LATEST
+        headers = [
+            (b"content-type", kind.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+async def _cancel_when_left(receive, scope: anyio.CancelScope) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+def _json(content: dict[str, Any]) -> _Reply:
+    kind = [("Content-Type", "application/json")]
+    return _Reply(HTTPStatus.OK, kind, msgspec.json.encode(content))
+
+
+def _refusal(failure: Failure) -> _Reply:
+    """Translate a failure; only what has certainly not run gets a promise."""
+    status = ERROR_TABLE[failure.kind].status
+    if failure.outcome is Outcome.NOT_RUN and status == HTTPStatus.BAD_GATEWAY:
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+    if failure.outcome is not Outcome.NOT_RUN and status in _PROMISES:
+        status = HTTPStatus.GATEWAY_TIMEOUT
+    headers = [("Content-Type", "application/json")]
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        headers.append(("Retry-After", f"{math.ceil(RETRY_AFTER_S * 100) / 100}"))
+    content = {"error": failure.kind.value, "message": failure.message}
+    return _Reply(status, headers, msgspec.json.encode(content))
--- /dev/null
+++ b/plantainstack/platform/names.py
@@ -0,0 +1,49 @@
+"""Header names and paths of the users' platform."""
+
+REQUEST_ID = "Plantainstack-Request-Id"
+DEADLINE_MS = "Plantainstack-Deadline-Ms"
+EXPECT_INSTANCE = "Plantainstack-Expect-Instance"
+SEAL = "Plantainstack-Server-Seal"
+LOAD = "Plantainstack-Server-Load"
+NOT_EXECUTED = "Plantainstack-Not-Executed"
+WEIGHT_VERSIONS = "Plantainstack-Weight-Versions"
+LENGTH_HINT = "Plantainstack-Length-Hint"
+WAIT_MS = "Plantainstack-Wait-Ms"
+LAST_EVENT_ID = "Last-Event-Id"
+
+READY_PATH = "/api/ready"
+LOTS_PATH = "/api/lots/"
+ITEMS_PATH = "/api/items/"
+ORDER_PATH = "/api/order"
+REPORT_PATH = "/api/report"
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Set by this system on what it sends to endpoints.
+OWN_HEADERS = frozenset(
+    name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID)
+)
+
+
+def header(headers, name: str) -> str | None:
+    """Return the first value of a header among pairs of text or bytes."""
+    wanted = name.lower()
+    for key, value in headers:
+        text = key.decode("latin-1") if isinstance(key, bytes) else key
+        if text.lower() == wanted:
+            return value.decode("latin-1") if isinstance(value, bytes) else value
+    return None
--- a/plantainstack/platform/plugin.py
+++ b/plantainstack/platform/plugin.py
@@ -1,50 +1,22 @@
-"""The plug-in that holds the adapters to the platform's services."""
+"""The plug-in that holds the clients of the users' platform."""
 
-from anyio.abc import TaskGroup
-
-from plantainstack.kernel import Kernel
-from plantainstack.platform.batching import BatchingTable
-from plantainstack.platform.http import HttpClient
-from plantainstack.platform.instances import HttpInstances
-from plantainstack.platform.objects import HttpObjects
-from plantainstack.platform.scorer import HttpScorer
-from plantainstack.platform.store import StoreClient
-from plantainstack.platform.table import HttpTable
-from plantainstack.platform.weights import HttpWeights
+from plantainstack.platform.servers import PlatformServers
+from plantainstack.platform.store import PlatformStore
 from plantainstack.plugins import Plugin
-from plantainstack.settings.options import Address
 
 
-class PlatformPlugin(Plugin):
-    """Hold one adapter for each platform service named in the settings."""
+class StorePlugin(Plugin):
+    """Hold the client of the store and that of the servers."""
 
-    name = "platform"
+    name = "store"
 
-    def __init__(self, kernel: Kernel):
+    def __init__(self, kernel):
         super().__init__(kernel)
-        addresses = kernel.settings.platform
-        self._clients: list[HttpClient] = []
-        self.table = BatchingTable(
-            HttpTable(self._client(addresses.table)), kernel.clock
-        )
-        self.objects = HttpObjects(self._store(addresses.objects))
-        self.instances = HttpInstances(self._store(addresses.instances))
-        self.weights = HttpWeights(self._store(addresses.weights))
-        self.scorer = HttpScorer(self._store(addresses.scorer))
-
-    async def start(self, tasks: TaskGroup) -> None:
-        """Start the workers of group commit."""
-        self.table.start(tasks)
+        self.rows = PlatformStore(kernel.settings.store.address, kernel.clock)
+        self.directory = self.rows
+        self.endpoints = PlatformServers(kernel.clock)
 
     async def stop(self) -> None:
         """Close all connections."""
-        for client in self._clients:
-            await client.aclose()
-
-    def _client(self, address: Address) -> HttpClient:
-        client = HttpClient(address, self.kernel.clock)
-        self._clients.append(client)
-        return client
-
-    def _store(self, address: Address) -> StoreClient:
-        return StoreClient(self._client(address))
+        await self.endpoints.aclose()
+        await self.rows.aclose()
--- /dev/null
+++ b/plantainstack/platform/records.py
@@ -0,0 +1,277 @@
+"""Decode and encode the JSON bodies of the users' platform."""
+
+import base64
+import binascii
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from plantainstack.clock import Clock
+from plantainstack.platform.names import LENGTH_HINT, header
+from plantainstack.serving import (
+    Batch,
+    ClientLimits,
+    Endpoint,
+    EndpointGroup,
+    EndpointReport,
+    Item,
+    ItemResult,
+    RequestKind,
+    Route,
+    ServingConfig,
+    Share,
+)
+from plantainstack.settings.options import Address
+
+_KINDS = {
+    "safe": RequestKind.SAFE,
+    "unsafe": RequestKind.UNSAFE,
+    "stream": RequestKind.STREAM,
+    "rollout": RequestKind.BATCH,
+}
+
+
+class _Split(msgspec.Struct):
+    backend: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    prefix: str
+    route_type: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    priority: int = 0
+    # A route names either one service or several with weights.
+    backend: str | None = None
+    split: list[_Split] = []
+    max_attempts: int = 1
+    max_queue_s: float = 0.0
+    result_target_ms: float = 0.0
+    single_version: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+    version: int = 0
+
+
+class _Engine(msgspec.Struct):
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 32 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Beat(msgspec.Struct):
+    # The service that the server belongs to.
+    backend: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    # Counts the server's writes of this entry; it orders nothing else.
+    seq: int
+    # Unix time of the server's start.
+    born: int = 0
+    cold_ms: float = 0.0
+    models: list[_Model] = []
+
+
+class _Report(msgspec.Struct):
+    models: list[_Model] = []
+    busy: bool = False
+    # The number of orders accepted since the start, unlike the field of the same
+    # name in the registration.
+    seq: int = 0
+
+
+class _NamedVersion(msgspec.Struct):
+    model: str
+    version: int
+
+
+class _LotItem(msgspec.Struct):
+    id: str
+    path: str
+    headers: dict[str, str]
+    body: str
+    group: str = ""
+
+
+class _Lot(msgspec.Struct):
+    requests: list[_LotItem]
+    step: int = 0
+    model: str = ""
+    min_version: int = 0
+    group_count: int = 0
+
+
+_CONFIG = msgspec.json.Decoder(_Config)
+_BEAT = msgspec.json.Decoder(_Beat)
+_REPORT = msgspec.json.Decoder(_Report)
+_VERSION = msgspec.json.Decoder(_NamedVersion)
+_LOT = msgspec.json.Decoder(_Lot)
+
+
+def config(data: bytes) -> Result[ServingConfig, str]:
+    """Decode a configuration."""
+    try:
+        found = _CONFIG.decode(data)
+        routes = tuple(_route(route) for route in found.routes)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(str(exc))
+    services = {
+        service.name: EndpointGroup(
+            service.name,
+            service.max_conns,
+            tuple(m.name for m in service.engine.models) if service.engine else (),
+        )
+        for service in found.services
+    }
+    limits = ClientLimits(
+        found.limits.max_header_bytes,
+        found.limits.max_body_bytes,
+        found.limits.header_timeout_ms / 1000,
+        found.limits.idle_timeout_ms / 1000,
+    )
+    return Ok(ServingConfig(found.version, routes, services, limits))
+
+
+def _route(route: _Route) -> Route:
+    kind = _KINDS.get(route.route_type)
+    if kind is None:
+        raise ValueError(
+            f"route {route.name!r} has the unknown kind {route.route_type!r}"
+        )
+    shares = tuple(Share(part.backend, part.weight) for part in route.split)
+    if not shares and route.backend is not None:
+        shares = (Share(route.backend, 1.0),)
+    return Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        prefix=route.prefix,
+        kind=kind,
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.slo_ms / 1000,
+        priority=route.priority,
+        shares=shares,
+        endpoints_max=route.max_attempts,
+        queue_limit_s=route.max_queue_s,
+        result_target_s=route.result_target_ms / 1000,
+        single_version=route.single_version,
+        resumable=route.resumable,
+    )
+
+
+def endpoint(key: str, data: bytes, clock: Clock) -> Result[Endpoint, str]:
+    """Decode a registration; other writers leave entries that are none."""
+    try:
+        beat = _BEAT.decode(data)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(str(exc))
+    host, _, port = beat.address.rpartition(":")
+    if beat.state not in ("ready", "draining") or not host or not port.isdigit():
+        return Err(f"state {beat.state!r} or address {beat.address!r} is not valid")
+    if not 0 < int(port) <= 65535 or beat.slots <= 0:
+        return Err(f"port {port} or slots {beat.slots} is out of range")
+    return Ok(
+        Endpoint(
+            id=key,
+            service=beat.backend,
+            address=Address(host, int(port)),
+            data_centre=beat.zone,
+            slots=beat.slots,
+            leaving=beat.state == "draining",
+            started_ms=beat.born,
+            versions={model.name: model.version for model in beat.models},
+            warm_at=clock.now() + beat.cold_ms / 1000,
+        )
+    )
+
+
+def report(data: bytes) -> Result[EndpointReport, str]:
+    """Decode a server's report of its own state."""
+    try:
+        found = _REPORT.decode(data)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(str(exc))
+    versions = {model.name: model.version for model in found.models}
+    return Ok(EndpointReport(versions, found.busy, found.seq))
+
+
+def named_version(data: bytes) -> Result[tuple[str, int], str]:
+    """Decode the version that the operator or a trainer named for a model."""
+    try:
+        found = _VERSION.decode(data)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(str(exc))
+    return Ok((found.model, found.version))
+
+
+def batch(batch_id: str, host: str, path: str, data: bytes) -> Result[Batch, str]:
+    """Decode a submission and check it as a whole."""
+    try:
+        lot = _LOT.decode(data)
+        items = tuple(_item(item) for item in lot.requests)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(str(exc))
+    if not items:
+        return Err("the batch has no items")
+    if len({item.id for item in items}) < len(items):
+        return Err("two items have the same id")
+    if any(not item.id or not item.path.startswith("/") for item in items):
+        return Err("an item has no id or no absolute path")
+    return Ok(
+        Batch(batch_id, host, path, lot.model, lot.min_version, lot.group_count, items)
+    )
+
+
+def _item(item: _LotItem) -> Item:
+    try:
+        body = base64.b64decode(item.body, validate=True)
+    except binascii.Error as exc:
+        raise ValueError(f"the body of item {item.id!r} is not base64") from exc
+    headers = tuple(item.headers.items())
+    if any("\n" in text or "\r" in text for pair in headers for text in pair):
+        raise ValueError(f"a header of item {item.id!r} holds a line break")
+    hint = header(headers, LENGTH_HINT) or "0"
+    return Item(
+        item.id,
+        item.group,
+        item.path,
+        headers,
+        body,
+        int(hint) if hint.isdigit() else 0,
+    )
+
+
+def result_fields(found: ItemResult) -> dict[str, Any]:
+    """Encode a result for the reader of a batch."""
+    return {
+        "id": found.item_id,
+        "state": found.state.value,
+        "output": found.text,
+        "versions": list(found.versions),
+    }
--- /dev/null
+++ b/plantainstack/platform/servers.py
@@ -0,0 +1,304 @@
+"""The client of the platform's servers, which the project calls endpoints."""
+
+import contextlib
+from collections.abc import AsyncIterator, Sequence
+from http import HTTPStatus
+
+import anyio
+import httpcore
+import msgspec
+from result import Err, Ok, Result
+
+from plantainstack.clock import Clock
+from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.interfaces import PlainAnswer
+from plantainstack.links.events import Event, EventReader
+from plantainstack.links.slots import (
+    Exchange,
+    Head,
+    SendRefused,
+    Slots,
+    Timeouts,
+)
+from plantainstack.platform import names, records
+from plantainstack.serving import (
+    Endpoint,
+    EndpointAnswer,
+    EndpointCall,
+    EndpointClient,
+    EndpointLoadReport,
+    EndpointReport,
+    LoadMode,
+    OpenStream,
+    OrderAnswer,
+    StreamEvent,
+    StreamHead,
+    VersionOrder,
+)
+
+# A connection within a region opens in about 10 ms; a lost opening packet is sent
+# again after 1 s, by which time another endpoint has been tried.
+CONNECT_TIMEOUT_S = 0.6
+# A stream pauses for a load of weights (0.9 s, about twice that when several load
+# at once); a longer silence means that the connection or the endpoint is gone.
+SILENCE_TIMEOUT_S = 2.5
+CONTROL_TIMEOUT_S = 1.0
+
+_MODES = {
+    LoadMode.FINISH_FIRST: "wait",
+    LoadMode.RESET: "truncate",
+    LoadMode.CONTINUE: "retain",
+}
+_ORDER_ANSWERS = {
+    202: OrderAnswer.ACCEPTED,
+    200: OrderAnswer.HOLDS,
+    409: OrderAnswer.CONFLICT,
+    421: OrderAnswer.WRONG_ENDPOINT,
+}
+_ERRORS = (
+    SendRefused,
+    TimeoutError,
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+)
+
+
+class PlatformServers(EndpointClient):
+    """Speak the servers' HTTP interface; connections are kept by incarnation."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._backend = httpcore.AnyIOBackend()
+        self._slots: dict[tuple, Slots] = {}
+
+    async def call(
+        self, endpoint: Endpoint, call: EndpointCall
+    ) -> Result[EndpointAnswer, Failure]:
+        """Return the endpoint's whole answer."""
+        async with self._open(endpoint, call) as opened:
+            if opened.is_err():
+                return opened
+            response, exchange = opened.unwrap()
+            try:
+                body = await response.aread()
+            except _ERRORS as exc:
+                return Err(exchange.from_exception(exc, answering=True))
+            return self._answer(response, call, body, exchange)
+
+    @contextlib.asynccontextmanager
+    async def stream(self, endpoint: Endpoint, call: EndpointCall):
+        """Open a stream: `Result[OpenStream | EndpointAnswer, Failure]`."""
+        async with self._open(endpoint, call) as opened:
+            if opened.is_err():
+                yield opened
+                return
+            response, exchange = opened.unwrap()
+            if response.status != HTTPStatus.OK:
+                try:
+                    body = await response.aread()
+                except _ERRORS as exc:
+                    yield Err(exchange.from_exception(exc, answering=True))
+                    return
+                yield self._answer(response, call, body, exchange)
+                return
+            problem = _problem(response, call)
+            if problem:
+                yield Err(exchange.failure(ErrorKind.ANSWER_CROSSED, problem))
+                return
+            yield Ok(_Stream(response, exchange))
+
+    async def order(
+        self, endpoint: Endpoint, order: VersionOrder, deadline: float
+    ) -> Result[OrderAnswer, Failure]:
+        """Give an order."""
+        content = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "mode": _MODES[order.mode],
+            "owner": order.holder,
+            "fence": order.fence,
+            "expected": order.orders_seen,
+        }
+        body = msgspec.json.encode(content)
+        call = self._control("POST", names.ORDER_PATH, body, deadline)
+        answer = await self.call(endpoint, call)
+        return answer.map(
+            lambda found: _ORDER_ANSWERS.get(found.answer.status, OrderAnswer.REFUSED)
+        )
+
+    async def report(
+        self, endpoint: Endpoint, deadline: float
+    ) -> Result[EndpointReport, Failure]:
+        """Return the endpoint's own state."""
+        call = self._control("GET", names.REPORT_PATH, b"", deadline)
+        answer = await self.call(endpoint, call)
+        if answer.is_err():
+            return answer
+        found = answer.unwrap().answer
+        if found.status != HTTPStatus.OK:
+            message = f"the report was answered with status {found.status}"
+            return Err(Failure.of(ErrorKind.ENDPOINT_FAILED, message))
+        return records.report(found.body).map_err(
+            lambda text: Failure.of(ErrorKind.ENDPOINT_FAILED, text)
+        )
+
+    def forget(self, endpoints: Sequence[Endpoint]) -> None:
+        """Drop the connections to endpoints that are gone."""
+        for endpoint in endpoints:
+            self._slots.pop(_key(endpoint), None)
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        for slots in self._slots.values():
+            await slots.close_idle()
+
+    def _control(
+        self, method: str, target: str, body: bytes, deadline: float
+    ) -> EndpointCall:
+        limit = min(deadline, self._clock.now() + CONTROL_TIMEOUT_S)
+        kind = (("Content-Type", "application/json"),) if body else ()
+        # An order may not wait in a connection whose state was lost on the way.
+        return EndpointCall(
+            "", method, target, "", kind, body, limit, reuse_connection=False
+        )
+
+    @contextlib.asynccontextmanager
+    async def _open(self, endpoint: Endpoint, call: EndpointCall):
+        exchange = Exchange(self._clock, call.deadline)
+        remaining = max(0.0, exchange.remaining())
+        timeouts = Timeouts(
+            min(CONNECT_TIMEOUT_S, remaining), min(SILENCE_TIMEOUT_S, remaining)
+        )
+        slots = self._slots.setdefault(
+            _key(endpoint), Slots(endpoint.address, self._backend)
+        )
+        opened = False
+        try:
+            with anyio.CancelScope() as scope:
+                scope.deadline = anyio.current_time() + remaining
+                head = self._head(endpoint, call, exchange)
+                fresh = not call.reuse_connection
+                async with slots.exchange(head, exchange, timeouts, fresh) as response:
+                    opened = True
+                    yield Ok((response, exchange))
+        except _ERRORS as exc:
+            if opened:
+                raise
+            if isinstance(exc, httpcore.TimeoutException):
+                await slots.close_idle()
+            yield Err(exchange.from_exception(exc, answering=False))
+            return
+        if not opened:
+            await slots.close_idle()
+            yield Err(exchange.from_exception(TimeoutError(), answering=False))
+
+    def _head(self, endpoint: Endpoint, call: EndpointCall, exchange: Exchange) -> Head:
+        headers = [
+            (name, value)
+            for name, value in call.headers
+            if name.lower() not in names.HOP_HEADERS | names.OWN_HEADERS
+        ]
+        headers.append((names.EXPECT_INSTANCE, endpoint.id))
+        if call.request_id:
+            left_ms = max(1, int(exchange.remaining() * 1000))
+            headers.append((names.DEADLINE_MS, str(left_ms)))
+            if names.header(headers, names.REQUEST_ID) is None:
+                headers.append((names.REQUEST_ID, call.request_id))
+        if call.resume_after is not None:
+            headers.append((names.LAST_EVENT_ID, str(call.resume_after)))
+        return Head(call.method, call.target, headers, call.body, call.host)
+
+    def _answer(self, response, call, body: bytes, exchange: Exchange):
+        not_run = (
+            names.header(response.headers, names.NOT_EXECUTED) is not None
+            or response.status == HTTPStatus.MISDIRECTED_REQUEST
+        )
+        problem = None if not_run else _problem(response, call)
+        if problem:
+            return Err(exchange.failure(ErrorKind.ANSWER_CROSSED, problem))
+        return Ok(
+            EndpointAnswer(
+                PlainAnswer(response.status, _pairs(response.headers), body),
+                not_run,
+                _load(response.headers),
+            )
+        )
+
+
+class _Stream(OpenStream):
+    def __init__(self, response: httpcore.Response, exchange: Exchange):
+        self._response = response
+        self._exchange = exchange
+        self.head = StreamHead(
+            response.status,
+            _pairs(response.headers),
+            _version(names.header(response.headers, names.WEIGHT_VERSIONS)),
+            _load(response.headers),
+        )
+
+    async def events(self) -> AsyncIterator[Result[StreamEvent, Failure]]:
+        """Yield whole events; the end without a failure is the stream's own end."""
+        reader = EventReader()
+        try:
+            async for chunk in self._response.stream:
+                for event in reader.feed(chunk):
+                    yield Ok(_stream_event(event))
+        except _ERRORS as exc:
+            yield Err(self._exchange.from_exception(exc, answering=True))
+            return
+        if reader.partial():
+            message = "the stream ended within an event"
+            yield Err(Failure(ErrorKind.ANSWER_TRUNCATED, message, Outcome.RAN))
+
+
+def _key(endpoint: Endpoint) -> tuple:
+    return (endpoint.id, endpoint.started_ms, endpoint.address)
+
+
+def _problem(response: httpcore.Response, call: EndpointCall) -> str | None:
+    """Return why an answer is not this request's, or None."""
+    if not call.request_id:
+        return None
+    returned = names.header(response.headers, names.REQUEST_ID)
+    if returned != call.request_id:
+        return f"the answer carries the request id {returned!r}"
+    sealed = names.header(response.headers, names.SEAL) is not None
+    if 200 <= response.status < 300 and not sealed:
+        return "the answer carries no seal of a server"
+    if names.header(response.headers, "content-encoding") is not None:
+        return "the answer's content is encoded"
+    return None
+
+
+def _pairs(headers) -> list[tuple[str, str]]:
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in headers
+        if name.decode("latin-1").lower() not in names.HOP_HEADERS
+    ]
+
+
+def _load(headers) -> EndpointLoadReport | None:
+    parts = (names.header(headers, names.LOAD) or "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return EndpointLoadReport(*(int(part) for part in parts))
+
+
+def _version(text: str | None) -> int | None:
+    return int(text) if text and text.strip().isdigit() else None
+
+
+def _stream_event(event: Event) -> StreamEvent:
+    number = event.value("id")
+    return StreamEvent(
+        int(number) if number and number.isdigit() else None,
+        event.data() or "",
+        _version(event.value(names.WEIGHT_VERSIONS.lower())),
+        event.raw,
+    )
--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -1,70 +1,330 @@
-"""Calls to platform services whose failures are of kind `store_unavailable`."""
+"""The client of the platform's metadata store."""
 
+import base64
 from http import HTTPStatus
-from typing import TypeVar
-from urllib.parse import quote
+from typing import Any
+from urllib.parse import urlencode
 
 import msgspec
 from result import Err, Ok, Result
 
-from plantainstack.errors import ErrorKind, Failure, Outcome
-from plantainstack.platform.http import Answer, Headers, HttpClient
+from plantainstack import log
+from plantainstack.adapters.http import Answer, HttpClient, Interruption
+from plantainstack.clock import Clock
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.platform import records
+from plantainstack.serving import (
+    Change,
+    Committed,
+    Cursor,
+    Directory,
+    EndpointChanges,
+    HistoryLost,
+    MetadataStore,
+    OperatorChanges,
+    RowName,
+    RowsRead,
+    StoredRow,
+)
+from plantainstack.settings.options import Address
 
-T = TypeVar("T")
+# Above the slowest answer seen from a store that answers at all.
+CALL_TIMEOUT_S = 1.8
+# Added to the wait of a feed; a connection that is silent for longer is dropped.
+FEED_MARGIN_S = 0.9
+CALL_CONNECTIONS = 16
+FEED_CONNECTIONS = 4
+OPERATOR_TABLE = "op"
+ENDPOINT_TABLE = "servers"
+CONFIG_KEY = "config"
+VERSION_PREFIX = "version/"
+_JSON = (("content-type", "application/json"),)
 
 
-class StoreClient:
-    """Map every failed exchange with one service to a failure."""
+class _Row(msgspec.Struct):
+    key: str
+    table: str = ""
+    part: str = ""
+    # Base64; absent where the row was removed.
+    value: str = ""
+    ver: int = 0
+    tombstone: bool = False
 
-    def __init__(self, client: HttpClient):
-        self._client = client
 
-    async def call(
+class _Rows(msgspec.Struct):
+    ver: int
+    rows: list[_Row] = []
+    now_ms: float = 0.0
+    has_more: bool = False
+
+
+class _Parts(msgspec.Struct):
+    parts: list[str] = []
+    has_more: bool = False
+
+
+_ROWS = msgspec.json.Decoder(_Rows)
+_PARTS = msgspec.json.Decoder(_Parts)
+_NOT_DONE = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+
+
+class PlatformStore(MetadataStore, Directory):
+    """Speak the store's HTTP interface."""
+
+    def __init__(self, address: Address, clock: Clock):
+        self._clock = clock
+        self._calls = HttpClient(address, clock, CALL_CONNECTIONS)
+        self._feeds = HttpClient(address, clock, FEED_CONNECTIONS)
+
+    async def aclose(self) -> None:
+        """Close idle connections."""
+        await self._calls.aclose()
+        await self._feeds.aclose()
+
+    async def transact(self, change: Change) -> Result[Committed, Failure]:
+        """Apply all of a change or nothing."""
+        content = {
+            "expected": [
+                {**name._asdict(), "ver": version} for name, version in change.expected
+            ],
+            "puts": [
+                {**name._asdict(), "value": base64.b64encode(value).decode()}
+                for name, value in change.puts
+            ],
+            "remove": [name._asdict() for name in change.removed],
+        }
+        body = msgspec.json.encode(content)
+        answer = await self._call("POST", "/api/rows-tx", body, _JSON)
+        return answer.and_then(_committed)
+
+    async def read(
+        self, table: str, part: str, first: str = "", behind: str = ""
+    ) -> Result[RowsRead, Failure]:
+        """Return the rows of a part whose keys lie in [first, behind)."""
+        found: list[StoredRow] = []
+        while True:
+            query = {"table": table, "part": part}
+            if first:
+                query["from"] = first
+            if behind:
+                query["to"] = behind
+            answer = await self._call("GET", f"/api/rows-get?{urlencode(query)}")
+            decoded = answer.and_then(lambda reply: _decoded(reply, _ROWS))
+            if decoded.is_err():
+                return decoded
+            page = decoded.unwrap()
+            found += [_stored(row, table, part) for row in page.rows]
+            if not page.has_more or not page.rows:
+                return Ok(RowsRead(tuple(found), page.ver, page.now_ms / 1000))
+            first = page.rows[-1].key + "\0"
+
+    async def rows_changed(
+        self, table: str, cursor: Cursor, wait_s: float
+    ) -> Result[RowsRead | HistoryLost, Failure]:
+        """Return the rows of a table that changed after the cursor."""
+        query = urlencode(
+            {"table": table, "after": cursor, "wait_ms": int(wait_s * 1000)}
+        )
+        deadline = self._clock.now() + wait_s + FEED_MARGIN_S
+        answer = await self._feeds.exchange(
+            "GET", f"/api/rows-feed?{query}", deadline=deadline
+        )
+        if answer.is_ok() and answer.unwrap().status == HTTPStatus.GONE:
+            return Ok(HistoryLost())
+        checked = _checked(answer)
+        return checked.and_then(lambda reply: _decoded(reply, _ROWS)).map(
+            lambda page: RowsRead(
+                tuple(_stored(row, table, row.part) for row in page.rows),
+                page.ver,
+                page.now_ms / 1000,
+            )
+        )
+
+    async def table_rows(self, table: str) -> Result[RowsRead, Failure]:
+        """Return all rows of a table, with a cursor from before the first read."""
+        listed = await self._parts(table)
+        if listed.is_err():
+            return listed
+        rows: list[StoredRow] = []
+        # The empty part is read first; its version precedes what is read after it.
+        cursor = None
+        for part in ["", *(part for part in listed.unwrap() if part)]:
+            outcome = await self.read(table, part)
+            if outcome.is_err():
+                return outcome
+            found = outcome.unwrap()
+            rows += found.rows
+            cursor = found.cursor if cursor is None else cursor
+        return Ok(RowsRead(tuple(rows), cursor, found.store_now))
+
+    async def put_object(self, name: str, data: bytes) -> Result[None, Failure]:
+        """Store an object; one of that name that exists is kept."""
+        path = f"/api/blob-put/{name}"
+        headers = (("if-none-match", "*"),)
+        answer = await self._call(
+            "PUT", path, data, headers, (HTTPStatus.PRECONDITION_FAILED,)
+        )
+        return answer.map(lambda _: None)
+
+    async def get_object(self, name: str) -> Result[bytes | None, Failure]:
+        """Return an object, or None if there is none."""
+        answer = await self._call(
+            "GET", f"/api/blob-get/{name}", allowed=(HTTPStatus.NOT_FOUND,)
+        )
+        return answer.map(
+            lambda reply: None if reply.status == HTTPStatus.NOT_FOUND else reply.body
+        )
+
+    async def drop_object(self, name: str) -> Result[None, Failure]:
+        """Remove an object."""
+        answer = await self._call(
+            "DELETE", f"/api/blob-drop/{name}", allowed=(HTTPStatus.NOT_FOUND,)
+        )
+        return answer.map(lambda _: None)
+
+    async def operator_changes(
+        self, cursor: Cursor | None, wait_s: float
+    ) -> Result[OperatorChanges | HistoryLost, Failure]:
+        """Return what the operator wrote after the cursor."""
+        found = await self._rows_since(OPERATOR_TABLE, cursor, wait_s)
+        return found.map(_operator_changes)
+
+    async def endpoint_changes(
+        self, cursor: Cursor | None, wait_s: float
+    ) -> Result[EndpointChanges | HistoryLost, Failure]:
+        """Return the registrations that changed after the cursor."""
+        found = await self._rows_since(ENDPOINT_TABLE, cursor, wait_s)
+        return found.map(
+            lambda rows: (
+                rows
+                if isinstance(rows, HistoryLost)
+                else _endpoint_changes(rows, self._clock)
+            )
+        )
+
+    async def _rows_since(
+        self, table: str, cursor: Cursor | None, wait_s: float
+    ) -> Result[RowsRead | HistoryLost, Failure]:
+        if cursor is None:
+            return await self.read(table, "")
+        return await self.rows_changed(table, cursor, wait_s)
+
+    async def _parts(self, table: str) -> Result[list[str], Failure]:
+        parts: list[str] = []
+        while True:
+            query = {"table": table}
+            if parts:
+                query["after"] = parts[-1]
+            answer = await self._call("GET", f"/api/rows-parts?{urlencode(query)}")
+            decoded = answer.and_then(lambda reply: _decoded(reply, _PARTS))
+            if decoded.is_err():
+                return decoded
+            page = decoded.unwrap()
+            parts += page.parts
+            if not page.has_more or not page.parts:
+                return Ok(parts)
+
+    async def _call(
         self,
         method: str,
         path: str,
         body: bytes = b"",
-        deadline: float | None = None,
-        headers: Headers = (),
+        headers: tuple[tuple[str, str], ...] = (),
+        allowed: tuple[int, ...] = (),
     ) -> Result[Answer, Failure]:
-        """Return the complete answer; status 503 is a failure of outcome not_run."""
-        exchange = await self._client.exchange(method, path, body, deadline, headers)
-        if exchange.is_err():
-            stop = exchange.unwrap_err()
-            outcome = Outcome.MAY_HAVE_RUN if stop.sent else Outcome.NOT_RUN
-            return Err(unavailable(stop.message, outcome))
-        answer = exchange.unwrap()
-        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            return Err(unavailable(f"{method} {path} was refused", Outcome.NOT_RUN))
-        return Ok(answer)
+        deadline = self._clock.now() + CALL_TIMEOUT_S
+        outcome = await self._calls.exchange(method, path, body, deadline, headers)
+        return _checked(outcome, allowed)
 
-    async def aclose(self) -> None:
-        """Close the connections that are not in use."""
-        await self._client.aclose()
 
+def _checked(
+    outcome: Result[Answer, Interruption], allowed: tuple[int, ...] = ()
+) -> Result[Answer, Failure]:
+    """Turn a missing answer or a refusal into a failure."""
+    if outcome.is_err():
+        cut = outcome.unwrap_err()
+        kind = (
+            ErrorKind.TABLE_OUTCOME_UNKNOWN if cut.sent else ErrorKind.TABLE_UNAVAILABLE
+        )
+        return Err(Failure.of(kind, cut.message))
+    answer = outcome.unwrap()
+    if answer.status in (200, 201, HTTPStatus.PRECONDITION_FAILED, *allowed):
+        return Ok(answer)
+    kind = (
+        ErrorKind.TABLE_UNAVAILABLE
+        if answer.status in _NOT_DONE
+        else ErrorKind.TABLE_OUTCOME_UNKNOWN
+    )
+    return Err(Failure.of(kind, f"the store answered with status {answer.status}"))
 
-def unavailable(message: str, outcome: Outcome) -> Failure:
-    """Build a failure of a store."""
-    return Failure.of(ErrorKind.STORE_UNAVAILABLE, message, outcome)
+
+def _decoded(answer: Answer, decoder: msgspec.json.Decoder) -> Result[Any, Failure]:
+    try:
+        return Ok(decoder.decode(answer.body))
+    except (msgspec.MsgspecError, ValueError) as exc:
+        message = f"the store's answer is not valid: {exc}"
+        return Err(Failure.of(ErrorKind.TABLE_OUTCOME_UNKNOWN, message))
 
 
-def unexpected(answer: Answer) -> Err[Failure]:
-    """Return the failure for a status that the interface does not define."""
-    message = f"answer with unexpected status {answer.status}"
-    return Err(unavailable(message, Outcome.MAY_HAVE_RUN))
+def _committed(answer: Answer) -> Result[Committed, Failure]:
+    applied = answer.status != HTTPStatus.PRECONDITION_FAILED
+    return _decoded(answer, _ROWS).map(
+        lambda page: Committed(
+            applied,
+            page.ver,
+            page.now_ms / 1000,
+            tuple(_stored(row, row.table, row.part) for row in page.rows),
+        )
+    )
 
 
-def decode(answer: Answer, kind: type[T]) -> Result[T, Failure]:
-    """Decode the JSON body of an answer with status 200."""
-    if answer.status != HTTPStatus.OK:
-        return unexpected(answer)
+def _stored(row: _Row, table: str, part: str) -> StoredRow:
+    name = RowName(row.table or table, row.part or part, row.key)
+    if row.tombstone or row.ver == 0:
+        return StoredRow(name, None, row.ver)
     try:
-        return Ok(msgspec.json.decode(answer.body, type=kind))
-    except msgspec.DecodeError as exc:
-        message = f"answer does not decode: {exc}"
-        return Err(unavailable(message, Outcome.MAY_HAVE_RUN))
+        return StoredRow(name, base64.b64decode(row.value, validate=True), row.ver)
+    except ValueError:
+        log.event("store.row_not_base64", table=name.table, key=row.key)
+        return StoredRow(name, b"", row.ver)
+
+
+def _operator_changes(rows: RowsRead | HistoryLost) -> OperatorChanges | HistoryLost:
+    if isinstance(rows, HistoryLost):
+        return rows
+    cfg = None
+    versions: dict[str, int] = {}
+    for row in rows.rows:
+        if row.value is None:
+            continue
+        if row.name.key == CONFIG_KEY:
+            cfg = records.config(row.value).unwrap_or_else(_log_bad(row))
+        elif row.name.key.startswith(VERSION_PREFIX):
+            named = records.named_version(row.value).unwrap_or_else(_log_bad(row))
+            if named is not None:
+                versions[named[0]] = named[1]
+    return OperatorChanges(cfg, versions, rows.cursor)
+
+
+def _endpoint_changes(rows: RowsRead, clock: Clock) -> EndpointChanges:
+    changed = {}
+    for row in rows.rows:
+        endpoint = None
+        if row.value is not None:
+            decoded = records.endpoint(row.name.key, row.value, clock)
+            endpoint = decoded.unwrap_or_else(_log_bad(row))
+        changed[row.name.key] = endpoint
+    return EndpointChanges(changed, rows.cursor)
+
 
+def _log_bad(row: StoredRow):
+    def log_it(message: str) -> None:
+        log.event(
+            "store.row_not_valid",
+            table=row.name.table,
+            key=row.name.key,
+            version=row.version,
+            reason=message,
+        )
 
-def segment(text: str) -> str:
-    """Quote text for one segment of a path."""
-    return quote(text, safe="")
+    return log_it
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -13,7 +13,7 @@
 REGISTRY: dict[str, type["Plugin"]] = {}
 
 BUILTIN_MODULES = (
-    "plantainstack.platform.plugin",
+    "plantainstack.adapters.plugin",
     "plantainstack.links.endpoint",
     "plantainstack.links.peer",
     "plantainstack.services.membership",
@@ -26,6 +26,16 @@
     "plantainstack.front.plugin",
 )
 
+# The parts of a deployment whose state lives in a metadata store.
+STORE_MODULES = (
+    "plantainstack.platform.plugin",
+    "plantainstack.services.discovery",
+    "plantainstack.services.forwarding",
+    "plantainstack.services.batches",
+    "plantainstack.services.version_orders",
+    "plantainstack.front.gateway",
+)
+
 
 class Plugin(ABC):
     """Serve as the base of a part of the daemon.
@@ -72,8 +82,10 @@
         """Handle the start of a graceful shutdown."""
 
 
-def load_builtin() -> dict[str, type[Plugin]]:
-    """Import the modules of the built-in plug-ins and return the registry."""
-    for module in BUILTIN_MODULES:
+def load_builtin(
+    modules: tuple[str, ...] = BUILTIN_MODULES,
+) -> dict[str, type[Plugin]]:
+    """Import modules of built-in plug-ins and return the plug-ins they define."""
+    for module in modules:
         importlib.import_module(module)
-    return REGISTRY
+    return {name: kind for name, kind in REGISTRY.items() if kind.__module__ in modules}
--- a/plantainstack/policy/bookings.py
+++ b/plantainstack/policy/bookings.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import PlainAnswer, PlainRequest, Row, Value
+from plantainstack.interfaces import PlainAnswer, PlainRequest, Row, Value
 
 CLAIM_PREFIX = "claim/"
 ATTEMPTS_REMEMBERED = 20_000
--- a/plantainstack/policy/concurrency.py
+++ b/plantainstack/policy/concurrency.py
@@ -1,6 +1,6 @@
 """Adapt the number of attempts that one instance runs at one endpoint."""
 
-from plantainstack.platform.base import EngineStatus
+from plantainstack.interfaces import EngineStatus
 
 DECREASE_ON_QUEUE = 0.85
 DECREASE_ON_REFUSAL = 0.7
--- a/plantainstack/policy/configuration.py
+++ b/plantainstack/policy/configuration.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import Check, Mutation, Row, Write
+from plantainstack.interfaces import Check, Mutation, Row, Write
 from plantainstack.settings.fleet import ConfigException, FleetContent
 
 HEAD_KEY = "config/head"
--- /dev/null
+++ b/plantainstack/policy/item_runs.py
@@ -0,0 +1,126 @@
+"""Decide what of a stream belongs to an item, and when the item has ended."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from plantainstack.serving import Batch, Item, ItemResult, ItemState, StreamEvent
+
+# A 422 tells that the item can never be done.
+NEVER_STATUS = 422
+FAILED_STATUS = 500
+
+
+class Verdict(StrEnum):
+    """Name what to do with a stream or an event."""
+
+    KEEP = "keep"
+    STALE = "stale"
+    UNLABELLED = "unlabelled"
+    OUT_OF_ORDER = "out_of_order"
+
+
+class PartialText(NamedTuple):
+    """Hold the text of an item that has not ended, for whoever goes on with it."""
+
+    texts: tuple[str, ...]
+    versions: tuple[int, ...]
+    last_event: int
+    failures: int
+
+
+class ItemRun:
+    """Collect the text of one item over one or more streams."""
+
+    def __init__(self, item: Item, batch: Batch, single_version: bool):
+        self.item = item
+        self._min_version = batch.min_version
+        self._single_version = single_version
+        self.failures = 0
+        self._restart()
+
+    def _restart(self) -> None:
+        self._texts: list[str] = []
+        self._versions: list[int] = []
+        self._current: int | None = None
+        self.last_event: int | None = None
+
+    def partial(self) -> PartialText | None:
+        """Return the text so far, or None without any."""
+        if self.last_event is None:
+            return None
+        return PartialText(
+            tuple(self._texts), tuple(self._versions), self.last_event, self.failures
+        )
+
+    def restore(self, found: PartialText) -> None:
+        """Go on from stored text, if all its versions are recent enough."""
+        self.failures = found.failures
+        if found.versions and min(found.versions) >= self._min_version:
+            self._texts = list(found.texts)
+            self._versions = list(found.versions)
+            self._current = found.versions[-1]
+            self.last_event = found.last_event
+
+    def begin(self, version: int | None) -> Verdict:
+        """Take up a stream whose first event has a version.
+
+        A stream under another version than the text so far starts the text anew
+        where one version is required; the caller then asks from the beginning.
+        """
+        if version is None:
+            return Verdict.UNLABELLED
+        if version < self._min_version:
+            return Verdict.STALE
+        if self._single_version and self._versions and version != self._versions[-1]:
+            self._restart()
+            return Verdict.STALE
+        self._current = version
+        return Verdict.KEEP
+
+    def accept(self, event: StreamEvent) -> Verdict:
+        """Add an event, unless it does not follow the text so far."""
+        version = self._current if event.version is None else event.version
+        if event.id is None or not self._follows(event.id):
+            return Verdict.OUT_OF_ORDER
+        if version < self._min_version:
+            return Verdict.STALE
+        if self._single_version and self._versions and version != self._versions[-1]:
+            self._restart()
+            return Verdict.STALE
+        self._current = version
+        self.last_event = event.id
+        self._texts.append(event.data)
+        if version not in self._versions:
+            self._versions.append(version)
+        return Verdict.KEEP
+
+    def completed(self) -> ItemResult | None:
+        """Return the result once the stream has ended, or None without text."""
+        if not self._texts:
+            return None
+        return self._result(ItemState.COMPLETED)
+
+    def refused(self, status: int, failures_max: int) -> ItemResult | None:
+        """Return the result if the answer ends the item."""
+        if status == FAILED_STATUS:
+            self.failures += 1
+        if status == NEVER_STATUS or self.failures >= failures_max:
+            return self.abandoned()
+        return None
+
+    def abandoned(self) -> ItemResult:
+        """Return the result of an item that is given up."""
+        return self._result(ItemState.ABANDONED)
+
+    def events(self) -> int:
+        """Return the number of events collected."""
+        return len(self._texts)
+
+    def _follows(self, event_id: int) -> bool:
+        if self.last_event is None:
+            return event_id in (0, 1)
+        return event_id == self.last_event + 1
+
+    def _result(self, state: ItemState) -> ItemResult:
+        text = "\n".join(self._texts)
+        return ItemResult(self.item.id, state, text, tuple(sorted(self._versions)))
--- a/plantainstack/policy/leases.py
+++ b/plantainstack/policy/leases.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from plantainstack.platform.base import Check, Mutation, Row, Value, Write
+from plantainstack.interfaces import Check, Mutation, Row, Value, Write
 
 RENEWAL_SHARE = 1 / 3
 
--- a/plantainstack/policy/limits.py
+++ b/plantainstack/policy/limits.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import Priority
+from plantainstack.interfaces import Priority
 from plantainstack.policy.routing import AttemptEnd, Router, RouteRequest
 from plantainstack.settings.fleet import FleetConfig, FleetOptions, Scope
 
--- a/plantainstack/policy/load.py
+++ b/plantainstack/policy/load.py
@@ -1,6 +1,6 @@
 """Estimate an endpoint's load and speed from own counts and lagging reports."""
 
-from plantainstack.platform.base import EngineStatus
+from plantainstack.interfaces import EngineStatus
 
 REPORT_WEIGHT = 0.5
 REPORT_MAX_AGE_S = 10.0
--- /dev/null
+++ b/plantainstack/policy/placing.py
@@ -0,0 +1,137 @@
+"""Place requests on endpoints by load, locality and recent failures.
+
+Answers the load of many entry instances that share a few endpoints without
+telling each other what they send.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from plantainstack.serving import Endpoint, EndpointLoadReport
+
+# A report of load is a hint for about as long as the shorter requests last.
+REPORT_AGE_MAX_S = 1.0
+# An endpoint that failed is avoided for as long as a crashed one takes to lapse
+# from the list (three heartbeats of about 1.2 s).
+SUSPECT_S = 3.6
+# An endpoint that refused is tried again soon: it was full or loads weights.
+REFUSED_S = 0.5
+# A request to another data centre must find an endpoint with this much less load
+# (share of its slots); it is worth a detour only when the near ones fill up.
+REMOTE_LOAD = 0.25
+# Load that counts against an endpoint whose last answers were slower than usual.
+SLOW_FACTOR_MAX = 8.0
+SPEED_WEIGHT = 0.25
+
+
+class _Load:
+    def __init__(self):
+        self.own = 0
+        self.others = 0.0
+        self.reported_at = -REPORT_AGE_MAX_S
+        self.avoid_until = 0.0
+        self.seconds: float | None = None
+
+
+class Placed(NamedTuple):
+    """Name the endpoint that was chosen and the load it had, as share of slots."""
+
+    endpoint: Endpoint
+    load: float
+
+
+class Placing:
+    """Keep what this process knows of the load of endpoints."""
+
+    def __init__(self, data_centre: str):
+        self._data_centre = data_centre
+        self._loads: dict[tuple[str, int], _Load] = {}
+
+    def choose(
+        self,
+        endpoints: Sequence[Endpoint],
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+        load_max: float = float("inf"),
+    ) -> Placed | None:
+        """Return the endpoint with the least load, or None if all are over the limit.
+
+        Endpoints that failed lately are used only where no other is left.
+        """
+        ready = [end for end in endpoints if end.id not in exclude]
+        sound = [end for end in ready if self._load(end).avoid_until <= now]
+        best: tuple[float, str] | None = None
+        chosen = None
+        for end in sound or ready:
+            load = self.load(end, now)
+            if load >= load_max:
+                continue
+            score = (self._score(end, load), end.id)
+            if best is None or score < best:
+                best, chosen = score, Placed(end, load)
+        return chosen
+
+    def load(self, endpoint: Endpoint, now: float) -> float:
+        """Return the requests at an endpoint as a share of its slots."""
+        state = self._load(endpoint)
+        fresh = now - state.reported_at < REPORT_AGE_MAX_S
+        others = state.others if fresh else 0.0
+        return (state.own + others) / endpoint.slots
+
+    def avoided(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether the endpoint failed or refused lately."""
+        return self._load(endpoint).avoid_until > now
+
+    def begin(self, endpoint: Endpoint) -> None:
+        """Count a request that is sent."""
+        self._load(endpoint).own += 1
+
+    def end(self, endpoint: Endpoint) -> None:
+        """Count a request that ended."""
+        self._load(endpoint).own -= 1
+
+    def reported(
+        self, endpoint: Endpoint, report: EndpointLoadReport | None, now: float
+    ) -> None:
+        """Take over the load that an answer named, less this process's own."""
+        if report is None:
+            return
+        state = self._load(endpoint)
+        state.others = max(0.0, report.running + report.waiting - state.own)
+        state.reported_at = now
+
+    def answered(self, endpoint: Endpoint, seconds: float) -> None:
+        """Take over how long an answer took."""
+        state = self._load(endpoint)
+        before = seconds if state.seconds is None else state.seconds
+        state.seconds = before + SPEED_WEIGHT * (seconds - before)
+        state.avoid_until = 0.0
+
+    def failed(self, endpoint: Endpoint, now: float) -> None:
+        """Avoid an endpoint that broke off or fell silent."""
+        self._load(endpoint).avoid_until = now + SUSPECT_S
+
+    def refused(self, endpoint: Endpoint, now: float) -> None:
+        """Avoid an endpoint that was full or loads weights."""
+        state = self._load(endpoint)
+        state.avoid_until = max(state.avoid_until, now + REFUSED_S)
+
+    def forget(self, endpoints: Sequence[Endpoint]) -> None:
+        """Drop what is known of endpoints that are gone."""
+        for endpoint in endpoints:
+            self._loads.pop(endpoint.incarnation(), None)
+
+    def _score(self, endpoint: Endpoint, load: float) -> float:
+        remote = endpoint.data_centre != self._data_centre
+        base = load + 1 / endpoint.slots + (REMOTE_LOAD if remote else 0.0)
+        return base * self._slowness(endpoint)
+
+    def _slowness(self, endpoint: Endpoint) -> float:
+        own = self._load(endpoint).seconds
+        known = [load.seconds for load in self._loads.values() if load.seconds]
+        if own is None or not known:
+            return 1.0
+        return min(SLOW_FACTOR_MAX, max(1.0, own / min(known)))
+
+    def _load(self, endpoint: Endpoint) -> _Load:
+        return self._loads.setdefault(endpoint.incarnation(), _Load())
--- a/plantainstack/policy/retries.py
+++ b/plantainstack/policy/retries.py
@@ -6,7 +6,7 @@
 from bisect import bisect_right, insort
 from collections import deque
 
-from plantainstack.platform.base import Priority
+from plantainstack.interfaces import Priority
 from plantainstack.settings.fleet import FleetConfig, FleetOptions, Scope
 
 WINDOW_S = 10.0
--- /dev/null
+++ b/plantainstack/policy/route_table.py
@@ -0,0 +1,24 @@
+"""Select the route and the service of a request."""
+
+import random
+
+from plantainstack.serving import Route, ServingConfig
+
+
+def match(cfg: ServingConfig, host: str, path: str) -> Route | None:
+    """Return the route of a host whose prefix is the longest to begin the path."""
+    wanted = host.rpartition(":")[0] if ":" in host else host
+    found = [
+        route
+        for route in cfg.routes
+        if route.host == wanted.lower() and path.startswith(route.prefix)
+    ]
+    return max(found, key=lambda route: len(route.prefix), default=None)
+
+
+def pick_service(route: Route, chance: random.Random) -> str:
+    """Draw a service by the route's weights."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return chance.choices(route.shares, weights)[0].service
--- a/plantainstack/policy/routing.py
+++ b/plantainstack/policy/routing.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     EngineStatus,
     InstanceKind,
     InstanceRecord,
--- a/plantainstack/policy/samples.py
+++ b/plantainstack/policy/samples.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from plantainstack.platform.base import Check, Mutation, Part, Row, Write
+from plantainstack.interfaces import Check, Mutation, Part, Row, Write
 
 SHARDS = 32
 RETRY_BASE_S = 0.2
--- a/plantainstack/policy/weights.py
+++ b/plantainstack/policy/weights.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from plantainstack.platform.base import EngineStatus
+from plantainstack.interfaces import EngineStatus
 from plantainstack.policy.pacing import may_go
 
 # The limit of 16 s starts when the version is published; 2 s of it are left for
--- a/plantainstack/requests.py
+++ b/plantainstack/requests.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from plantainstack.clock import Clock
-from plantainstack.platform.base import Priority
+from plantainstack.interfaces import Priority
 
 
 class RequestContext(NamedTuple):
--- /dev/null
+++ b/plantainstack/services/batches.py
@@ -0,0 +1,373 @@
+"""The plug-in that accepts batches, answers their readers and finds them owners."""
+
+import random
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from plantainstack import log
+from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.plugins import Plugin
+from plantainstack.policy import batch_order
+from plantainstack.services.batch_log import (
+    STATE_TABLE,
+    BatchLog,
+    StateRow,
+    state_row,
+)
+from plantainstack.services.batch_runs import BatchRun
+from plantainstack.services.feeds import Changed, Follower
+from plantainstack.serving import Batch, ItemResult, Route, RowsRead
+
+# Joins the listings that follow each other; readers ask about twice a second.
+FEED_PAUSE_S = 0.25
+SUPERVISE_S = 0.4
+# Spreads the instances that see the same batch without an owner.
+TAKE_OVER_SPREAD_S = 0.3
+PAGE_RESULTS = 64
+# Half of what the smallest machine (128 MB) has left beside the process itself.
+CACHE_BYTES = 24 * 1024 * 1024
+# Readers may come back to a batch for 120 s after it was submitted.
+KEEP_S = 150.0
+
+
+class ResultPage(NamedTuple):
+    """Hold the number of items and the results from a position on."""
+
+    total: int
+    results: list[ItemResult]
+
+
+class _Entry:
+    """Hold what this process knows of one batch."""
+
+    def __init__(self, row: StateRow, now: float):
+        self.row = row
+        self.seen_at = now
+        self.known_since = now
+        self.changed = Changed()
+        self.results: dict[int, ItemResult] = {}
+        self.batch: Batch | None = None
+        self.run: BatchRun | None = None
+        self.claiming = False
+
+
+class Batches(Plugin):
+    """Keep every batch and run those that this instance owns."""
+
+    name = "batches"
+    requires = ("discovery", "store", "forwarding")
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self._entries: dict[str, _Entry] = {}
+        self._owner = kernel.settings.instance.id
+        self._cached = 0
+        self._draining = False
+
+    async def start(self, tasks) -> None:
+        """Follow the states of all batches."""
+        self._tasks = tasks
+        store = self.kernel.plugin("store").rows
+        self._log = BatchLog(store, self.kernel.clock)
+        self._discovery = self.kernel.plugin("discovery")
+        self._healthy_since = self.kernel.clock.now()
+
+        async def read(cursor, wait_s):
+            if cursor is None:
+                found = await store.table_rows(STATE_TABLE)
+            else:
+                found = await store.rows_changed(STATE_TABLE, cursor, wait_s)
+            return found
+
+        self._feed = Follower(
+            "batches",
+            self.kernel.clock,
+            read,
+            self._take_rows,
+            FEED_PAUSE_S,
+            self._regained,
+        )
+        tasks.start_soon(self._feed.run)
+        tasks.start_soon(self._supervise)
+
+    def on_drain(self) -> None:
+        """Take no more batches over."""
+        self._draining = True
+
+    async def drain(self, deadline: float) -> None:
+        """Hand the batches of this instance over to others."""
+        for entry in list(self._entries.values()):
+            if entry.run is not None and not entry.run.stopped:
+                await entry.run.release()
+
+    async def submit(self, batch: Batch, route: Route) -> Result[None, Failure]:
+        """Accept a batch once the store holds all of it."""
+        started = self.kernel.clock.now()
+        entry = self._entries.get(batch.id)
+        if entry is not None:
+            log.event("batch.known", batch.id)
+            return Ok(None)
+        owner = "" if self._draining else self._owner
+        outcome = await self._log.accept(batch, route.name, owner)
+        seconds = round(self.kernel.clock.now() - started, 4)
+        if outcome.is_err():
+            failure = outcome.unwrap_err()
+            log.event(
+                "batch.refused",
+                batch.id,
+                seconds=seconds,
+                outcome=failure.outcome.value,
+                reason=failure.message,
+            )
+            return Err(failure)
+        row, ours = outcome.unwrap()
+        log.event(
+            "batch.accepted",
+            batch.id,
+            route=route.name,
+            items=len(batch.items),
+            groups_wanted=batch.groups_wanted,
+            min_version=batch.min_version,
+            stored_here=ours,
+            seconds=seconds,
+        )
+        entry = self._take_row(batch.id, row)
+        if ours and owner and not self._draining:
+            entry.batch = batch
+            self._start_run(entry, batch, route, [], {})
+        return Ok(None)
+
+    async def results(
+        self, batch_id: str, after: int, wait_s: float
+    ) -> Result[ResultPage, Failure]:
+        """Return results from a position on, after a wait for the first of them."""
+        found = await self._known(batch_id)
+        if found.is_err():
+            return found
+        entry = found.unwrap()
+        state = entry.row.state
+        wait_until = self.kernel.clock.now() + wait_s
+        while (
+            after >= entry.row.state.listed < state.total
+            and not entry.row.state.ended
+            and (left := wait_until - self.kernel.clock.now()) > 0
+        ):
+            await entry.changed.wait(left)
+        if after >= entry.row.state.listed:
+            return Ok(ResultPage(state.total, []))
+        return await self._page(entry, batch_id, after)
+
+    async def item_body(self, batch_id: str, item_id: str) -> Result[bytes, Failure]:
+        """Return the body of an item of a batch that is not ended."""
+        found = await self._known(batch_id)
+        if found.is_err():
+            return found
+        entry = found.unwrap()
+        if entry.row.state.ended:
+            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch is ended"))
+        loaded = await self._loaded(entry, batch_id)
+        if loaded.is_err():
+            return Err(loaded.unwrap_err()._replace(outcome=Outcome.NOT_RUN))
+        for item in loaded.unwrap().items:
+            if item.id == item_id:
+                return Ok(item.body)
+        return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch has no such item"))
+
+    async def end(self, batch_id: str) -> Result[None, Failure]:
+        """End a batch; what is listed stays."""
+        known = self._entries.get(batch_id)
+        if known is not None and known.row.state.ended:
+            return Ok(None)
+        outcome = await self._log.end(batch_id)
+        if outcome.is_err():
+            failure = outcome.unwrap_err()
+            log.event("batch.end_failed", batch_id, reason=failure.message)
+            return Err(failure)
+        row = outcome.unwrap()
+        if row is None:
+            return Err(Failure.of(ErrorKind.NOT_FOUND, "there is no such batch"))
+        log.event("batch.ended", batch_id, listed=row.state.listed)
+        self._take_row(batch_id, row)
+        return Ok(None)
+
+    async def _known(self, batch_id: str) -> Result[_Entry, Failure]:
+        """Return a batch; ask the store for one that is unknown or may be old."""
+        entry = self._entries.get(batch_id)
+        running = entry is not None and entry.run is not None and not entry.run.stopped
+        if entry is not None and (running or self._feed.lost_at is None):
+            return Ok(entry)
+        found = await self._log.state(batch_id)
+        if found.is_err():
+            message = found.unwrap_err().message
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
+        row = found.unwrap()
+        if row is None:
+            return Err(Failure.of(ErrorKind.NOT_FOUND, "there is no such batch"))
+        return Ok(self._take_row(batch_id, row))
+
+    async def _page(
+        self, entry: _Entry, batch_id: str, after: int
+    ) -> Result[ResultPage, Failure]:
+        count = min(PAGE_RESULTS, entry.row.state.listed - after)
+        if any(after + number not in entry.results for number in range(count)):
+            found = await self._log.results(batch_id, after, count)
+            if found.is_err():
+                message = found.unwrap_err().message
+                return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
+            self._cache(entry, after, found.unwrap())
+        page = []
+        while len(page) < count and after + len(page) in entry.results:
+            page.append(entry.results[after + len(page)])
+        return Ok(ResultPage(entry.row.state.total, page))
+
+    async def _loaded(self, entry: _Entry, batch_id: str) -> Result[Batch, Failure]:
+        if entry.batch is not None:
+            return Ok(entry.batch)
+        found = await self._log.batch(batch_id)
+        if found.is_ok():
+            entry.batch = found.unwrap()
+        return found
+
+    def _cache(self, entry: _Entry, first: int, results: list[ItemResult]) -> None:
+        for number, result in enumerate(results):
+            if first + number not in entry.results:
+                entry.results[first + number] = result
+                self._cached += len(result.text)
+        if self._cached > CACHE_BYTES:
+            self._evict(entry)
+
+    def _evict(self, kept: _Entry) -> None:
+        """Drop the results of the batches that were known first."""
+        for entry in self._entries.values():
+            if self._cached <= CACHE_BYTES / 2:
+                return
+            if entry is not kept:
+                self._cached -= sum(len(each.text) for each in entry.results.values())
+                entry.results.clear()
+                if entry.run is None or entry.run.stopped:
+                    entry.batch = None
+
+    def _take_rows(self, found: RowsRead, whole: bool) -> None:
+        for row in found.rows:
+            decoded = state_row(row)
+            if decoded is None:
+                self._entries.pop(row.name.part, None)
+            else:
+                self._take_row(row.name.part, decoded)
+
+    def _take_row(self, batch_id: str, row: StateRow) -> _Entry:
+        now = self.kernel.clock.now()
+        entry = self._entries.get(batch_id)
+        if entry is None:
+            entry = self._entries[batch_id] = _Entry(row, now)
+        elif row.version > entry.row.version:
+            entry.row = row
+            entry.seen_at = now
+        if entry.row.state.ended and entry.run is not None:
+            entry.run.stop()
+            entry.run = None
+        entry.changed.notify()
+        return entry
+
+    def _regained(self) -> None:
+        self._healthy_since = self.kernel.clock.now()
+
+    def _start_run(self, entry, batch, route, listed, partials) -> None:
+        def on_state(row: StateRow, results: list[ItemResult]) -> None:
+            self._cache(entry, row.state.listed - len(results), results)
+            self._take_row(batch.id, row)
+
+        entry.run = BatchRun(
+            self.kernel,
+            self._log,
+            batch,
+            route,
+            entry.row,
+            listed,
+            partials,
+            on_state,
+        )
+        self._tasks.start_soon(entry.run.run)
+
+    async def _supervise(self) -> None:
+        """Take over batches whose owner is gone; remove those that are old."""
+        clock = self.kernel.clock
+        while True:
+            await clock.sleep_until(clock.now() + SUPERVISE_S)
+            if self._draining or self._feed.lost_at is not None:
+                continue
+            now = clock.now()
+            for batch_id, entry in list(self._entries.items()):
+                if self._orphaned(entry, now):
+                    entry.claiming = True
+                    self._tasks.start_soon(self._take_over, batch_id, entry)
+                elif now - entry.known_since > KEEP_S and not entry.claiming:
+                    entry.claiming = True
+                    self._tasks.start_soon(self._remove, batch_id, entry)
+
+    def _orphaned(self, entry: _Entry, now: float) -> bool:
+        state = entry.row.state
+        if state.ended or state.listed >= state.total or entry.claiming:
+            return False
+        if entry.run is not None and not entry.run.stopped:
+            return False
+        if state.owner == self._owner and entry.run is None:
+            # A former process of this instance owned it.
+            return True
+        return batch_order.owner_lost(
+            state.owner, entry.seen_at, self._healthy_since, now
+        )
+
+    async def _take_over(self, batch_id: str, entry: _Entry) -> None:
+        clock = self.kernel.clock
+        try:
+            version = entry.row.version
+            spread = random.uniform(0.0, TAKE_OVER_SPREAD_S)
+            await clock.sleep_until(clock.now() + spread)
+            if entry.row.version != version or self._draining:
+                return
+            outcome = await self._log.take_over(batch_id, entry.row, self._owner)
+            if outcome.is_err() or not isinstance(outcome.unwrap(), StateRow):
+                return
+            before = entry.row.state.owner
+            self._take_row(batch_id, outcome.unwrap())
+            log.event(
+                "batch.taken_over",
+                batch_id,
+                owner_before=before,
+                term=entry.row.state.term,
+                listed=entry.row.state.listed,
+            )
+            await self._resume(batch_id, entry)
+        finally:
+            entry.claiming = False
+
+    async def _resume(self, batch_id: str, entry: _Entry) -> None:
+        """Start the run of a batch that was taken over, from what the store holds."""
+        loaded = await self._loaded(entry, batch_id)
+        listed = await self._log.results(batch_id, 0, entry.row.state.listed)
+        partials = await self._log.partials(batch_id)
+        for outcome in (loaded, listed, partials):
+            if outcome.is_err():
+                reason = outcome.unwrap_err().message
+                log.event("batch.not_resumed", batch_id, reason=reason)
+                return
+        route = self._route_of(entry)
+        if route is None:
+            log.event("batch.not_resumed", batch_id, reason="its route is gone")
+            return
+        self._cache(entry, 0, listed.unwrap())
+        self._start_run(
+            entry, loaded.unwrap(), route, listed.unwrap(), partials.unwrap()
+        )
+
+    def _route_of(self, entry: _Entry) -> Route | None:
+        cfg = self._discovery.serving
+        routes = cfg.routes if cfg else ()
+        name = entry.row.state.route
+        return next((route for route in routes if route.name == name), None)
+
+    async def _remove(self, batch_id: str, entry: _Entry) -> None:
+        await self._log.remove(batch_id, entry.row)
+        self._entries.pop(batch_id, None)
--- a/plantainstack/platform/batching.py
+++ b/plantainstack/services/batching.py
@@ -9,11 +9,11 @@
 from result import Err, Ok, Result
 
 from plantainstack import log
+from plantainstack.adapters.http import REQUEST_TIMEOUT_S
+from plantainstack.adapters.table import not_applied, unknown
 from plantainstack.clock import Clock
 from plantainstack.errors import Failure
-from plantainstack.platform.base import Mutation, MutationOutcome, Row, TableService
-from plantainstack.platform.http import REQUEST_TIMEOUT_S
-from plantainstack.platform.table import not_applied, unknown
+from plantainstack.interfaces import Mutation, MutationOutcome, Row, TableService
 
 BATCH_MUTATIONS_MAX = 128
 BATCH_KEYS_MAX = 512
--- a/plantainstack/services/configuration.py
+++ b/plantainstack/services/configuration.py
@@ -10,7 +10,7 @@
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ConfigurationError, ErrorKind, Failure
-from plantainstack.platform.base import Mutation, MutationOutcome, Row, TableService
+from plantainstack.interfaces import Mutation, MutationOutcome, Row, TableService
 from plantainstack.plugins import Plugin
 from plantainstack.policy.configuration import (
     HEAD_KEY,
--- /dev/null
+++ b/plantainstack/services/discovery.py
@@ -0,0 +1,128 @@
+"""The plug-in that knows the configuration, the endpoints and the named versions."""
+
+from plantainstack import log, metrics
+from plantainstack.plugins import Plugin
+from plantainstack.policy.endpoint_view import EndpointView
+from plantainstack.policy.placing import Placing
+from plantainstack.services.feeds import Changed, Follower
+from plantainstack.serving import (
+    Endpoint,
+    EndpointChanges,
+    OperatorChanges,
+    ServingConfig,
+)
+
+# Each endpoint writes every 1.2 s; joined, their changes cost a few answers a
+# second and stay far below the 2 s within which a leaving endpoint is obeyed.
+ENDPOINT_PAUSE_S = 0.3
+OPERATOR_PAUSE_S = 0.05
+# Without the store for this long, another instance serves new clients better.
+STORE_SILENCE_MAX_S = 4.0
+
+
+class Discovery(Plugin):
+    """Follow the operator's and the endpoints' records."""
+
+    name = "discovery"
+    requires = ("store",)
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.serving: ServingConfig | None = None
+        self.versions: dict[str, int] = {}
+        self.view = EndpointView()
+        self.placing = Placing(kernel.settings.instance.data_centre)
+        self.changed = Changed()
+        self._operator: Follower | None = None
+
+    async def start(self, tasks) -> None:
+        """Start to follow both feeds."""
+        directory = self.kernel.plugin("store").directory
+        self._operator = Follower(
+            "operator",
+            self.kernel.clock,
+            directory.operator_changes,
+            self._take_operator,
+            OPERATOR_PAUSE_S,
+        )
+        endpoints = Follower(
+            "endpoints",
+            self.kernel.clock,
+            directory.endpoint_changes,
+            self._take_endpoints,
+            ENDPOINT_PAUSE_S,
+            self._store_returned,
+        )
+        tasks.start_soon(self._operator.run)
+        tasks.start_soon(endpoints.run)
+        tasks.start_soon(self._expire)
+
+    def unready_reason(self) -> str | None:
+        """Return why the instance may not serve yet, or None."""
+        if self.serving is None:
+            return "no configuration is known"
+        lost_at = self._operator.lost_at
+        if lost_at and self.kernel.clock.now() - lost_at > STORE_SILENCE_MAX_S:
+            return "the store does not answer"
+        return None
+
+    def usable(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that may get new work."""
+        return self.view.usable(service)
+
+    def _take_operator(self, found: OperatorChanges, whole: bool) -> None:
+        cfg = found.config
+        if cfg is not None and (
+            self.serving is None or cfg.version > self.serving.version
+        ):
+            self.serving = cfg
+            metrics.CONFIG_VERSION.set(cfg.version)
+            log.event("config.in_force", version=cfg.version, routes=len(cfg.routes))
+        for model, version in found.versions.items():
+            if version > self.versions.get(model, 0):
+                self.versions[model] = version
+                log.event("version.named", model=model, version=version)
+        self.changed.notify()
+
+    def _take_endpoints(self, found: EndpointChanges, whole: bool) -> None:
+        before = dict(self.view.known)
+        now = self.kernel.clock.now()
+        if whole:
+            self.view.replace(found.changed, now)
+        else:
+            self.view.update(found.changed, now)
+        self._note(before)
+
+    def _store_returned(self) -> None:
+        self.view.store_returned(self.kernel.clock.now())
+
+    async def _expire(self) -> None:
+        while True:
+            await self.kernel.clock.sleep_until(self.kernel.clock.now() + 0.5)
+            before = dict(self.view.known)
+            self.view.expire(self.kernel.clock.now())
+            self._note(before)
+
+    def _note(self, before: dict[str, Endpoint]) -> None:
+        known = self.view.known
+        gone = []
+        for id, endpoint in before.items():
+            after = known.get(id)
+            if after is None or after.incarnation() != endpoint.incarnation():
+                gone.append(endpoint)
+                log.event("endpoint.gone", endpoint=id, service=endpoint.service)
+            elif after.leaving and not endpoint.leaving:
+                log.event("endpoint.leaving", endpoint=id, service=endpoint.service)
+        for id, endpoint in known.items():
+            old = before.get(id)
+            if old is None or old.incarnation() != endpoint.incarnation():
+                log.event(
+                    "endpoint.known",
+                    endpoint=id,
+                    service=endpoint.service,
+                    address=str(endpoint.address),
+                )
+        if gone:
+            self.kernel.plugin("store").endpoints.forget(gone)
+            self.placing.forget(gone)
+        self.changed.notify()
--- a/plantainstack/services/dispatch.py
+++ b/plantainstack/services/dispatch.py
@@ -11,7 +11,7 @@
 
 from plantainstack import metrics
 from plantainstack.errors import ErrorKind, Failure, Outcome
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     Engine,
     GenerateRequest,
     InstanceRecord,
--- a/plantainstack/services/endpoints.py
+++ b/plantainstack/services/endpoints.py
@@ -8,13 +8,13 @@
 from anyio.abc import TaskGroup
 
 from plantainstack import log, metrics
-from plantainstack.kernel import Kernel
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     EngineStatus,
     InstanceKind,
     InstanceRecord,
     InstanceState,
 )
+from plantainstack.kernel import Kernel
 from plantainstack.plugins import Plugin
 from plantainstack.policy.limits import PriorityAdmission
 from plantainstack.policy.retries import BudgetedRetries
--- a/plantainstack/services/leases.py
+++ b/plantainstack/services/leases.py
@@ -5,7 +5,7 @@
 from plantainstack import log
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import Mutation, Row, TableService, Value
+from plantainstack.interfaces import Mutation, Row, TableService, Value
 from plantainstack.plugins import Plugin
 from plantainstack.policy.leases import Held, LeaseBook, LeaseTerms, holder_name
 from plantainstack.requests import new_id
--- a/plantainstack/services/membership.py
+++ b/plantainstack/services/membership.py
@@ -3,8 +3,8 @@
 from typing import TYPE_CHECKING
 
 from plantainstack import metrics
+from plantainstack.interfaces import InstanceKind, InstanceState
 from plantainstack.links.peer import Peers
-from plantainstack.platform.base import InstanceKind, InstanceState
 from plantainstack.plugins import Plugin
 from plantainstack.policy.membership import (
     Candidate,
--- a/plantainstack/services/step_desk.py
+++ b/plantainstack/services/step_desk.py
@@ -10,7 +10,7 @@
 
 from plantainstack import log, metrics
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import Check, Mutation, Row, Write
+from plantainstack.interfaces import Check, Mutation, Row, Write
 from plantainstack.policy.samples import StepKeys, StepRecord, StepState, oldest
 from plantainstack.services.step_ports import (
     SCAN_LIMIT,
--- a/plantainstack/services/step_ports.py
+++ b/plantainstack/services/step_ports.py
@@ -9,7 +9,7 @@
 
 from plantainstack.clock import Clock
 from plantainstack.errors import Failure
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     GenerateRequest,
     ObjectStore,
     Part,
--- a/plantainstack/services/step_runner.py
+++ b/plantainstack/services/step_runner.py
@@ -11,7 +11,7 @@
 
 from plantainstack import log, metrics
 from plantainstack.errors import Failure
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     Check,
     GenerateRequest,
     Mutation,
--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -8,7 +8,7 @@
 
 from plantainstack import log
 from plantainstack.errors import Failure
-from plantainstack.platform.base import Priority, Row
+from plantainstack.interfaces import Priority, Row
 from plantainstack.plugins import Plugin
 from plantainstack.policy.leases import rank, restarted
 from plantainstack.policy.samples import (
--- a/plantainstack/services/weights.py
+++ b/plantainstack/services/weights.py
@@ -10,7 +10,7 @@
 from plantainstack import log
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     Check,
     Engine,
     InstanceKind,
--- a/plantainstack/settings/ini.py
+++ b/plantainstack/settings/ini.py
@@ -4,7 +4,8 @@
 import re
 from typing import NamedTuple
 
-from plantainstack.settings.options import Option, Problem
+from plantainstack.errors import ConfigurationError
+from plantainstack.settings.options import Option, Options, Problem
 
 _SECTION = re.compile(r"\[(?P<name>[^]]+)\]")
 _OPTION = re.compile(r"(?P<name>[^\s#;=:\[][^=:]*?)\s*[=:]")
@@ -67,6 +68,30 @@
     return values, problems
 
 
+def parse_sections(
+    text: str, source: str, sections: dict[str, type[Options]]
+) -> dict[str, Options]:
+    """Check INI text that consists of the given sections.
+
+    Raises ConfigurationError with all problems at once.
+    """
+    ini = read_ini(text, source)
+    problems = list(ini.problems)
+    problems += [
+        ini.problem(name, "", "unknown section", f"one of {', '.join(sections)}")
+        for name in ini.sections
+        if name not in sections
+    ]
+    parts = {}
+    for section, kind in sections.items():
+        values, found = parse_options(ini, section, kind.declared())
+        problems += found
+        parts[section] = kind(**values)
+    if problems:
+        raise ConfigurationError(problems)
+    return parts
+
+
 def _index_lines(text: str, source: str):
     lines: dict[tuple[str, str], int] = {}
     problems: list[Problem] = []
--- a/plantainstack/settings/instance.py
+++ b/plantainstack/settings/instance.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from plantainstack.errors import ConfigurationError
-from plantainstack.settings.ini import IniFile, parse_options, read_ini
+from plantainstack.settings.ini import IniFile, parse_sections, read_ini
 from plantainstack.settings.options import (
     AddressOption,
     Boolean,
@@ -95,21 +95,7 @@
 
     Raises ConfigurationError with all problems at once.
     """
-    ini = read_ini(text, source)
-    problems = list(ini.problems)
-    problems += [
-        ini.problem(name, "", "unknown section", f"one of {', '.join(SECTIONS)}")
-        for name in ini.sections
-        if name not in SECTIONS
-    ]
-    parts = {}
-    for section, kind in SECTIONS.items():
-        values, found = parse_options(ini, section, kind.declared())
-        problems += found
-        parts[section] = kind(**values)
-    if problems:
-        raise ConfigurationError(problems)
-    return InstanceSettings(**parts)
+    return InstanceSettings(**parse_sections(text, source, SECTIONS))
 
 
 def load_instance(path: Path) -> InstanceSettings:
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -12,9 +12,9 @@
 from starlette.responses import Response
 from starlette.routing import BaseRoute, Route
 
-from plantainstack.platform.http import Answer, HttpClient
-from plantainstack.platform.store import StoreClient
-from plantainstack.platform.weights import HttpWeights
+from plantainstack.adapters.http import Answer, HttpClient
+from plantainstack.adapters.store import StoreClient
+from plantainstack.adapters.weights import HttpWeights
 from plantainstack.settings.options import Address
 from standins.base import Standin, body, reply
 
--- a/tests/platform/test_processes.py
+++ b/tests/adapters/test_processes.py
@@ -5,15 +5,15 @@
 import anyio
 import pytest
 
+from plantainstack.adapters import table
+from plantainstack.adapters.http import HttpClient
+from plantainstack.adapters.table import HttpTable
 from plantainstack.clock import SystemClock
 from plantainstack.errors import ErrorKind, Outcome
-from plantainstack.platform import table
-from plantainstack.platform.base import Check, Mutation, Write
-from plantainstack.platform.http import HttpClient
-from plantainstack.platform.table import HttpTable
+from plantainstack.interfaces import Check, Mutation, Write
 from plantainstack.settings.options import Address
 from standins.faults import Action
-from tests.platform.timeouts import timeout_for
+from tests.adapters.timeouts import timeout_for
 from tools.processes import Processes, free_addresses
 
 pytestmark = pytest.mark.anyio
--- a/tests/platform/test_stores.py
+++ b/tests/adapters/test_stores.py
@@ -3,17 +3,17 @@
 import msgspec
 import pytest
 
+from plantainstack.adapters import store
+from plantainstack.adapters.http import HttpClient
+from plantainstack.adapters.instances import HttpInstances
+from plantainstack.adapters.objects import HttpObjects
+from plantainstack.adapters.scorer import HttpScorer
+from plantainstack.adapters.store import StoreClient
+from plantainstack.adapters.trainer import HttpTrainer
+from plantainstack.adapters.weights import HttpWeights
 from plantainstack.clock import FakeClock, SystemClock
 from plantainstack.errors import ErrorKind, Outcome
-from plantainstack.platform import store
-from plantainstack.platform.base import InstanceKind, InstanceState
-from plantainstack.platform.http import HttpClient
-from plantainstack.platform.instances import HttpInstances
-from plantainstack.platform.objects import HttpObjects
-from plantainstack.platform.scorer import HttpScorer
-from plantainstack.platform.store import StoreClient
-from plantainstack.platform.trainer import HttpTrainer
-from plantainstack.platform.weights import HttpWeights
+from plantainstack.interfaces import InstanceKind, InstanceState
 from plantainstack.settings.options import Address
 from standins.faults import Action, Fault
 from standins.instances import InstancesStandin
@@ -22,7 +22,7 @@
 from standins.server import serving
 from standins.trainer import TrainerOptions, TrainerStandin
 from standins.weights import WeightsStandin
-from tests.platform.timeouts import timeout_for
+from tests.adapters.timeouts import timeout_for
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/test_table.py
+++ b/tests/adapters/test_table.py
@@ -5,18 +5,18 @@
 import anyio
 import pytest
 
+from plantainstack.adapters import table
+from plantainstack.adapters.http import HttpClient
+from plantainstack.adapters.table import HttpTable
 from plantainstack.clock import SystemClock
 from plantainstack.errors import ErrorKind, Outcome
-from plantainstack.platform import table
-from plantainstack.platform.base import Check, Mutation, Row, Write
-from plantainstack.platform.http import HttpClient
-from plantainstack.platform.table import HttpTable
+from plantainstack.interfaces import Check, Mutation, Row, Write
 from plantainstack.settings.options import Address
 from standins.faults import Action, Fault
 from standins.server import serving
 from standins.table import TableStandin
-from tests.platform.relay import relaying
-from tests.platform.timeouts import timeout_for
+from tests.adapters.relay import relaying
+from tests.adapters.timeouts import timeout_for
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/timeouts.py
+++ b/tests/adapters/timeouts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from plantainstack.platform import http
+from plantainstack.adapters import http
 from standins.faults import Action
 
 SHORT_TIMEOUT_S = 0.5
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,9 +7,7 @@
 from result import Err, Ok
 
 from plantainstack.errors import ErrorKind, Failure, Outcome
-from plantainstack.kernel import Kernel, State
-from plantainstack.links.endpoint import EndpointLinks
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     Engine,
     InstanceKind,
     InstanceRecord,
@@ -22,6 +20,8 @@
     Row,
     TableService,
 )
+from plantainstack.kernel import Kernel, State
+from plantainstack.links.endpoint import EndpointLinks
 from plantainstack.plugins import Plugin
 from plantainstack.policy.limits import OpenAdmission
 from plantainstack.policy.retries import FixedRetries
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,8 +12,7 @@
 
 from plantainstack.clock import Clock, FakeClock
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.kernel import Kernel
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     InstanceKind,
     InstanceRecord,
     InstanceState,
@@ -21,6 +20,7 @@
     Row,
     TableService,
 )
+from plantainstack.kernel import Kernel
 from plantainstack.plugins import Plugin
 from plantainstack.services.configuration import Configuration
 from plantainstack.services.membership import MembershipPlugin
--- a/tests/front/test_callers.py
+++ b/tests/front/test_callers.py
@@ -7,8 +7,8 @@
 import pytest
 from result import Ok
 
+from plantainstack.interfaces import PlainAnswer
 from plantainstack.kernel import State
-from plantainstack.platform.base import PlainAnswer
 from tests.fakes import LATE, REFUSED, TRUNCATED
 from tests.front.harness import running
 
--- a/tests/links/test_peer.py
+++ b/tests/links/test_peer.py
@@ -9,14 +9,14 @@
 
 from plantainstack import metrics
 from plantainstack.errors import ErrorKind, Outcome, PeerError
-from plantainstack.kernel import Kernel
-from plantainstack.links.handshake import Handshake, decode, encode
-from plantainstack.links.peer import ON_DEMAND_LINKS_MAX, Peers
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     InstanceKind,
     InstanceRecord,
     InstanceState,
 )
+from plantainstack.kernel import Kernel
+from plantainstack.links.handshake import Handshake, decode, encode
+from plantainstack.links.peer import ON_DEMAND_LINKS_MAX, Peers
 from plantainstack.settings.fleet import FleetConfig, FleetContent
 from plantainstack.settings.instance import InstanceOptions
 from plantainstack.settings.options import Address
--- a/tests/policy/test_configuration.py
+++ b/tests/policy/test_configuration.py
@@ -7,7 +7,7 @@
 import pytest
 
 from plantainstack.errors import ErrorKind
-from plantainstack.platform.base import Row
+from plantainstack.interfaces import Row
 from plantainstack.policy.configuration import (
     HEAD_KEY,
     Change,
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from plantainstack.errors import ErrorKind, Outcome
-from plantainstack.platform.base import EngineStatus, Priority
+from plantainstack.interfaces import EngineStatus, Priority
 from plantainstack.policy.concurrency import AdaptiveLimit
 from plantainstack.policy.limits import OpenAdmission, PriorityAdmission
 from plantainstack.policy.routing import AttemptEnd, RoundRobinRouter, RouteRequest
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from plantainstack.errors import ErrorKind
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     EngineStatus,
     InstanceKind,
     InstanceRecord,
--- a/tests/proofs/test_guards.py
+++ b/tests/proofs/test_guards.py
@@ -12,10 +12,10 @@
 from result import Ok
 
 from plantainstack.errors import Outcome
+from plantainstack.interfaces import Mutation, Row, Write
 from plantainstack.kernel import Kernel, PauseDetector, State
 from plantainstack.links.endpoint import HttpEngine, _Endpoint
 from plantainstack.links.slots import Connection, Exchange, GuardedStream, Slots
-from plantainstack.platform.base import Mutation, Row, Write
 from plantainstack.policy.bookings import Action, ClaimRules, Stage, Verdict, claim_of
 from plantainstack.requests import DeadlineGuard
 from plantainstack.services.bookings import Bookings, UnstoredClaims
--- a/tests/proofs/test_interleavings.py
+++ b/tests/proofs/test_interleavings.py
@@ -16,7 +16,7 @@
 
 from plantainstack.clock import FakeClock
 from plantainstack.errors import Outcome
-from plantainstack.platform.base import PlainAnswer, PlainService
+from plantainstack.interfaces import PlainAnswer, PlainService
 from plantainstack.policy.bookings import ClaimRules
 from plantainstack.services.bookings import Bookings
 from tests.fakes import CROSSED, LATE, REFUSED, UNAVAILABLE, UNKNOWN, FakeTable
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -11,7 +11,7 @@
 
 from plantainstack.clock import FakeClock
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     MutationOutcome,
     ObjectStore,
     Part,
--- a/tests/services/owners.py
+++ b/tests/services/owners.py
@@ -9,7 +9,7 @@
 
 from plantainstack.clock import FakeClock
 from plantainstack.errors import Outcome
-from plantainstack.platform.base import PlainAnswer, PlainRequest, Priority
+from plantainstack.interfaces import PlainAnswer, PlainRequest, Priority
 from plantainstack.requests import RequestContext
 from plantainstack.services.bookings import Bookings
 from plantainstack.services.dispatch import AttemptLog, Dispatch
--- a/tests/platform/test_batching.py
+++ b/tests/services/test_batching.py
@@ -4,10 +4,11 @@
 import pytest
 from result import Err, Ok
 
+from plantainstack.adapters.http import REQUEST_TIMEOUT_S, HttpClient
+from plantainstack.adapters.table import HttpTable, not_applied, unknown
 from plantainstack.clock import FakeClock, SystemClock
 from plantainstack.errors import ErrorKind
-from plantainstack.platform import batching
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     Check,
     Mutation,
     MutationOutcome,
@@ -15,9 +16,8 @@
     TableService,
     Write,
 )
-from plantainstack.platform.batching import BatchingTable, _Batcher, _Call
-from plantainstack.platform.http import REQUEST_TIMEOUT_S, HttpClient
-from plantainstack.platform.table import HttpTable, not_applied, unknown
+from plantainstack.services import batching
+from plantainstack.services.batching import BatchingTable, _Batcher, _Call
 from standins.server import serving
 from standins.table import TableStandin
 
--- a/tests/services/test_control_over_loopback.py
+++ b/tests/services/test_control_over_loopback.py
@@ -6,9 +6,9 @@
 import anyio
 import pytest
 
+from plantainstack.interfaces import InstanceKind, InstanceRecord, InstanceState
 from plantainstack.kernel import Kernel
 from plantainstack.links.peer import Peers
-from plantainstack.platform.base import InstanceKind, InstanceRecord, InstanceState
 from plantainstack.plugins import Plugin
 from plantainstack.services.configuration import Configuration
 from plantainstack.services.membership import MembershipPlugin
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -6,7 +6,7 @@
 
 from plantainstack.clock import FakeClock
 from plantainstack.errors import ErrorKind, Outcome
-from plantainstack.platform.base import GenerateRequest, PlainRequest, Priority
+from plantainstack.interfaces import GenerateRequest, PlainRequest, Priority
 from plantainstack.policy.limits import OpenAdmission
 from plantainstack.requests import RequestContext
 from plantainstack.services.dispatch import AttemptLog
--- a/tests/services/test_endpoints.py
+++ b/tests/services/test_endpoints.py
@@ -9,14 +9,14 @@
 
 from plantainstack.clock import FakeClock
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.metrics import REGISTRY
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     EngineStatus,
     InstanceKind,
     InstanceRecord,
     InstanceState,
     Priority,
 )
+from plantainstack.metrics import REGISTRY
 from plantainstack.policy.routing import AttemptEnd, RoundRobinRouter, RouteRequest
 from plantainstack.services.endpoints import Endpoints
 from plantainstack.settings.fleet import FleetConfig
--- a/tests/services/test_stragglers.py
+++ b/tests/services/test_stragglers.py
@@ -11,7 +11,7 @@
 import xxhash
 from result import Ok
 
-from plantainstack.platform.base import Part
+from plantainstack.interfaces import Part
 from plantainstack.policy.stragglers import BUDGET_SHARE, NoHedging, Stragglers
 from plantainstack.services.step_ports import Guards
 from plantainstack.settings.fleet import FleetConfig, FleetContent
--- a/tests/services/test_weights.py
+++ b/tests/services/test_weights.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from plantainstack.errors import ErrorKind, Failure
-from plantainstack.platform.base import (
+from plantainstack.interfaces import (
     EngineStatus,
     InstanceKind,
     InstanceRecord,
--- a/tests/standins/test_endpoints.py
+++ b/tests/standins/test_endpoints.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from plantainstack.adapters.http import HttpClient
 from plantainstack.clock import FakeClock, SystemClock
-from plantainstack.platform.http import HttpClient
 from standins.batch import EngineOptions
 from standins.completions import completion_text, prefix_hashes
 from standins.engine import EngineStandin
--- a/tests/standins/test_trainer.py
+++ b/tests/standins/test_trainer.py
@@ -6,8 +6,8 @@
 import pytest
 from starlette.routing import Route
 
+from plantainstack.adapters.http import HttpClient
 from plantainstack.clock import SystemClock
-from plantainstack.platform.http import HttpClient
 from standins.base import Standin, reply
 from standins.faults import Action, Fault
 from standins.server import serving
--- a/tools/demo_api.py
+++ b/tools/demo_api.py
@@ -8,7 +8,7 @@
 import httpcore
 import msgspec
 
-from plantainstack.platform.http import Headers
+from plantainstack.adapters.http import Headers
 from plantainstack.settings.options import Address
 
 CALL_LIMIT_S = 2.0
