Move streams off endpoints that are slow or stand still

Cause: a step ends with its slowest group; streams at a slow endpoint (3.5 times) or one that loads weights (0.9 s) stayed there to their end.

A resumed stream reads its prompt and text again in about 10 ms, so an item whose stream is silent for 0.35 s, or whose endpoint is 1.6 times slower than the best one, goes on elsewhere if a place is free. Placing takes the pace into account.

--- a/plantainstack/policy/placing.py
+++ b/plantainstack/policy/placing.py
@@ -22,6 +22,8 @@
 # Load that counts against an endpoint whose last answers were slower than usual.
 SLOW_FACTOR_MAX = 8.0
 SPEED_WEIGHT = 0.25
+# A pace is forgotten after about the time for which slow endpoints stay slow.
+PACE_AGE_MAX_S = 5.0
 
 
 class _Load:
@@ -31,6 +33,7 @@
         self.reported_at = -REPORT_AGE_MAX_S
         self.avoid_until = 0.0
         self.seconds: float | None = None
+        self.timed_at = 0.0
 
 
 class Placed(NamedTuple):
@@ -62,11 +65,12 @@
         sound = [end for end in ready if self._load(end).avoid_until <= now]
         best: tuple[float, str] | None = None
         chosen = None
+        fastest = self.best_pace(ready, now)
         for end in sound or ready:
             load = self.load(end, now)
             if load >= load_max:
                 continue
-            score = (self._score(end, load), end.id)
+            score = (self._score(end, load, fastest, now), end.id)
             if best is None or score < best:
                 best, chosen = score, Placed(end, load)
         return chosen
@@ -100,13 +104,26 @@
         state.others = max(0.0, report.running + report.waiting - state.own)
         state.reported_at = now
 
-    def answered(self, endpoint: Endpoint, seconds: float) -> None:
-        """Take over how long an answer took."""
+    def answered(self, endpoint: Endpoint, seconds: float, now: float) -> None:
+        """Take over how long an answer took, or the next event of a stream."""
         state = self._load(endpoint)
-        before = seconds if state.seconds is None else state.seconds
+        before = self.pace(endpoint, now)
+        if before is None:
+            before = seconds
         state.seconds = before + SPEED_WEIGHT * (seconds - before)
+        state.timed_at = now
         state.avoid_until = 0.0
 
+    def pace(self, endpoint: Endpoint, now: float) -> float | None:
+        """Return the seconds that an answer or an event took lately, or None."""
+        state = self._load(endpoint)
+        return state.seconds if now - state.timed_at < PACE_AGE_MAX_S else None
+
+    def best_pace(self, endpoints: Sequence[Endpoint], now: float) -> float | None:
+        """Return the least pace among endpoints, or None if none is known."""
+        paces = [self.pace(endpoint, now) for endpoint in endpoints]
+        return min((pace for pace in paces if pace is not None), default=None)
+
     def failed(self, endpoint: Endpoint, now: float) -> None:
         """Avoid an endpoint that broke off or fell silent."""
         self._load(endpoint).avoid_until = now + SUSPECT_S
@@ -121,17 +138,15 @@
         for endpoint in endpoints:
             self._loads.pop(endpoint.incarnation(), None)
 
-    def _score(self, endpoint: Endpoint, load: float) -> float:
+    def _score(
+        self, endpoint: Endpoint, load: float, fastest: float | None, now: float
+    ) -> float:
         remote = endpoint.data_centre != self._data_centre
         base = load + 1 / endpoint.slots + (REMOTE_LOAD if remote else 0.0)
-        return base * self._slowness(endpoint)
-
-    def _slowness(self, endpoint: Endpoint) -> float:
-        own = self._load(endpoint).seconds
-        known = [load.seconds for load in self._loads.values() if load.seconds]
-        if own is None or not known:
-            return 1.0
-        return min(SLOW_FACTOR_MAX, max(1.0, own / min(known)))
+        pace = self.pace(endpoint, now)
+        if pace is None or not fastest:
+            return base
+        return base * min(SLOW_FACTOR_MAX, max(1.0, pace / fastest))
 
     def _load(self, endpoint: Endpoint) -> _Load:
         return self._loads.setdefault(endpoint.incarnation(), _Load())
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -8,6 +8,7 @@
 from plantainstack.errors import Failure, Outcome
 from plantainstack.policy import batch_order
 from plantainstack.policy.item_runs import ItemRun, PartialText, Verdict
+from plantainstack.policy.pace import STALL_S, Progress, move_due
 from plantainstack.services.batch_log import BatchLog, Lost, StateRow
 from plantainstack.serving import (
     Batch,
@@ -26,12 +27,23 @@
 APPEND_ITEMS = 60
 # A place may come free at another instance, which tells nobody.
 PLACE_RETRY_S = 0.05
+WATCH_S = 0.1
 # After a refusal; most are from endpoints that load weights for about a second.
 ITEM_RETRY_S = 0.1
 # Endpoints take this many requests for each of their slots before they queue.
 LOAD_MAX = 1.0
 
 
+class _Attempt:
+    """Hold the stream of one item that is being read."""
+
+    def __init__(self, endpoint: Endpoint, now: float):
+        self.endpoint = endpoint
+        self.scope = anyio.CancelScope()
+        self.since = now
+        self.last_event_at = now
+
+
 class BatchRun:
     """Own one batch: run what is not listed, list what has ended."""
 
@@ -58,6 +70,7 @@
         self._done = {result.item_id for result in listed}
         self._partials = partials
         self._runs: dict[str, ItemRun] = {}
+        self._attempts: dict[str, _Attempt] = {}
         self._ended: list[ItemResult] = []
         self._wake = anyio.Event()
         self._places_changed = anyio.Event()
@@ -77,6 +90,7 @@
         with self._scope:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write_results)
+                tasks.start_soon(self._move_slow)
                 await self._start_items(tasks, items)
         self.stopped = True
 
@@ -112,9 +126,13 @@
             tasks.start_soon(self._run_item, run, endpoint)
 
     async def _place(self, item: Item, exclude: frozenset[str]) -> Endpoint:
-        """Wait for a place, at the endpoint of the item's group if it has one."""
+        """Wait for a place, at the endpoint of the item's group if it has one.
+
+        Endpoints to exclude are left out of the first choice only.
+        """
         while True:
             endpoint = self._choose(item, exclude)
+            exclude = frozenset()
             if endpoint is not None:
                 self._discovery.placing.begin(endpoint)
                 return endpoint
@@ -124,12 +142,7 @@
     def _choose(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
         placing = self._discovery.placing
         now = self._clock.now()
-        service = self._route.shares[0].service
-        usable = [
-            endpoint
-            for endpoint in self._discovery.usable(service)
-            if self._recent_enough(endpoint)
-        ]
+        usable = self._usable()
         preferred = self._group_endpoints.get(item.group)
         for endpoint in usable:
             if (
@@ -145,6 +158,14 @@
         self._group_endpoints[item.group] = placed.endpoint.id
         return placed.endpoint
 
+    def _usable(self) -> list[Endpoint]:
+        service = self._route.shares[0].service
+        return [
+            endpoint
+            for endpoint in self._discovery.usable(service)
+            if self._recent_enough(endpoint)
+        ]
+
     def _recent_enough(self, endpoint: Endpoint) -> bool:
         version = endpoint.versions.get(self.batch.model)
         return version is None or version >= self.batch.min_version
@@ -153,15 +174,19 @@
         started = self._clock.now()
         result = None
         while result is None:
+            attempt = _Attempt(endpoint, self._clock.now())
+            self._attempts[run.item.id] = attempt
             try:
-                result = await self._attempt(run, endpoint)
+                with attempt.scope:
+                    result = await self._attempt(run, attempt)
             finally:
+                self._attempts.pop(run.item.id, None)
                 self._discovery.placing.end(endpoint)
                 self._notify_places()
             if result is None and self._clock.now() > self._give_up_at:
                 result = run.abandoned()
             if result is None:
-                endpoint = await self._place(run.item, frozenset())
+                endpoint = await self._place(run.item, frozenset((endpoint.id,)))
         self._runs.pop(run.item.id, None)
         metrics.BATCH_SECONDS.labels(result.state.value).observe(
             self._clock.now() - started
@@ -169,8 +194,9 @@
         self._ended.append(result)
         self._wake.set()
 
-    async def _attempt(self, run: ItemRun, endpoint: Endpoint) -> ItemResult | None:
+    async def _attempt(self, run: ItemRun, attempt: _Attempt) -> ItemResult | None:
         item = run.item
+        endpoint = attempt.endpoint
         call = EndpointCall(
             item.id,
             "POST",
@@ -187,13 +213,14 @@
             elif isinstance(opened.unwrap(), EndpointAnswer):
                 return await self._refused(run, endpoint, opened.unwrap())
             else:
-                return await self._read(run, endpoint, opened.unwrap())
+                return await self._read(run, attempt, opened.unwrap())
         await self._pause()
         return None
 
     async def _read(
-        self, run: ItemRun, endpoint: Endpoint, stream: OpenStream
+        self, run: ItemRun, attempt: _Attempt, stream: OpenStream
     ) -> ItemResult | None:
+        endpoint = attempt.endpoint
         placing = self._discovery.placing
         placing.reported(endpoint, stream.head.load, self._clock.now())
         verdict = run.begin(stream.head.version)
@@ -209,8 +236,55 @@
             if verdict is not Verdict.KEEP:
                 self._unusable(run, endpoint, verdict)
                 return None
+            self._note_event(attempt)
         return run.completed()
 
+    def _note_event(self, attempt: _Attempt) -> None:
+        now = self._clock.now()
+        if attempt.last_event_at > attempt.since:
+            # The time to the first event includes waiting and reading the prompt.
+            gap = now - attempt.last_event_at
+            self._discovery.placing.answered(attempt.endpoint, gap, now)
+        attempt.last_event_at = now
+
+    async def _move_slow(self) -> None:
+        """Let streams go on elsewhere that are slow or stand still."""
+        while True:
+            await self._clock.sleep_until(self._clock.now() + WATCH_S)
+            usable = self._usable()
+            placing = self._discovery.placing
+            now = self._clock.now()
+            best = placing.best_pace(usable, now)
+            for item_id, attempt in list(self._attempts.items()):
+                progress = Progress(attempt.since, attempt.last_event_at)
+                pace_here = placing.pace(attempt.endpoint, now)
+                if not move_due(progress, pace_here, best, now):
+                    continue
+                exclude = frozenset((attempt.endpoint.id,))
+                placed = placing.choose(usable, now, exclude, LOAD_MAX)
+                if placed is None or placing.avoided(placed.endpoint, now):
+                    continue
+                self._move(item_id, attempt, pace_here, best, now)
+
+    def _move(self, item_id: str, attempt: _Attempt, pace_here, best, now) -> None:
+        log.event(
+            "item.moved",
+            item_id,
+            batch=self.batch.id,
+            endpoint=attempt.endpoint.id,
+            silent_s=round(now - attempt.last_event_at, 3),
+            pace_s=pace_here,
+            best_pace_s=best,
+        )
+        if now - attempt.last_event_at > STALL_S:
+            self._discovery.placing.refused(attempt.endpoint, now)
+        self._group_endpoints = {
+            group: id
+            for group, id in self._group_endpoints.items()
+            if id != attempt.endpoint.id
+        }
+        attempt.scope.cancel()
+
     async def _refused(
         self, run: ItemRun, endpoint: Endpoint, found: EndpointAnswer
     ) -> ItemResult | None:
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -230,7 +230,7 @@
         if answer.not_run:
             self._refused(endpoint, answer.answer.status)
         elif forwarding.acceptable(answer, self._route):
-            self._placing.answered(endpoint, seconds)
+            self._placing.answered(endpoint, seconds, now)
             self._answer = answer
         else:
             self._placing.failed(endpoint, now)
