--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,117 @@
+"""Tests of the platform's formats."""
+
+import copy
+
+import msgspec
+import pytest
+
+from plantainstack.clock import FakeClock
+from plantainstack.platform import records
+from plantainstack.serving import ItemResult, ItemState, RequestKind
+from tests.platform.samples import CONFIG, ENTRY, lot
+
+
+def test_config_is_decoded_into_the_projects_types():
+    cfg = records.config(msgspec.json.encode(CONFIG)).unwrap()
+    batch, safe = cfg.routes
+    assert (batch.kind, batch.queue_limit_s, batch.result_target_s) == (
+        RequestKind.BATCH,
+        40.0,
+        7.5,
+    )
+    assert (safe.host, safe.objective_s, safe.endpoints_max) == (
+        "desk.example",
+        0.24,
+        2,
+    )
+    assert [share.weight for share in safe.shares] == [90, 10]
+    assert cfg.services["models"].models == ("m0",)
+    assert cfg.limits.body_bytes == 1000
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"version": "7"}, {"routes": None}, {"services": [{"health_path": "/"}]}],
+)
+def test_config_with_faults_is_no_config(changes):
+    """Guards against a configuration of which only a part is put in force."""
+    assert records.config(msgspec.json.encode(CONFIG | changes)).is_err()
+
+
+def test_unknown_kind_of_route_is_a_fault():
+    """Guards against a route whose requests are repeated without a promise."""
+    broken = copy.deepcopy(CONFIG)
+    broken["routes"][0]["route_type"] = "sometimes"
+    assert records.config(msgspec.json.encode(broken)).is_err()
+
+
+def test_registration_names_an_endpoint():
+    found = records.endpoint("i-1", msgspec.json.encode(ENTRY), FakeClock()).unwrap()
+    assert found.service == "models"
+    assert found.versions == {"m0": 4}
+    assert found.incarnation() == ("i-1", 1783993482000)
+    assert not found.leaving
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"backend": 5},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1:99999"},
+        {"state": "asleep"},
+        {"slots": 0},
+        {"seq": "four"},
+        {"born": 17.5},
+        {"models": "m0"},
+    ],
+)
+def test_entries_of_other_writers_name_no_endpoint(changes):
+    """Guards against requests to an address that no endpoint registered."""
+    data = msgspec.json.encode(ENTRY | changes)
+    assert records.endpoint("i-1", data, FakeClock()).is_err()
+
+
+def test_missing_fields_name_no_endpoint():
+    """Guards against defaults for what an endpoint must say itself."""
+    for field in ("backend", "address", "zone", "slots", "state", "seq"):
+        entry = {name: value for name, value in ENTRY.items() if name != field}
+        data = msgspec.json.encode(entry)
+        assert records.endpoint("i-1", data, FakeClock()).is_err(), field
+
+
+def test_submission_is_decoded():
+    data = msgspec.json.encode(lot(items=4))
+    batch = records.batch("b1", "train.example", "/train/x", data).unwrap()
+    assert [item.group for item in batch.items] == ["g0", "g0", "g1", "g1"]
+    assert batch.items[0].body == b"\xab\xcd"
+    assert batch.items[3].length_hint == 103
+    assert (batch.min_version, batch.groups_wanted) == (3, 1)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"requests": []},
+        {"requests": lot(1)["requests"] * 2},
+        {"requests": [lot(1)["requests"][0] | {"body": "*"}]},
+        {"requests": [lot(1)["requests"][0] | {"path": "train"}]},
+        {"requests": [lot(1)["requests"][0] | {"headers": {"a": "b\r\nc: d"}}]},
+        {"requests": [{"id": "x"}]},
+        {"min_version": "old"},
+    ],
+)
+def test_submissions_with_faults_are_refused_whole(change):
+    """Guards against a batch of which only some items can run."""
+    data = msgspec.json.encode(lot(1) | change)
+    assert records.batch("b1", "h", "/train/", data).is_err()
+
+
+def test_result_has_the_readers_fields():
+    found = ItemResult("i", ItemState.ABANDONED, "a\nb", (6, 7))
+    assert records.result_fields(found) == {
+        "id": "i",
+        "state": "abandoned",
+        "output": "a\nb",
+        "versions": [6, 7],
+    }
--- /dev/null
+++ b/tests/policy/test_batch_order.py
@@ -0,0 +1,44 @@
+"""Tests of the order of items and of owners that are gone."""
+
+import pytest
+
+from plantainstack.policy.batch_order import (
+    OWNER_SILENCE_S,
+    RENEW_S,
+    item_order,
+    owner_lost,
+)
+from tests.policy.serving_samples import batch, item
+
+
+def test_groups_stay_together_and_the_longest_comes_first():
+    """Guards against a step whose longest group is begun last."""
+    items = (
+        item("a1", "a", 10),
+        item("b1", "b", 10),
+        item("a2", "a", 20),
+        item("b2", "b", 90),
+    )
+    order = [each.id for each in item_order(batch(*items))]
+    assert order == ["b1", "b2", "a1", "a2"]
+
+
+@pytest.mark.parametrize(
+    ("owner", "seen_at", "healthy_since", "lost"),
+    [
+        ("", 100.0, 0.0, True),
+        ("x", 100.0, 0.0, False),
+        ("x", 100.0 - OWNER_SILENCE_S - 0.1, 0.0, True),
+        # This process could not have seen a renewal while its feed was away.
+        ("x", 50.0, 99.0, False),
+    ],
+)
+def test_an_owner_is_lost_after_silence_that_was_seen(
+    owner, seen_at, healthy_since, lost
+):
+    """Guards against a takeover after an outage of the store."""
+    assert owner_lost(owner, seen_at, healthy_since, 100.0) is lost
+
+
+def test_a_late_renewal_is_no_loss():
+    assert 2 * RENEW_S < OWNER_SILENCE_S
--- /dev/null
+++ b/tests/policy/test_placing.py
@@ -0,0 +1,101 @@
+"""Tests of placing, which play the load on a few endpoints."""
+
+from plantainstack.policy.placing import SUSPECT_S, Placing
+from plantainstack.serving import EndpointLoadReport
+from tests.policy.serving_samples import endpoint
+
+A, B, C = (endpoint(id) for id in "abc")
+
+
+def placing():
+    return Placing("dc-a")
+
+
+def test_requests_spread_by_load():
+    found = placing()
+    counts = dict.fromkeys("abc", 0)
+    for _ in range(12):
+        chosen = found.choose([A, B, C], 0.0).endpoint
+        found.begin(chosen)
+        counts[chosen.id] += 1
+    assert set(counts.values()) == {4}
+
+
+def test_full_endpoints_are_not_chosen_where_a_limit_is_given():
+    """Guards against items that queue while a place elsewhere comes free."""
+    found = placing()
+    for _ in range(4):
+        found.begin(A)
+    assert found.choose([A, B], 0.0, load_max=1.0).endpoint is B
+    for _ in range(4):
+        found.begin(B)
+    assert found.choose([A, B], 0.0, load_max=1.0) is None
+
+
+def test_the_load_of_other_instances_counts_while_it_is_fresh():
+    found = placing()
+    found.reported(A, EndpointLoadReport(4, 2, 4), 0.0)
+    assert found.choose([A, B], 0.1).endpoint is B
+    assert found.load(A, 0.1) == 1.5
+    assert found.load(A, 5.0) == 0.0
+
+
+def test_own_requests_are_not_counted_twice():
+    found = placing()
+    found.begin(A)
+    found.reported(A, EndpointLoadReport(1, 0, 4), 0.0)
+    assert found.load(A, 0.1) == 0.25
+
+
+def test_endpoints_that_failed_are_avoided_for_a_while():
+    """Guards against requests that follow each other to a crashed endpoint."""
+    found = placing()
+    found.failed(A, 0.0)
+    found.begin(B)
+    assert found.choose([A, B], 0.1).endpoint is B
+    assert found.choose([A, B], SUSPECT_S + 0.1).endpoint is A
+
+
+def test_an_avoided_endpoint_is_better_than_none():
+    found = placing()
+    found.failed(A, 0.0)
+    assert found.choose([A], 0.1).endpoint is A
+
+
+def test_slow_endpoints_get_less():
+    """Guards against a slow endpoint that gets as much as the others."""
+    found = placing()
+    for _ in range(20):
+        found.answered(A, 0.16, 0.0)
+        found.answered(B, 0.04, 0.0)
+    chosen = []
+    for _ in range(4):
+        end = found.choose([A, B], 0.1).endpoint
+        found.begin(end)
+        chosen.append(end.id)
+    assert chosen.count("a") <= 1
+
+
+def test_a_pace_is_forgotten():
+    """Guards against an endpoint that is avoided long after it recovered."""
+    found = placing()
+    found.answered(A, 1.0, 0.0)
+    assert found.pace(A, 1.0) == 1.0
+    assert found.pace(A, 60.0) is None
+
+
+def test_endpoints_of_other_data_centres_are_used_when_the_near_ones_fill_up():
+    far = endpoint("far", data_centre="dc-b")
+    found = placing()
+    assert found.choose([A, far], 0.0).endpoint is A
+    found.begin(A)
+    found.begin(A)
+    assert found.choose([A, far], 0.0).endpoint is far
+
+
+def test_a_restarted_endpoint_starts_with_a_clean_record():
+    """Guards against the failures of a former process at the same id."""
+    found = placing()
+    found.failed(A, 0.0)
+    again = A._replace(started_ms=2)
+    assert not found.avoided(again, 0.1)
--- /dev/null
+++ b/tests/policy/test_route_table.py
@@ -0,0 +1,40 @@
+"""Tests of the choice of routes."""
+
+import random
+
+import pytest
+
+from plantainstack.policy import route_table
+from plantainstack.serving import ClientLimits, ServingConfig, Share
+from tests.policy.serving_samples import route
+
+ROUTES = (
+    route(name="short", prefix="/a/"),
+    route(name="long", prefix="/a/b/"),
+    route(name="other", host="shop.example", prefix="/a/"),
+)
+CFG = ServingConfig(1, ROUTES, {}, ClientLimits())
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("desk.example", "/a/x", "short"),
+        ("desk.example", "/a/b/x", "long"),
+        ("desk.example", "/a/bx", "short"),
+        ("Desk.Example:8080", "/a/b/", "long"),
+        ("shop.example", "/a/b/x", "other"),
+        ("desk.example", "/b/x", None),
+        ("unknown.example", "/a/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(host, path, name):
+    found = route_table.match(CFG, host, path)
+    assert (found.name if found else None) == name
+
+
+def test_services_are_drawn_by_weight():
+    split = route(shares=(Share("x", 90), Share("y", 10)))
+    chance = random.Random(7)
+    drawn = [route_table.pick_service(split, chance) for _ in range(1000)]
+    assert 50 < drawn.count("y") < 150
