Log the end of each item with what took its time

Cause: the log named refusals and moves, not how long an item waited and ran.

Running streams do not pause while their endpoint loads with the mode that lets them go on.

--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -76,7 +76,8 @@
         self._wake = anyio.Event()
         self._places_changed = anyio.Event()
         self._group_endpoints: dict[str, str] = {}
-        self._give_up_at = self._clock.now() + route.queue_limit_s
+        self._started_at = self._clock.now()
+        self._give_up_at = self._started_at + route.queue_limit_s
         self._scope = anyio.CancelScope()
         self._writing = anyio.Lock()
         self.stopped = False
@@ -173,8 +174,10 @@
 
     async def _run_item(self, run: ItemRun, endpoint: Endpoint) -> None:
         started = self._clock.now()
+        tried: list[str] = []
         result = None
         while result is None:
+            tried.append(endpoint.id)
             attempt = _Attempt(endpoint, self._clock.now())
             self._attempts[run.item.id] = attempt
             try:
@@ -189,8 +192,20 @@
             if result is None:
                 endpoint = await self._place(run.item, frozenset((endpoint.id,)))
         self._runs.pop(run.item.id, None)
-        metrics.BATCH_SECONDS.labels(result.state.value).observe(
-            self._clock.now() - started
+        seconds = self._clock.now() - started
+        metrics.BATCH_SECONDS.labels(result.state.value).observe(seconds)
+        log.event(
+            "item.ended",
+            run.item.id,
+            batch=self.batch.id,
+            group=run.item.group,
+            state=result.state.value,
+            events=run.events(),
+            versions=result.versions,
+            length_hint=run.item.length_hint,
+            endpoints=tried,
+            waited_s=round(started - self._started_at, 3),
+            seconds=round(seconds, 3),
         )
         self._ended.append(result)
         self._wake.set()
