Send trainers elsewhere at once while an instance lacks the store

Feeds notice silence within 1.4 s, the instance is not ready 0.4 s later, refuses batches without a write, answers readers from memory or within 0.7 s.

--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -31,7 +31,7 @@
 # Above the slowest answer seen from a store that answers at all.
 CALL_TIMEOUT_S = 1.8
 # Added to the wait of a feed; a connection that is silent for longer is dropped.
-FEED_MARGIN_S = 0.9
+FEED_MARGIN_S = 0.8
 CALL_CONNECTIONS = 16
 FEED_CONNECTIONS = 4
 OPERATOR_TABLE = "op"
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -3,6 +3,7 @@
 import random
 from typing import NamedTuple
 
+import anyio
 from result import Err, Ok, Result
 
 from plantainstack import log
@@ -16,6 +17,7 @@
     state_row,
 )
 from plantainstack.services.batch_runs import BatchRun
+from plantainstack.services.discovery import STORE_SILENCE_MAX_S
 from plantainstack.services.feeds import Changed, Follower
 from plantainstack.serving import Batch, ItemResult, Route, RowsRead
 
@@ -27,6 +29,9 @@
 # Spreads the instances that see the same batch without an owner.
 TAKE_OVER_SPREAD_S = 0.3
 PAGE_RESULTS = 64
+# A reader is sent elsewhere after this time without the store; one that answers at
+# all takes 0.3 s at its slowest.
+UNSURE_READ_S = 0.7
 # Half of what the smallest machine (128 MB) has left beside the process itself.
 CACHE_BYTES = 24 * 1024 * 1024
 # Readers may come back to a batch for 120 s after it was submitted.
@@ -111,6 +116,10 @@
         if entry is not None:
             log.event("batch.known", batch.id)
             return Ok(None)
+        if self._feed.lost_for(self.kernel.clock.now()) > STORE_SILENCE_MAX_S:
+            log.event("batch.refused", batch.id, reason="the store does not answer")
+            message = "the store does not answer"
+            return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
         owner = "" if self._draining else self._owner
         outcome = await self._log.accept(batch, route.name, owner)
         seconds = round(self.kernel.clock.now() - started, 4)
@@ -145,6 +154,9 @@
         self, batch_id: str, after: int, wait_s: float
     ) -> Result[ResultPage, Failure]:
         """Return results from a position on, after a wait for the first of them."""
+        cached = self._entries.get(batch_id)
+        if cached is not None and after in cached.results:
+            return await self._page(cached, batch_id, after)
         found = await self._known(batch_id)
         if found.is_err():
             return found
@@ -207,9 +219,11 @@
         running = entry is not None and entry.run is not None and not entry.run.stopped
         if entry is not None and (running or self._feed.lost_at is None):
             return Ok(entry)
-        found = await self._log.state(batch_id)
-        if found.is_err():
-            message = found.unwrap_err().message
+        found = None
+        with anyio.move_on_after(UNSURE_READ_S):
+            found = await self._log.state(batch_id)
+        if found is None or found.is_err():
+            message = "the store does not answer"
             return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
         row = found.unwrap()
         if row is None:
@@ -219,7 +233,7 @@
     async def _page(
         self, entry: _Entry, batch_id: str, after: int
     ) -> Result[ResultPage, Failure]:
-        count = min(PAGE_RESULTS, entry.row.state.listed - after)
+        count = min(PAGE_RESULTS, max(1, entry.row.state.listed - after))
         if any(after + number not in entry.results for number in range(count)):
             found = await self._log.results(batch_id, after, count)
             if found.is_err():
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -16,8 +16,9 @@
 # second and stay far below the 2 s within which a leaving endpoint is obeyed.
 ENDPOINT_PAUSE_S = 0.3
 OPERATOR_PAUSE_S = 0.05
-# Without the store for this long, another instance serves new clients better.
-STORE_SILENCE_MAX_S = 4.0
+# Without the store, other instances serve new clients better; where all are without
+# it, the platform uses them all the same. One failed call is no outage yet.
+STORE_SILENCE_MAX_S = 0.4
 
 
 class Discovery(Plugin):
@@ -64,8 +65,7 @@
             return "no configuration is known"
         if not self._listed:
             return "the endpoints are not listed yet"
-        lost_at = self._operator.lost_at
-        if lost_at and self.kernel.clock.now() - lost_at > STORE_SILENCE_MAX_S:
+        if self._operator.lost_for(self.kernel.clock.now()) > STORE_SILENCE_MAX_S:
             return "the store does not answer"
         return None
 
--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -13,8 +13,8 @@
 from plantainstack.serving import Cursor, HistoryLost
 
 # A long poll is answered at least this often, so that a connection that went
-# silent is noticed about a second later.
-WAIT_S = 1.0
+# silent is noticed within 1.5 s.
+WAIT_S = 0.6
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
 
@@ -48,6 +48,10 @@
         self.lost_at: float | None = None
         self.answered_at: float | None = None
 
+    def lost_for(self, now: float) -> float:
+        """Return the seconds since the feed failed, 0 while it is answered."""
+        return 0.0 if self.lost_at is None else now - self.lost_at
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -60,10 +60,12 @@
         self.clock = clock
         self.faults = []
         self.away = False
+        self.calls = 0
         self.objects = {}
 
     async def transact(self, change):
         await anyio.lowlevel.checkpoint()
+        self.calls += 1
         fault = "down" if self.away else (self.faults.pop(0) if self.faults else None)
         if fault == "down":
             return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, "scripted"))
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -273,3 +273,29 @@
         assert len(kernels[0].plugin("store").rows.objects) == 1
         batches._entries["b1"].batch = None
         assert (await batches.item_body("b1", "i0")).unwrap() == b"body"
+
+
+async def test_without_the_store_a_batch_is_refused_at_once():
+    """Guards against a trainer that waits at an instance that cannot accept."""
+    world = World()
+    async with running(world, "a") as kernels:
+        store = kernels[0].plugin("store").rows
+        batches = kernels[0].plugin("batches")
+        store.away = True
+        await until(lambda: batches._feed.lost_for(world.clock.now()) > 0.5)
+        calls = store.calls
+        failure = (await batches.submit(four_items(), BATCH_ROUTE)).unwrap_err()
+        assert failure.outcome is NOT_RUN
+        assert store.calls == calls
+
+
+async def test_what_was_read_is_read_again_without_the_store():
+    """Guards against results that vanish during an outage."""
+    world = World()
+    async with running(world, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(four_items(), BATCH_ROUTE)).is_ok()
+        before = await all_results(batches, "b1", 4)
+        kernels[0].plugin("store").rows.away = True
+        await until(lambda: batches._feed.lost_at is not None)
+        assert await all_results(batches, "b1", 4) == before
