--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -154,6 +154,22 @@
         self, batch_id: str, after: int, wait_s: float
     ) -> Result[ResultPage, Failure]:
         """Return results from a position on, after a wait for the first of them."""
+        started = self.kernel.clock.now()
+        found = await self._read(batch_id, after, wait_s)
+        page = found.ok()
+        log.event(
+            "batch.read",
+            batch_id,
+            after=after,
+            results=len(page.results) if page else None,
+            seconds=round(self.kernel.clock.now() - started, 3),
+            reason=found.unwrap_err().message if found.is_err() else "",
+        )
+        return found
+
+    async def _read(
+        self, batch_id: str, after: int, wait_s: float
+    ) -> Result[ResultPage, Failure]:
         cached = self._entries.get(batch_id)
         if cached is not None and after in cached.results:
             return await self._page(cached, batch_id, after)
