--- a/plantainstack/daemon.py
+++ b/plantainstack/daemon.py
@@ -1,5 +1,6 @@
 """The command `plantainstackd`, which runs one entry instance."""
 
+import signal
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -41,6 +42,8 @@
 )
 def main(settings_file: Path, deployment: str) -> None:
     """Run one entry instance with the settings in SETTINGS_FILE."""
+    # Settings that change during the start are read by the start itself.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     kind = DEPLOYMENTS[deployment]
     try:
         settings = kind.load(settings_file)
@@ -49,7 +52,11 @@
         sys.exit(EXIT_BAD_SETTINGS)
     log.configure(settings.log_path())
     log.bind(instance=settings.instance.id)
-    kernel = Kernel(settings, load_builtin(kind.modules).values())
+    kernel = Kernel(
+        settings,
+        load_builtin(kind.modules).values(),
+        load_settings=lambda: kind.load(settings_file),
+    )
     anyio.run(kernel.run)
 
 
--- a/plantainstack/kernel.py
+++ b/plantainstack/kernel.py
@@ -2,7 +2,7 @@
 
 import signal
 import uuid
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import StrEnum
 from graphlib import CycleError, TopologicalSorter
 
@@ -10,7 +10,7 @@
 
 from plantainstack import log
 from plantainstack.clock import Clock, SystemClock
-from plantainstack.errors import KernelError
+from plantainstack.errors import ConfigurationError, KernelError
 from plantainstack.plugins import Plugin
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.settings.instance import InstanceSettings
@@ -60,8 +60,10 @@
         settings: InstanceSettings,
         plugin_types: Iterable[type[Plugin]],
         clock: Clock | None = None,
+        load_settings: Callable[[], InstanceSettings] | None = None,
     ):
         self.settings = settings
+        self._load_settings = load_settings
         self.clock = clock or SystemClock()
         self.incarnation = f"{int(self.clock.wall() * 1000):x}-{uuid.uuid4().hex[:8]}"
         self.config = FleetConfig.builtin()
@@ -130,10 +132,29 @@
         self.state = State.STOPPED
         log.event("kernel.stopped")
 
+    def reload(self) -> None:
+        """Read the settings again; with a fault, those in force stay.
+
+        Addresses are read at the start only.
+        """
+        if self._load_settings is None:
+            return
+        try:
+            settings = self._load_settings()
+        except (ConfigurationError, OSError) as exc:
+            log.event("kernel.reload_failed", reason=str(exc))
+            return
+        self.settings = settings
+        log.event("kernel.reloaded")
+
     async def _watch_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self.request_stop()
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*watched) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self.reload()
+                else:
+                    self.request_stop()
 
     async def _tick(self) -> None:
         while True:
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -34,6 +34,8 @@
 # A place may come free at another instance, which tells nobody.
 PLACE_RETRY_S = 0.05
 WATCH_S = 0.1
+# A load takes about 1 s; each probe that comes too early costs a connection.
+PROBE_S = 0.4
 # After a refusal; most are from endpoints that load weights for about a second.
 ITEM_RETRY_S = 0.1
 # Endpoints take this many requests for each of their slots before they queue.
@@ -80,6 +82,7 @@
         # Events of each item whose text the store holds.
         self._stored_text: dict[str, int] = {}
         self._checkpoint_at = 0.0
+        self._probe_at = 0.0
         self._attempts: dict[str, _Attempt] = {}
         self._ended: list[ItemResult] = []
         self._wake = anyio.Event()
@@ -169,16 +172,24 @@
         return placed.endpoint
 
     def _usable(self) -> list[Endpoint]:
+        """Return the endpoints with weights that the batch allows.
+
+        Registrations follow a load by up to 2 s; where none is recent enough, one
+        item after the other is sent all the same, and the answer names the version.
+        """
         service = self._route.shares[0].service
-        return [
-            endpoint
-            for endpoint in self._discovery.usable(service)
-            if self._recent_enough(endpoint)
-        ]
+        known = self._discovery.usable(service)
+        recent = [end for end in known if self._recent_enough(end)]
+        now = self._clock.now()
+        if recent or now < self._probe_at:
+            return recent
+        self._probe_at = now + PROBE_S
+        return known
 
     def _recent_enough(self, endpoint: Endpoint) -> bool:
-        version = endpoint.versions.get(self.batch.model)
-        return version is None or version >= self.batch.min_version
+        version = endpoint.versions.get(self.batch.model, 0)
+        seen = self._discovery.seen_version(endpoint, self.batch.model)
+        return max(version, seen) >= self.batch.min_version
 
     async def _run_item(self, run: ItemRun, endpoint: Endpoint) -> None:
         started = self._clock.now()
@@ -248,6 +259,10 @@
         placing = self._discovery.placing
         placing.reported(endpoint, stream.head.load, self._clock.now())
         verdict = run.begin(stream.head.version)
+        if stream.head.version is not None:
+            self._discovery.note_version(
+                endpoint, self.batch.model, stream.head.version
+            )
         if verdict is not Verdict.KEEP:
             self._unusable(run, endpoint, verdict)
             await self._pause()
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -36,6 +36,7 @@
         self.changed = Changed()
         self._operator: Follower | None = None
         self._listed = False
+        self._seen_versions: dict[tuple, int] = {}
 
     async def start(self, tasks) -> None:
         """Start to follow both feeds."""
@@ -73,6 +74,14 @@
         """Return the endpoints of a service that may get new work."""
         return self.view.usable(service)
 
+    def note_version(self, endpoint: Endpoint, model: str, version: int) -> None:
+        """Keep the version that an endpoint named with an answer."""
+        self._seen_versions[endpoint.incarnation(), model] = version
+
+    def seen_version(self, endpoint: Endpoint, model: str) -> int:
+        """Return the version that an endpoint named last, 0 without one."""
+        return self._seen_versions.get((endpoint.incarnation(), model), 0)
+
     def _take_operator(self, found: OperatorChanges, whole: bool) -> None:
         cfg = found.config
         if cfg is not None and (
@@ -129,4 +138,10 @@
         if gone:
             self.kernel.plugin("store").endpoints.forget(gone)
             self.placing.forget(gone)
+            ended = {endpoint.incarnation() for endpoint in gone}
+            self._seen_versions = {
+                key: version
+                for key, version in self._seen_versions.items()
+                if key[0] not in ended
+            }
         self.changed.notify()
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -29,9 +29,9 @@
 CLAIM_DELAY_MAX_S = 0.7
 IDLE_CHECK_S = 0.5
 STEP_S = 0.1
-# A load takes 0.9 s on the users' endpoints; a first look comes just after that.
-FIRST_LOOK_S = 0.95
-LOOK_AGAIN_S = 0.25
+# A load takes 0.9 s on the users' endpoints, and their reports are 0.1 s old.
+FIRST_LOOK_S = 1.03
+LOOK_AGAIN_S = 0.2
 # A load that is not seen to end by then is ordered again.
 LOAD_LIMIT_S = 6.0
 # Registrations follow a load by up to a heartbeat and its delay (1.2 s and 0.8 s).
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,9 +1,13 @@
 """Tests of the kernel."""
 
+import os
+import signal
+
+import anyio
 import pytest
 
 from plantainstack.clock import FakeClock
-from plantainstack.errors import KernelError
+from plantainstack.errors import ConfigurationError, KernelError
 from plantainstack.kernel import PAUSE_LIMIT_S, Kernel, PauseDetector, State
 from plantainstack.plugins import Plugin
 from plantainstack.settings.fleet import FleetConfig, FleetContent
@@ -66,3 +70,40 @@
     assert pause.check()
     pause.clear()
     assert not pause.check()
+
+
+def test_settings_are_read_again_on_request():
+    """Guards against a changed file that needs a restart to be seen."""
+    kernel = Kernel("old", [], FakeClock(), load_settings=lambda: "new")
+    kernel.reload()
+    assert kernel.settings == "new"
+
+
+def test_settings_with_a_fault_leave_those_in_force():
+    """Guards against a process that ends, or serves without settings."""
+
+    def load():
+        raise ConfigurationError(["[store] address: missing"])
+
+    kernel = Kernel("old", [], FakeClock(), load_settings=load)
+    kernel.reload()
+    assert kernel.settings == "old"
+
+
+async def test_a_hangup_signal_reloads_and_ends_nothing():
+    """Guards against a process that SIGHUP ends, as is its default."""
+    loaded = anyio.Event()
+
+    def load():
+        loaded.set()
+        return "new"
+
+    kernel = Kernel("old", [], load_settings=load)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(kernel.run)
+        while signal.getsignal(signal.SIGHUP) in (signal.SIG_DFL, signal.SIG_IGN):
+            await anyio.sleep(0.001)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await loaded.wait()
+        assert kernel.state is State.SERVING
+        kernel.request_stop()
