Enforce the operator's limits on clients, and test the platform's ingress

Cause: limits on headers, head time and idle time of the configuration were not in force; only bodies were limited. A head that is not whole in time gets 408, an idle connection ends, headers over the limit get 431, a body that stalls 408.

--- a/plantainstack/errors.py
+++ b/plantainstack/errors.py
@@ -32,6 +32,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
     CONFLICT = "conflict"
@@ -85,6 +86,9 @@
     ErrorKind.HEADERS_TOO_LARGE: ErrorAnswer(
         HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, _CHANGE, _NOT_RUN
     ),
+    ErrorKind.REQUEST_TIMEOUT: ErrorAnswer(
+        HTTPStatus.REQUEST_TIMEOUT, _CHANGE, _NOT_RUN
+    ),
     ErrorKind.KEY_REQUIRED: ErrorAnswer(HTTPStatus.BAD_REQUEST, _CHANGE, _NOT_RUN),
     ErrorKind.KEY_REUSED: ErrorAnswer(
         HTTPStatus.UNPROCESSABLE_ENTITY, _CHANGE, _NOT_RUN
--- a/plantainstack/front/gateway.py
+++ b/plantainstack/front/gateway.py
@@ -22,8 +22,9 @@
         options = self.kernel.settings.instance
         self.ingress = Ingress(self.kernel)
         probes = Probes(self.kernel)
+        discovery = self.kernel.plugin("discovery")
         self._servers = [
-            FrontServer(self.ingress, options.listen),
+            FrontServer(self.ingress, options.listen, discovery.limits),
             FrontServer(probes, options.probe_listen),
             FrontServer(probes, options.metrics_listen),
         ]
--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -4,6 +4,7 @@
 import logging
 import socket
 import sys
+from collections.abc import Callable
 
 import anyio
 import h11
@@ -15,6 +16,7 @@
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.front.answers import error_response
 from plantainstack.front.gate import error_status
+from plantainstack.serving import ClientLimits
 from plantainstack.settings.options import Address
 
 BACKLOG = 1024
@@ -45,13 +47,68 @@
         self.transport.close()
 
 
+class LimitedProtocol(FrontProtocol):
+    """Close connections whose clients are slow or idle for too long."""
+
+    def __init__(self, config, *args, **kwargs):
+        super().__init__(config, *args, **kwargs)
+        self._limits = config.client_limits
+        self._header_timer = None
+
+    def connection_made(self, transport) -> None:
+        """Start to wait for the first request."""
+        super().connection_made(transport)
+        self.timeout_keep_alive = self._limits().idle_timeout_s
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Read on; a request's head must be whole within its time."""
+        super().data_received(data)
+        partial = self.conn.their_state is h11.IDLE and self.conn.trailing_data[0]
+        if not partial:
+            self._stop_header_timer()
+        elif self._header_timer is None:
+            self._header_timer = self.loop.call_later(
+                self._limits().header_timeout_s, self._refuse_slow_head
+            )
+
+    def connection_lost(self, exc) -> None:
+        """Forget the timer."""
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _refuse_slow_head(self) -> None:
+        if self.transport.is_closing() or self.conn.our_state is not h11.IDLE:
+            return
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        answer = h11.Response(status_code=408, headers=headers)
+        for part in (answer, h11.EndOfMessage()):
+            self.transport.write(self.conn.send(part))
+        self.transport.close()
+
+
 class FrontServer(uvicorn.Server):
-    """Serve one listening address, without signal handlers of its own."""
+    """Serve one listening address, without signal handlers of its own.
+
+    `limits` returns the limits on clients that are in force.
+    """
 
-    def __init__(self, app, address: Address):
+    def __init__(
+        self,
+        app,
+        address: Address,
+        limits: Callable[[], ClientLimits] | None = None,
+    ):
         config = uvicorn.Config(
             app,
-            http=FrontProtocol,
+            http=LimitedProtocol if limits else FrontProtocol,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -62,6 +119,7 @@
             timeout_graceful_shutdown=CLOSE_LIMIT_S,
             h11_max_incomplete_event_size=PARSER_LIMIT_BYTES,
         )
+        config.client_limits = limits
         super().__init__(config)
         _log_as_json()
         self._socket = _listen(address)
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -58,7 +58,7 @@
 
     async def _serve(self, scope, receive, send) -> None:
         arrived_at = self._kernel.clock.now()
-        body = await self._read_body(receive)
+        body = await self._read_body(scope, receive)
         if body is None:
             return
         answerer = _Answerer(self, scope, body, arrived_at, send)
@@ -67,19 +67,27 @@
             await answerer.answer()
             tasks.cancel_scope.cancel()
 
-    async def _read_body(self, receive) -> bytes | Failure | None:
-        cfg = self._discovery.serving
-        limit = cfg.limits.body_bytes if cfg else 32 * 1024 * 1024
+    async def _read_body(self, scope, receive) -> bytes | Failure | None:
+        limits = self._discovery.limits()
+        head = sum(len(name) + len(value) + 4 for name, value in scope["headers"])
+        if head > limits.header_bytes:
+            text = f"headers are limited to {limits.header_bytes} bytes"
+            return Failure.of(ErrorKind.HEADERS_TOO_LARGE, text)
         chunks: list[bytes] = []
         size = 0
         while True:
-            message = await receive()
+            message = None
+            with anyio.move_on_after(limits.idle_timeout_s):
+                message = await receive()
+            if message is None:
+                text = f"no more of the body came for {limits.idle_timeout_s} s"
+                return Failure.of(ErrorKind.REQUEST_TIMEOUT, text)
             if message["type"] == "http.disconnect":
                 return None
             chunks.append(message.get("body", b""))
             size += len(chunks[-1])
-            if size > limit:
-                text = f"bodies are limited to {limit} bytes"
+            if size > limits.body_bytes:
+                text = f"bodies are limited to {limits.body_bytes} bytes"
                 return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
             if not message.get("more_body"):
                 return b"".join(chunks)
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -6,6 +6,7 @@
 from plantainstack.policy.placing import Placing
 from plantainstack.services.feeds import Changed, Follower
 from plantainstack.serving import (
+    ClientLimits,
     Endpoint,
     EndpointChanges,
     OperatorChanges,
@@ -74,6 +75,10 @@
         """Return the endpoints of a service that may get new work."""
         return self.view.usable(service)
 
+    def limits(self) -> ClientLimits:
+        """Return the limits on what clients send."""
+        return self.serving.limits if self.serving else ClientLimits()
+
     def note_version(self, endpoint: Endpoint, model: str, version: int) -> None:
         """Keep the version that an endpoint named with an answer."""
         self._seen_versions[endpoint.incarnation(), model] = version
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,264 @@
+"""Tests of the HTTP interface towards the platform's clients, over loopback."""
+
+import contextlib
+
+import anyio
+import msgspec
+import pytest
+
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.front.gateway import Gateway
+from plantainstack.platform import names
+from plantainstack.serving import ClientLimits
+from plantainstack.settings.options import Address
+from tests.platform.samples import lot
+from tests.services.store_fleet import CONFIG, World, new_kernel, until
+
+pytestmark = pytest.mark.anyio
+
+ANY_PORT = Address("127.0.0.1", 0)
+BROKEN = Failure.of(ErrorKind.ANSWER_TRUNCATED, "scripted")
+LIMITS = ClientLimits(2000, 10_000, 0.2, 0.5)
+
+
+@contextlib.asynccontextmanager
+async def gateway(world):
+    async with anyio.create_task_group() as tasks:
+        kernel = new_kernel(world, "a", (Gateway,))
+        options = kernel.settings.instance
+        options.listen = options.probe_listen = options.metrics_listen = ANY_PORT
+        tasks.start_soon(kernel.run, False)
+        await until(lambda: kernel.unready_reason() is None)
+        yield kernel
+        tasks.cancel_scope.cancel()
+
+
+class Wire:
+    """Send raw bytes and read answers."""
+
+    def __init__(self, stream):
+        self.stream = stream
+        self.buffer = b""
+
+    async def ask(self, method, path, body=b"", **headers):
+        await self.send(method, path, body, **headers)
+        return await self.answer()
+
+    async def send(self, method, path, body=b"", **headers):
+        lines = [f"{method} {path} HTTP/1.1", "Host: desk.example"]
+        lines += [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
+        lines.append(f"Content-Length: {len(body)}")
+        await self.stream.send("\r\n".join([*lines, "", ""]).encode() + body)
+
+    async def answer(self):
+        with anyio.fail_after(10):
+            while b"\r\n\r\n" not in self.buffer:
+                self.buffer += await self.stream.receive()
+            head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")
+            pairs = dict(line.lower().split(": ", 1) for line in lines[1:])
+            size = int(pairs.get("content-length", 0))
+            while len(self.buffer) < size:
+                self.buffer += await self.stream.receive()
+        body, self.buffer = self.buffer[:size], self.buffer[size:]
+        return int(lines[0].split()[1]), pairs, body
+
+
+@contextlib.asynccontextmanager
+async def connected(kernel, server=0):
+    address = kernel.plugin("gateway")._servers[server].address
+    async with await anyio.connect_tcp(*address) as stream:
+        yield Wire(stream)
+
+
+async def test_plain_requests_are_forwarded_on_one_connection():
+    world = World()
+    async with gateway(world) as kernel, connected(kernel) as wire:
+        for number in range(3):
+            status, headers, body = await wire.ask(
+                "POST", "/s/x?q=1", b"hello", Plantainstack_Request_Id=f"r{number}"
+            )
+            assert status == 200
+            assert headers["plantainstack-request-id"] == f"r{number}"
+            assert body in (b"e1", b"e2")
+
+
+async def test_unknown_routes_are_not_found_and_unready_instances_refuse():
+    world = World()
+    async with gateway(world) as kernel, connected(kernel) as wire:
+        assert (await wire.ask("GET", "/nowhere/x"))[0] == 404
+        kernel.plugin("discovery").serving = None
+        status, headers, _ = await wire.ask("GET", "/s/x")
+        assert status == 503
+        assert float(headers["retry-after"]) > 0
+
+
+async def test_what_may_have_run_is_never_refused():
+    """Guards against a status that promises that a request did not run."""
+    world = World()
+    world.client.statuses = {"e1": BROKEN, "e2": BROKEN}
+    async with gateway(world) as kernel, connected(kernel) as wire:
+        assert (await wire.ask("GET", "/s/x"))[0] in (502, 504)
+        world.client.statuses = {"e1": 503, "e2": 503}
+        assert (await wire.ask("GET", "/s/x"))[0] == 503
+
+
+async def test_batches_are_submitted_read_and_ended():
+    world = World()
+    async with gateway(world) as kernel, connected(kernel) as wire:
+        body = msgspec.json.encode(lot(items=4, min_version=1))
+        ask = {"Plantainstack_Request_Id": "b1"}
+        assert (await wire.ask("POST", "/a/x", body, **ask))[0] == 202
+        assert (await wire.ask("POST", "/a/x", body, **ask))[0] == 202
+        found = []
+        with anyio.fail_after(10):
+            while len(found) < 4:
+                status, _, content = await wire.ask(
+                    "GET",
+                    f"{names.LOTS_PATH}b1?after={len(found)}",
+                    Plantainstack_Wait_Ms=500,
+                )
+                assert status == 200
+                page = msgspec.json.decode(content)
+                assert page["next"] == len(found) + len(page["results"])
+                found += page["results"]
+        assert page["total"] == 4
+        assert {each["state"] for each in found} == {"completed"}
+        status, _, body = await wire.ask("GET", f"{names.ITEMS_PATH}b1?id=item-1")
+        assert (status, body) == (200, b"\xab\xcd")
+        for _ in range(2):
+            assert (await wire.ask("DELETE", f"{names.LOTS_PATH}b1"))[0] == 200
+        assert (await wire.ask("GET", f"{names.ITEMS_PATH}b1?id=item-1"))[0] == 404
+        assert (await wire.ask("GET", f"{names.LOTS_PATH}b1?after=2"))[0] == 200
+        assert (await wire.ask("GET", f"{names.LOTS_PATH}b9"))[0] == 404
+
+
+async def test_a_batch_with_faults_is_a_bad_request():
+    world = World()
+    async with gateway(world) as kernel, connected(kernel) as wire:
+        ask = {"Plantainstack_Request_Id": "b1"}
+        assert (await wire.ask("POST", "/a/x", b"{}", **ask))[0] == 400
+        assert world.rows.parts("batches") == []
+
+
+async def test_without_the_store_readers_are_sent_elsewhere():
+    """Guards against `not found` for a batch that another instance accepted."""
+    world = World()
+    async with gateway(world) as kernel, connected(kernel) as wire:
+        kernel.plugin("store").rows.away = True
+        assert (await wire.ask("GET", f"{names.LOTS_PATH}b9"))[0] == 503
+
+
+async def test_too_much_is_refused():
+    """Guards against memory that one client fills."""
+    world = World()
+    world.config = CONFIG._replace(limits=LIMITS)
+    async with gateway(world) as kernel:
+        async with connected(kernel) as wire:
+            assert (await wire.ask("POST", "/s/x", b"x" * 20_000))[0] == 413
+        async with connected(kernel) as wire:
+            assert (await wire.ask("GET", "/s/x", X_Long="y" * 3000))[0] == 431
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [(b"GET /s/x HT", 408), (b"POST /s/x HTTP/1.1\r\nHost: a\r\n", 408)],
+)
+async def test_slow_heads_end_the_connection(sent, status):
+    """Guards against connections that clients hold without a request."""
+    world = World()
+    world.config = CONFIG._replace(limits=LIMITS)
+    async with gateway(world) as kernel, connected(kernel) as wire:
+        await wire.stream.send(sent)
+        assert (await wire.answer())[0] == status
+        with pytest.raises(anyio.EndOfStream):
+            await wire.stream.receive()
+
+
+async def test_idle_connections_and_stalled_bodies_end():
+    """Guards against connections that are open for ever."""
+    world = World()
+    world.config = CONFIG._replace(limits=LIMITS)
+    async with gateway(world) as kernel:
+        async with connected(kernel) as wire:
+            with anyio.fail_after(10), pytest.raises(anyio.EndOfStream):
+                await wire.stream.receive()
+        async with connected(kernel) as wire:
+            head = b"POST /s/x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab"
+            await wire.stream.send(head)
+            assert (await wire.answer())[0] == 408
+
+
+@pytest.mark.parametrize(
+    "smuggled",
+    [
+        b"POST /s/x HTTP/1.1\r\nHost: a\r\n"
+        b"Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
+        b"POST /s/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: x\r\n\r\n",
+        b"GET /s/x HTTP/1.1\r\nHost : a\r\n\r\n",
+        b"GET /s/x HTTP/1.1\r\n bad: a\r\n\r\n",
+    ],
+)
+async def test_ambiguous_requests_reach_no_endpoint(smuggled):
+    """Guards against a second request that is hidden in the first."""
+    world = World()
+    async with gateway(world) as kernel, connected(kernel) as wire:
+        await wire.stream.send(smuggled)
+        assert (await wire.answer())[0] in (400, 501)
+        assert world.client.calls == []
+
+
+async def test_a_client_that_leaves_ends_the_work_for_it():
+    """Guards against endpoints that work for nobody."""
+    world = World()
+    begun = anyio.Event()
+    ended = anyio.Event()
+
+    async def silent():
+        begun.set()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            ended.set()
+
+    world.client.statuses = {"e1": silent, "e2": silent}
+    async with gateway(world) as kernel:
+        async with connected(kernel) as wire:
+            await wire.send("GET", "/s/x")
+            with anyio.fail_after(10):
+                await begun.wait()
+        with anyio.fail_after(10):
+            await ended.wait()
+
+
+async def test_readiness_and_metrics():
+    world = World()
+    async with gateway(world) as kernel:
+        async with connected(kernel, 1) as wire:
+            assert (await wire.ask("GET", names.READY_PATH))[0] == 200
+        async with connected(kernel, 2) as wire:
+            status, _, body = await wire.ask("GET", "/metrics")
+            assert status == 200
+            assert b"plantainstack_requests_total" in body
+
+
+async def test_a_leaving_instance_finishes_what_it_has():
+    """Guards against requests that a planned stop cuts off."""
+    world = World()
+    released = anyio.Event()
+
+    async def held():
+        await released.wait()
+        return 200
+
+    world.client.statuses = {"e1": held, "e2": held}
+    async with gateway(world) as kernel:
+        async with connected(kernel) as wire, connected(kernel, 1) as probe:
+            await wire.send("GET", "/s/x")
+            await until(lambda: world.client.calls)
+            kernel.request_stop()
+            await until(lambda: kernel.unready_reason() == "draining")
+            assert (await probe.ask("GET", names.READY_PATH))[0] == 503
+            released.set()
+            status, headers, _ = await wire.answer()
+            assert (status, headers["connection"]) == (200, "close")
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -200,7 +200,7 @@
         self.calls.append((call.request_id, endpoint.id))
         step = self.statuses.get(endpoint.id, 200)
         if callable(step):
-            step = await step()
+            step = await step() or 200
         if isinstance(step, Failure):
             return Err(step)
         answer = PlainAnswer(step, [], endpoint.id.encode())
@@ -265,14 +265,14 @@
         self.endpoints = self.world.client
 
 
-def new_kernel(world, name):
-    """Build an instance of the world."""
+def new_kernel(world, name, more=()):
+    """Build an instance of the world, with more plug-ins than the usual ones."""
     plugin = type("WorldStore", (StorePlugin,), {"world": world}, register=False)
     settings = SimpleNamespace(
         instance=SimpleNamespace(id=name, data_centre="dc-a"),
         bounds=SimpleNamespace(order_gap=0.3, grace=5.0),
     )
-    kinds = (plugin, Discovery, Forwarding, Batches, VersionOrders)
+    kinds = (plugin, Discovery, Forwarding, Batches, VersionOrders, *more)
     return Kernel(settings, kinds, world.clock)
 
 
