--- a/plantainstack/settings/instance.py
+++ b/plantainstack/settings/instance.py
@@ -46,7 +46,7 @@
 class LogOptions(Options):
     """Declare the section `log`."""
 
-    file = OptionalText("", help="Path of the log; standard error without one.")
+    file = OptionalText("", help="Path of the log; standard output without one.")
 
 
 class Tokens(NamedTuple):
@@ -66,7 +66,7 @@
     log: LogOptions
 
     def log_path(self) -> Path | None:
-        """Return the path of the log, or None for standard error."""
+        """Return the path of the log, or None for standard output."""
         return Path(self.log.file) if self.log.file else None
 
     def peer_key(self) -> bytes:
