Keep deadlines by the clock alone, and check the settings of every deployment

Cause: a deadline also ended by the time of day, from when the monotonic clock did not count suspensions. The clock counts them now, and on a platform whose time of day jumps by seconds this ended requests early (test first failing: 5.0 s became -55 s after a step of 60 s).

--- a/plantainstack/clock.py
+++ b/plantainstack/clock.py
@@ -90,6 +90,10 @@
         self._now = end
         await anyio.wait_all_tasks_blocked()
 
+    def step_wall(self, seconds: float) -> None:
+        """Move the time of day alone, as a correction does."""
+        self._wall_offset += seconds
+
     def jump(self, seconds: float) -> None:
         """Move time on without waking anything, as a frozen process sees it."""
         self._now += seconds
--- a/plantainstack/commands/config.py
+++ b/plantainstack/commands/config.py
@@ -10,6 +10,7 @@
 from plantainstack.errors import ConfigurationError
 from plantainstack.settings.fleet import SCOPE_FIELDS, parse_fleet
 from plantainstack.settings.instance import parse_instance
+from plantainstack.settings.node import parse_node
 
 
 @click.group()
@@ -23,7 +24,7 @@
 def check(obj, file: Path) -> None:
     """Check an instance's settings or a fleet configuration; list all mistakes."""
     text = file.read_text()
-    parse = parse_instance if "[instance]" in text else parse_fleet
+    parse = _parser(text)
     try:
         parse(text, str(file))
     except ConfigurationError as exc:
@@ -109,6 +110,13 @@
     client.show(body["config_versions"], table(("instance", "version"), rows))
 
 
+def _parser(text: str):
+    """Return the parser for a kind of file, told by its sections."""
+    if "[instance]" not in text:
+        return parse_fleet
+    return parse_node if "[store]" in text else parse_instance
+
+
 def exception(name, option, value, scope, reason) -> dict:
     """Build the content of one exception."""
     return {
--- a/plantainstack/requests.py
+++ b/plantainstack/requests.py
@@ -21,25 +21,22 @@
 
 
 class DeadlineGuard:
-    """Check a deadline by the monotonic clock and by wall time.
+    """Check a deadline by the clock, which counts the time of a suspension.
 
-    The monotonic clock may stand still while a machine is suspended, so either
-    clock is enough to end a request.
+    The time of day may be corrected by seconds and decides nothing.
     """
 
     def __init__(self, clock: Clock, deadline: float):
         self._clock = clock
         self._deadline = deadline
-        self._wall = clock.wall_from_deadline(deadline)
 
     def expired(self) -> bool:
-        """Return whether the deadline has passed by either clock."""
+        """Return whether the deadline has passed."""
         return self.remaining() <= 0
 
     def remaining(self) -> float:
-        """Return the seconds until the deadline, by the clock that shows fewer."""
-        monotonic = self._deadline - self._clock.now()
-        return min(monotonic, self._wall - self._clock.wall())
+        """Return the seconds until the deadline."""
+        return self._deadline - self._clock.now()
 
 
 def new_id() -> str:
--- a/plantainstack/settings/node.py
+++ b/plantainstack/settings/node.py
@@ -51,9 +51,14 @@
 }
 
 
-def load_node(path: Path) -> NodeSettings:
-    """Read and check an instance's INI file.
+def parse_node(text: str, source: str) -> NodeSettings:
+    """Check an instance's INI text.
 
     Raises ConfigurationError with all problems at once.
     """
-    return NodeSettings(**parse_sections(path.read_text(), str(path), SECTIONS))
+    return NodeSettings(**parse_sections(text, source, SECTIONS))
+
+
+def load_node(path: Path) -> NodeSettings:
+    """Read and check an instance's INI file."""
+    return parse_node(path.read_text(), str(path))
--- a/tests/commands/test_cli.py
+++ b/tests/commands/test_cli.py
@@ -110,3 +110,12 @@
     result = run("config", "set", "retry_ratio", "0.2")
     assert result.exit_code == ExitCode.CONFLICT
     assert "version 5 by night" in result.output
+
+
+def test_check_knows_the_settings_of_every_deployment(run, tmp_path):
+    """Guards against a check that reads one kind of file as another."""
+    path = tmp_path / "node.ini"
+    path.write_text("[instance]\nid = a\n[store]\naddress = here\n")
+    result = run("config", "check", str(path))
+    assert result.exit_code == ExitCode.USAGE
+    assert "[store] address" in result.output
--- /dev/null
+++ b/tests/settings/test_node.py
@@ -0,0 +1,43 @@
+"""Tests of the settings of an instance on a metadata store."""
+
+from pathlib import Path
+
+import pytest
+
+from plantainstack.errors import ConfigurationError
+from plantainstack.settings.node import parse_node
+
+TEMPLATE = Path(__file__).parent.parent.parent / "deploy" / "node.ini"
+VALUES = {
+    "node": "front-1",
+    "zone": "dc-a",
+    "ip": "10.0.0.1",
+    "listen.front": "10.0.0.1:8000",
+    "listen.ready": "10.0.0.1:8001",
+    "provider.address": "10.0.0.9:8002",
+    "bounds.grace_s": "8",
+    "bounds.lease_ms": "3000",
+}
+
+
+def filled():
+    text = TEMPLATE.read_text()
+    for name, value in VALUES.items():
+        text = text.replace("{{" + name + "}}", value)
+    return text
+
+
+def test_the_template_gives_valid_settings():
+    """Guards against a template that the daemon refuses."""
+    settings = parse_node(filled(), "node.ini")
+    assert settings.instance.id == "front-1"
+    assert str(settings.store.address) == "10.0.0.9:8002"
+    assert (settings.bounds.grace, settings.bounds.order_gap) == (8.0, 3.0)
+
+
+def test_all_faults_are_named_at_once():
+    text = filled().replace("8 s", "8").replace("10.0.0.9:8002", "store")
+    with pytest.raises(ConfigurationError) as caught:
+        parse_node(text + "[colours]\nred = 1\n", "node.ini")
+    problems = " ".join(str(problem) for problem in caught.value.problems)
+    assert all(name in problems for name in ("grace", "address", "colours"))
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -4,6 +4,7 @@
 import pytest
 
 from plantainstack.clock import FakeClock
+from plantainstack.requests import DeadlineGuard
 
 pytestmark = pytest.mark.anyio
 
@@ -23,3 +24,14 @@
         await clock.advance(5.0)
         assert woken == [(1.0, 1.0), (3.0, 3.0)]
         tasks.cancel_scope.cancel()
+
+
+def test_a_jump_of_the_time_of_day_ends_no_request():
+    """Guards against requests that fail while the time of day is corrected."""
+    clock = FakeClock(now=0.0)
+    guard = DeadlineGuard(clock, 5.0)
+    clock.step_wall(60.0)
+    assert guard.remaining() == 5.0
+    clock.step_wall(-90.0)
+    clock.jump(4.0)
+    assert guard.remaining() == 1.0
