Keep connections to servers for two steps, and do not blame servers for idle ends

A connection that ends before its answer after it was idle is replaced once; on the grown sites servers drop idle ones without notice, which counted as a failure of the server for 3.6 s.

Also: services.leases is listed among the built-in plug-ins; the tests with real processes failed since plug-ins are found by their modules.

--- a/plantainstack/links/slots.py
+++ b/plantainstack/links/slots.py
@@ -33,6 +33,7 @@
     def __init__(self, clock: Clock, deadline: float):
         self._guard = DeadlineGuard(clock, deadline)
         self.sent = False
+        self.reused = False
 
     def before_first_byte(self) -> None:
         """Refuse to send after the deadline; otherwise count the byte as sent."""
@@ -127,8 +128,14 @@
 class Slots:
     """Keep the idle connections to one endpoint."""
 
-    def __init__(self, address: Address, backend: httpcore.AsyncNetworkBackend):
+    def __init__(
+        self,
+        address: Address,
+        backend: httpcore.AsyncNetworkBackend,
+        idle_limit_s: float = IDLE_LIMIT_S,
+    ):
         self._backend = backend
+        self._idle_limit_s = idle_limit_s
         self._address = address
         self._origin = httpcore.Origin(b"http", address.host.encode(), address.port)
         self._idle: list[Connection] = []
@@ -141,7 +148,10 @@
 
         The connection is kept only if the exchange was read to its end.
         """
-        conn = await self._take(timeouts.connect, fresh)
+        conn = None if fresh else await self._take_idle()
+        exchange.reused = conn is not None
+        if conn is None:
+            conn = await self._connect(timeouts.connect)
         try:
             conn.stream.arm(exchange)
             request = self._request(head, timeouts.progress)
@@ -157,17 +167,20 @@
         for conn in idle:
             await _close(conn)
 
-    async def _take(self, timeout: float, fresh: bool) -> Connection:
-        while self._idle and not fresh:
+    async def _take_idle(self) -> Connection | None:
+        while self._idle:
             conn = self._idle.pop()
             if not conn.http.has_expired():
                 return conn
             await _close(conn)
+        return None
+
+    async def _connect(self, timeout: float) -> Connection:
         inner = await self._backend.connect_tcp(
             self._address.host, self._address.port, timeout
         )
         stream = GuardedStream(inner)
-        http = httpcore.AsyncHTTP11Connection(self._origin, stream, IDLE_LIMIT_S)
+        http = httpcore.AsyncHTTP11Connection(self._origin, stream, self._idle_limit_s)
         return Connection(http, stream)
 
     async def _give_back(self, conn: Connection) -> None:
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -39,6 +39,8 @@
 # A connection within a region opens in about 10 ms; a lost opening packet is sent
 # again after 1 s, by which time another endpoint has been tried.
 CONNECT_TIMEOUT_S = 0.6
+# The servers keep idle connections for 10 s, and steps come every 4 s.
+IDLE_LIMIT_S = 8.0
 # A stream pauses for a load of weights (0.9 s, about twice that when several load
 # at once); a longer silence means that the connection or the endpoint is gone.
 SILENCE_TIMEOUT_S = 2.5
@@ -67,6 +69,14 @@
 )
 
 
+_CLOSED = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+)
+
+
 class PlatformServers(EndpointClient):
     """Speak the servers' HTTP interface; connections are kept by incarnation."""
 
@@ -175,15 +185,25 @@
             min(CONNECT_TIMEOUT_S, remaining), min(SILENCE_TIMEOUT_S, remaining)
         )
         slots = self._slots.setdefault(
-            _key(endpoint), Slots(endpoint.address, self._backend)
+            _key(endpoint), Slots(endpoint.address, self._backend, IDLE_LIMIT_S)
         )
         opened = False
         try:
-            with anyio.CancelScope() as scope:
-                scope.deadline = anyio.current_time() + remaining
-                head = self._head(endpoint, call, exchange)
-                fresh = not call.reuse_connection
-                async with slots.exchange(head, exchange, timeouts, fresh) as response:
+            with anyio.CancelScope(deadline=anyio.current_time() + remaining):
+                async with contextlib.AsyncExitStack() as stack:
+                    head = self._head(endpoint, call, exchange)
+                    fresh = not call.reuse_connection
+                    first = slots.exchange(head, exchange, timeouts, fresh)
+                    try:
+                        response = await stack.enter_async_context(first)
+                    except _CLOSED:
+                        if not exchange.reused:
+                            raise
+                        # The server may have closed the connection while it was
+                        # idle; that says nothing about the server.
+                        await slots.close_idle()
+                        again = slots.exchange(head, exchange, timeouts, True)
+                        response = await stack.enter_async_context(again)
                     opened = True
                     yield Ok((response, exchange))
         except _ERRORS as exc:
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -18,6 +18,7 @@
     "plantainstack.links.peer",
     "plantainstack.services.membership",
     "plantainstack.services.endpoints",
+    "plantainstack.services.leases",
     "plantainstack.services.configuration",
     "plantainstack.services.dispatch",
     "plantainstack.services.bookings",
