Let items follow a route that moves, and give them up when it is dropped

Cause: read in the code while tracing takeovers. A batch kept the route it was accepted by, so its items went on to the old service, and one whose route was dropped was claimed by every instance again and again (tests first failing: the items stayed at the old endpoint; the second batch never ended).

--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -1,12 +1,13 @@
 """Run the items of one batch, and list their results in the order of their ends."""
 
+import random
 from collections.abc import Callable
 
 import anyio
 
 from plantainstack import log, metrics
 from plantainstack.errors import Failure, Outcome
-from plantainstack.policy import batch_order
+from plantainstack.policy import batch_order, route_table
 from plantainstack.policy.item_runs import ItemRun, PartialText, Verdict
 from plantainstack.policy.pace import STALL_S, Progress, move_due
 from plantainstack.policy.placing import EVENT_WEIGHT
@@ -19,7 +20,9 @@
     Item,
     ItemResult,
     OpenStream,
+    RequestKind,
     Route,
+    ServingConfig,
 )
 
 # Results that end together are listed in one transaction.
@@ -42,6 +45,14 @@
 LOAD_MAX = 1.0
 
 
+def batch_route(cfg: ServingConfig, batch: Batch) -> Route | None:
+    """Return the route that a batch came by, as it is in force now."""
+    found = route_table.match(cfg, batch.host, batch.path)
+    if found is None or found.kind is not RequestKind.BATCH:
+        return None
+    return found
+
+
 class _Attempt:
     """Hold the stream of one item that is being read."""
 
@@ -83,6 +94,7 @@
         self._stored_text: dict[str, int] = {}
         self._checkpoint_at = 0.0
         self._probe_at = 0.0
+        self._chance = random.Random(batch.id)
         self._attempts: dict[str, _Attempt] = {}
         self._ended: list[ItemResult] = []
         self._wake = anyio.Event()
@@ -129,8 +141,8 @@
 
     async def _start_items(self, tasks, items: list[Item]) -> None:
         for item in items:
-            endpoint = await self._place(item, frozenset())
             run = ItemRun(item, self.batch, self._route.single_version)
+            endpoint = await self._place(item, frozenset())
             if item.id in self._partials:
                 run.restore(self._partials[item.id])
                 self._stored_text[item.id] = run.events()
@@ -138,12 +150,13 @@
             self._begun_at[item.id] = self._clock.now()
             tasks.start_soon(self._run_item, run, endpoint)
 
-    async def _place(self, item: Item, exclude: frozenset[str]) -> Endpoint:
+    async def _place(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
         """Wait for a place, at the endpoint of the item's group if it has one.
 
-        Endpoints to exclude are left out of the first choice only.
+        Endpoints to exclude are left out of the first choice only. None tells that
+        the item's time is up.
         """
-        while True:
+        while self._clock.now() <= self._give_up_at:
             endpoint = self._choose(item, exclude)
             exclude = frozenset()
             if endpoint is not None:
@@ -151,6 +164,7 @@
                 return endpoint
             with anyio.move_on_after(PLACE_RETRY_S):
                 await self._places_changed.wait()
+        return None
 
     def _choose(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
         placing = self._discovery.placing
@@ -177,7 +191,8 @@
         Registrations follow a load by up to 2 s; where none is recent enough, one
         item after the other is sent all the same, and the answer names the version.
         """
-        service = self._route.shares[0].service
+        self._follow_route()
+        service = route_table.pick_service(self._route, self._chance)
         known = self._discovery.usable(service)
         recent = [end for end in known if self._recent_enough(end)]
         now = self._clock.now()
@@ -186,16 +201,30 @@
         self._probe_at = now + PROBE_S
         return known
 
+    def _follow_route(self) -> None:
+        """Take over a changed route; without one, what is left is given up."""
+        found = batch_route(self._discovery.serving, self.batch)
+        if found is not None:
+            self._route = found
+            return
+        log.event("batch.route_gone", self.batch.id, route=self._route.name)
+        self._give_up_at = 0.0
+        for attempt in self._attempts.values():
+            attempt.scope.cancel()
+
     def _recent_enough(self, endpoint: Endpoint) -> bool:
         version = endpoint.versions.get(self.batch.model, 0)
         seen = self._discovery.seen_version(endpoint, self.batch.model)
         return max(version, seen) >= self.batch.min_version
 
-    async def _run_item(self, run: ItemRun, endpoint: Endpoint) -> None:
+    async def _run_item(self, run: ItemRun, endpoint: Endpoint | None) -> None:
         started = self._clock.now()
         tried: list[str] = []
         result = None
         while result is None:
+            if endpoint is None:
+                result = run.abandoned()
+                break
             tried.append(endpoint.id)
             attempt = _Attempt(endpoint, self._clock.now())
             self._attempts[run.item.id] = attempt
@@ -206,8 +235,6 @@
                 self._attempts.pop(run.item.id, None)
                 self._discovery.placing.end(endpoint)
                 self._notify_places()
-            if result is None and self._clock.now() > self._give_up_at:
-                result = run.abandoned()
             if result is None:
                 endpoint = await self._place(run.item, frozenset((endpoint.id,)))
         self._runs.pop(run.item.id, None)
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -16,10 +16,10 @@
     StateRow,
     state_row,
 )
-from plantainstack.services.batch_runs import BatchRun
+from plantainstack.services.batch_runs import APPEND_ITEMS, BatchRun, batch_route
 from plantainstack.services.discovery import STORE_SILENCE_MAX_S
 from plantainstack.services.feeds import Changed, Follower
-from plantainstack.serving import Batch, ItemResult, Route, RowsRead
+from plantainstack.serving import Batch, ItemResult, ItemState, Route, RowsRead
 
 # Joins the listings that follow each other; readers ask about twice a second.
 FEED_PAUSE_S = 0.25
@@ -393,20 +393,32 @@
                 reason = outcome.unwrap_err().message
                 log.event("batch.not_resumed", batch_id, reason=reason)
                 return
-        route = self._route_of(entry)
+        self._cache(entry, 0, listed.unwrap())
+        route = batch_route(self._discovery.serving, loaded.unwrap())
         if route is None:
-            log.event("batch.not_resumed", batch_id, reason="its route is gone")
+            await self._abandon(batch_id, entry, loaded.unwrap(), listed.unwrap())
             return
-        self._cache(entry, 0, listed.unwrap())
         self._start_run(
             entry, loaded.unwrap(), route, listed.unwrap(), partials.unwrap()
         )
 
-    def _route_of(self, entry: _Entry) -> Route | None:
-        cfg = self._discovery.serving
-        routes = cfg.routes if cfg else ()
-        name = entry.row.state.route
-        return next((route for route in routes if route.name == name), None)
+    async def _abandon(
+        self, batch_id: str, entry: _Entry, batch: Batch, listed: list[ItemResult]
+    ) -> None:
+        """List the items that are left as given up, since their route is gone."""
+        log.event("batch.route_gone", batch_id, route=entry.row.state.route)
+        done = {result.item_id for result in listed}
+        rest = [
+            ItemResult(item.id, ItemState.ABANDONED, "", ())
+            for item in batch.items
+            if item.id not in done
+        ]
+        while rest:
+            chunk, rest = rest[:APPEND_ITEMS], rest[APPEND_ITEMS:]
+            outcome = await self._log.append(batch_id, entry.row, chunk)
+            if outcome.is_err() or not isinstance(outcome.unwrap(), StateRow):
+                return
+            self._take_row(batch_id, outcome.unwrap())
 
     async def _remove(self, batch_id: str, entry: _Entry) -> None:
         await self._log.remove(batch_id, entry.row)
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -6,10 +6,11 @@
 from plantainstack.errors import ErrorKind
 from plantainstack.policy import batch_order
 from plantainstack.services import batch_log
-from plantainstack.serving import ItemState
-from tests.policy.serving_samples import batch, item
+from plantainstack.serving import ItemState, Share
+from tests.policy.serving_samples import batch, endpoint, item
 from tests.services.store_fleet import (
     BATCH_ROUTE,
+    CONFIG,
     MAY_HAVE_RUN,
     NOT_RUN,
     World,
@@ -299,3 +300,43 @@
         kernels[0].plugin("store").rows.away = True
         await until(lambda: batches._feed.lost_at is not None)
         assert await all_results(batches, "b1", 4) == before
+
+
+async def test_items_follow_their_route_to_another_service():
+    """Guards against items that run by a configuration that is replaced."""
+    world = World()
+    moved = BATCH_ROUTE._replace(shares=(Share("others", 1.0),))
+    world.endpoints["o1"] = endpoint("o1", service="others")
+    world.client.statuses["i0"] = 503
+    async with running(world, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(batches, "b1", 3)
+        world.config = CONFIG._replace(version=2, routes=(moved,))
+        discovery = kernels[0].plugin("discovery")
+        await until(lambda: discovery.serving.version == 2)
+        begun = len(world.client.begun)
+        world.client.statuses.clear()
+        await all_results(batches, "b1", 4)
+        assert {end for _, end, _ in world.client.begun[begun + 1 :]} <= {"o1"}
+
+
+@pytest.mark.parametrize("owner_stays", [True, False])
+async def test_items_of_a_dropped_route_are_given_up(owner_stays):
+    """Guards against a batch that is claimed for ever without a route."""
+    world = World()
+    world.client.holds[("i0", 2)] = anyio.Event()
+    dropped = CONFIG._replace(version=2, routes=())
+    async with running(world, "b") as kernels:
+        reader = kernels[0].plugin("batches")
+        async with running(world, "a") as owners:
+            owner = owners[0].plugin("batches")
+            assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
+            await all_results(owner, "b1", 3)
+            if owner_stays:
+                world.config = dropped
+                await all_results(owner, "b1", 4)
+        world.config = dropped
+        found = await all_results(reader, "b1", 4)
+        states = {result.item_id: result.state for result in found}
+        assert states["i0"] is ItemState.ABANDONED
