Let the last owner remove an old batch

Cause: read in the diff. Every instance removed every batch 150 s after it had seen it, all at the same time; 81 instances would have read and removed the rows of each batch 81 times. Others now wait twice as long.

--- a/plantainstack/policy/batch_order.py
+++ b/plantainstack/policy/batch_order.py
@@ -11,6 +11,8 @@
 # Three renewals; a takeover from an owner that lives costs little, since the text
 # of its items is stored.
 OWNER_SILENCE_S = 2.0
+# Readers may come back to a batch for 120 s after it was submitted.
+KEEP_S = 150.0
 # Most items end within 1.5 s; the text of those that do not is stored as it grows.
 CHECKPOINT_AGE_S = 1.2
 CHECKPOINT_GAP_S = 1.0
@@ -41,5 +43,14 @@
     return now - max(seen_at, feed_healthy_since) > OWNER_SILENCE_S
 
 
+def removal_due(owner: str, instance: str, age_s: float) -> bool:
+    """Return whether an instance is to remove a batch.
+
+    The last owner does so; others only if it is not there to do it, or all of them
+    would remove the same rows at the same time.
+    """
+    return age_s > (KEEP_S if owner == instance else 2 * KEEP_S)
+
+
 def _longest(group: list[Item]) -> int:
     return max(item.length_hint for item in group)
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -34,8 +34,6 @@
 UNSURE_READ_S = 0.7
 # Half of what the smallest machine (128 MB) has left beside the process itself.
 CACHE_BYTES = 24 * 1024 * 1024
-# Readers may come back to a batch for 120 s after it was submitted.
-KEEP_S = 150.0
 
 
 class ResultPage(NamedTuple):
@@ -342,7 +340,9 @@
                 if self._orphaned(entry, now):
                     entry.claiming = True
                     self._tasks.start_soon(self._take_over, batch_id, entry)
-                elif now - entry.known_since > KEEP_S and not entry.claiming:
+                elif not entry.claiming and batch_order.removal_due(
+                    entry.row.state.owner, self._owner, now - entry.known_since
+                ):
                     entry.claiming = True
                     self._tasks.start_soon(self._remove, batch_id, entry)
 
--- a/tests/policy/test_batch_order.py
+++ b/tests/policy/test_batch_order.py
@@ -3,10 +3,12 @@
 import pytest
 
 from plantainstack.policy.batch_order import (
+    KEEP_S,
     OWNER_SILENCE_S,
     RENEW_S,
     item_order,
     owner_lost,
+    removal_due,
 )
 from tests.policy.serving_samples import batch, item
 
@@ -42,3 +44,22 @@
 
 def test_a_late_renewal_is_no_loss():
     assert 2 * RENEW_S < OWNER_SILENCE_S
+
+
+@pytest.mark.parametrize(
+    ("owner", "age_s", "due"),
+    [
+        ("me", KEEP_S - 1, False),
+        ("me", KEEP_S + 1, True),
+        ("other", KEEP_S + 1, False),
+        ("other", 2 * KEEP_S + 1, True),
+        ("", 2 * KEEP_S + 1, True),
+    ],
+)
+def test_old_batches_are_removed_by_their_last_owner(owner, age_s, due):
+    """Guards against every instance removing the same rows, and against none."""
+    assert removal_due(owner, "me", age_s) is due
+
+
+def test_batches_are_kept_while_readers_may_come_back():
+    assert KEEP_S > 120
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -340,3 +340,18 @@
         found = await all_results(reader, "b1", 4)
         states = {result.item_id: result.state for result in found}
         assert states["i0"] is ItemState.ABANDONED
+
+
+async def test_old_batches_leave_nothing_in_the_store(monkeypatch):
+    """Guards against a store that fills up."""
+    world = World()
+    async with running(world, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(batches, "b1", 4)
+        monkeypatch.setattr(batch_order, "KEEP_S", 0.0)
+        await until(lambda: not world.rows.parts(batch_log.STATE_TABLE))
+        for table in (batch_log.ITEM_TABLE, batch_log.RESULT_TABLE):
+            assert world.rows.parts(table) == []
+        missing = (await batches.results("b1", 0, 0.0)).unwrap_err()
+        assert missing.kind is ErrorKind.NOT_FOUND
