Leave the chance to ask endpoints of unknown version to the items

Cause: read in the diff. Where no endpoint was known to be recent enough, one item every 0.4 s may ask all the same; the watch over slow streams, which runs every 0.1 s, used that chance up without asking.

--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -169,7 +169,8 @@
     def _choose(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
         placing = self._discovery.placing
         now = self._clock.now()
-        usable = self._usable()
+        self._follow_route()
+        usable = self._to_ask()
         preferred = self._group_endpoints.get(item.group)
         for endpoint in usable:
             if (
@@ -185,21 +186,26 @@
         self._group_endpoints[item.group] = placed.endpoint.id
         return placed.endpoint
 
-    def _usable(self) -> list[Endpoint]:
-        """Return the endpoints with weights that the batch allows.
+    def _recent(self) -> list[Endpoint]:
+        """Return the endpoints with weights that the batch allows."""
+        return [end for end in self._known() if self._recent_enough(end)]
+
+    def _to_ask(self) -> list[Endpoint]:
+        """Return the endpoints that an item may be sent to.
 
         Registrations follow a load by up to 2 s; where none is recent enough, one
         item after the other is sent all the same, and the answer names the version.
         """
-        self._follow_route()
-        service = route_table.pick_service(self._route, self._chance)
-        known = self._discovery.usable(service)
-        recent = [end for end in known if self._recent_enough(end)]
+        recent = self._recent()
         now = self._clock.now()
         if recent or now < self._probe_at:
             return recent
         self._probe_at = now + PROBE_S
-        return known
+        return self._known()
+
+    def _known(self) -> list[Endpoint]:
+        service = route_table.pick_service(self._route, self._chance)
+        return self._discovery.usable(service)
 
     def _follow_route(self) -> None:
         """Take over a changed route; without one, what is left is given up."""
@@ -318,7 +324,8 @@
         """Let streams go on elsewhere that are slow or stand still."""
         while True:
             await self._clock.sleep_until(self._clock.now() + WATCH_S)
-            usable = self._usable()
+            self._follow_route()
+            usable = self._recent()
             placing = self._discovery.placing
             now = self._clock.now()
             best = placing.best_pace(usable, now)
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -6,6 +6,7 @@
 from plantainstack.errors import ErrorKind
 from plantainstack.policy import batch_order
 from plantainstack.services import batch_log
+from plantainstack.services.batch_runs import BatchRun
 from plantainstack.serving import ItemState, Share
 from tests.policy.serving_samples import batch, endpoint, item
 from tests.services.store_fleet import (
@@ -355,3 +356,24 @@
             assert world.rows.parts(table) == []
         missing = (await batches.results("b1", 0, 0.0)).unwrap_err()
         assert missing.kind is ErrorKind.NOT_FOUND
+
+
+async def test_items_ask_endpoints_whose_new_weights_are_not_listed_yet():
+    """Guards against a step that waits for registrations, and against its watch
+    using up the chances to ask."""
+    world = World()
+    world.client.version = 2
+    async with running(world, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        four = four_items()._replace(min_version=2)
+        assert (await batches.submit(four, BATCH_ROUTE)).is_ok()
+        found = await all_results(batches, "b1", 4)
+        assert all(result.versions == (2,) for result in found)
+        run = BatchRun(
+            kernels[0], None, four, BATCH_ROUTE, None, [], {}, lambda *_: None
+        )
+        run.batch = four._replace(min_version=9)
+        for _ in range(50):
+            assert run._recent() == []
+        assert len(run._to_ask()) == 2
+        assert run._to_ask() == []
