--- a/plantainstack/services/batch_log.py
+++ b/plantainstack/services/batch_log.py
@@ -131,26 +131,24 @@
 
         Without any, the write renews the ownership.
         """
-        first = row.state.listed
         state = row.state._replace(
-            listed=first + len(results), nonce=_nonce(), paces=paces or {}
+            listed=row.state.listed + len(results), nonce=_nonce(), paces=paces or {}
         )
-        puts = [
-            (
-                RowName(RESULT_TABLE, batch_id, _position(first + number)),
-                msgspec.msgpack.encode(result),
-            )
-            for number, result in enumerate(results)
-        ]
-        puts += _partial_rows(batch_id, partials)
+        puts = _result_rows(batch_id, row, results) + _partial_rows(batch_id, partials)
         return await self._write(batch_id, row.version, state, puts)
 
     async def release(
-        self, batch_id: str, row: StateRow, partials: list[Piece]
+        self,
+        batch_id: str,
+        row: StateRow,
+        results: list[ItemResult],
+        partials: list[Piece],
     ) -> Result[StateRow | Lost, Failure]:
-        """Give a batch up for another instance to go on with."""
-        state = row.state._replace(owner="", nonce=_nonce())
-        puts = _partial_rows(batch_id, partials)
+        """List results, and give the batch up for another instance to go on with."""
+        state = row.state._replace(
+            owner="", listed=row.state.listed + len(results), nonce=_nonce(), paces={}
+        )
+        puts = _result_rows(batch_id, row, results) + _partial_rows(batch_id, partials)
         return await self._write(batch_id, row.version, state, puts)
 
     async def take_over(
@@ -291,6 +289,17 @@
     return RowName(STATE_TABLE, batch_id, STATE_KEY)
 
 
+def _result_rows(batch_id: str, row: StateRow, results: list[ItemResult]):
+    """Return rows for the results behind those that are listed."""
+    return [
+        (
+            RowName(RESULT_TABLE, batch_id, _position(row.state.listed + number)),
+            msgspec.msgpack.encode(result),
+        )
+        for number, result in enumerate(results)
+    ]
+
+
 def _partial_rows(batch_id: str, partials: Iterable[Piece]):
     """Return rows for as many pieces as one transaction takes beside results."""
     return [
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -1,4 +1,4 @@
-"""Run the items of one batch, and list their results in the order of their ends."""
+"""Run the items of one batch at endpoints."""
 
 import random
 from collections.abc import Callable
@@ -17,7 +17,8 @@
     stalled,
 )
 from plantainstack.policy.placing import EVENT_WEIGHT
-from plantainstack.services.batch_log import BatchLog, Lost, Piece, StateRow
+from plantainstack.services.batch_log import BatchLog, StateRow
+from plantainstack.services.batch_results import ResultWriter
 from plantainstack.serving import (
     Batch,
     Endpoint,
@@ -31,15 +32,6 @@
     ServingConfig,
 )
 
-# Results that end together are listed in one transaction.
-JOIN_S = 0.015
-APPEND_BYTES = 400_000
-APPEND_ITEMS = 40
-# Together with the results above, within the store's limits on a transaction.
-CHECKPOINT_BYTES = 500_000
-CHECKPOINT_ITEMS = 50
-# Below the store's limit on a row.
-PIECE_BYTES = 44_000
 # A place may come free at another instance, which tells nobody.
 PLACE_RETRY_S = 0.05
 # A small machine needs 5 ms to open a stream. Those that are to end last are opened
@@ -95,37 +87,27 @@
         on_state: Callable[[StateRow, list[ItemResult]], None],
     ):
         self.batch = batch
-        self.row = row
-        self._kernel = kernel
         self._clock = kernel.clock
-        self._log = log_of_batches
         self._discovery = kernel.plugin("discovery")
         self._endpoints = kernel.plugin("store").endpoints
         self._route = route
-        self._on_state = on_state
+        self._writer = ResultWriter(
+            kernel.clock, log_of_batches, batch.id, row, self._paces, on_state
+        )
         self._done = {result.item_id for result in listed}
         self._partials = partials
-        self._runs: dict[str, ItemRun] = {}
-        self._begun_at: dict[str, float] = {}
-        # Events of each item whose text the store holds.
-        self._stored_text: dict[str, int] = {}
-        self._checkpoint_at = 0.0
-        self._paces_at = 0.0
         self._long: set[str] = set()
         self._probe_at = 0.0
         self._chance = random.Random(batch.id)
         self._attempts: dict[str, _Attempt] = {}
-        self._ended: list[ItemResult] = []
         # Hinted tokens and events of the items that ended.
         self._ended_tokens = 0
         self._ended_events = 0
-        self._wake = anyio.Event()
         self._places_changed = anyio.Event()
         self._group_endpoints: dict[str, str] = {}
         self._started_at = self._clock.now()
         self._give_up_at = self._started_at + route.queue_limit_s
         self._scope = anyio.CancelScope()
-        self._writing = anyio.Lock()
         self.stopped = False
 
     async def run(self) -> None:
@@ -137,11 +119,15 @@
         ]
         with self._scope:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write_results)
+                tasks.start_soon(self._write)
                 tasks.start_soon(self._move_slow)
                 await self._start_items(tasks, items)
         self.stopped = True
 
+    async def _write(self) -> None:
+        await self._writer.run()
+        self.stop()
+
     def stop(self) -> None:
         """Stop at once; the store holds what has been listed."""
         self.stopped = True
@@ -149,17 +135,7 @@
 
     async def release(self) -> None:
         """Stop, and leave the text so far to another instance."""
-        # A write that is cut off would leave the version of the row unknown.
-        async with self._writing:
-            self.stop()
-            partials = self._new_text(0.0, CHECKPOINT_BYTES)
-            outcome = await self._log.release(self.batch.id, self.row, partials)
-        log.event(
-            "batch.released",
-            self.batch.id,
-            partial_items=len(partials),
-            end="ok" if outcome.is_ok() else outcome.unwrap_err().message,
-        )
+        await self._writer.release(self.stop)
 
     async def _start_items(self, tasks, items: list[Item]) -> None:
         for number, item in enumerate(items, 1):
@@ -169,9 +145,7 @@
             endpoint = await self._place(item, frozenset())
             if item.id in self._partials:
                 run.restore(self._partials[item.id])
-                self._stored_text[item.id] = run.events()
-            self._runs[item.id] = run
-            self._begun_at[item.id] = self._clock.now()
+            self._writer.begin(run)
             tasks.start_soon(self._run_item, run, endpoint)
 
     async def _place(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
@@ -198,7 +172,8 @@
         if item.id in self._long:
             fast = [end for end in usable if end.id not in exclude]
             placed = placing.choose_fast(fast, now, LOAD_MAX)
-            return placed.endpoint if placed else None
+            if placed is not None:
+                return placed.endpoint
         preferred = self._group_endpoints.get(item.group)
         for endpoint in usable:
             if (
@@ -271,7 +246,6 @@
                 self._notify_places()
             if result is None:
                 endpoint = await self._place(run.item, frozenset((endpoint.id,)))
-        self._runs.pop(run.item.id, None)
         seconds = self._clock.now() - started
         metrics.BATCH_SECONDS.labels(result.state.value).observe(seconds)
         log.event(
@@ -289,8 +263,7 @@
         )
         self._ended_tokens += run.item.length_hint
         self._ended_events += run.events()
-        self._ended.append(result)
-        self._wake.set()
+        self._writer.end(result)
 
     async def _attempt(self, run: ItemRun, attempt: _Attempt) -> ItemResult | None:
         item = run.item
@@ -411,6 +384,14 @@
             self._group_endpoints[attempt.run.item.group] = to.id
         attempt.scope.cancel()
 
+    def _paces(self) -> dict[str, float]:
+        """Return the paces of the endpoints that run items of the batch."""
+        now = self._clock.now()
+        placing = self._discovery.placing
+        used = {each.endpoint.id: each.endpoint for each in self._attempts.values()}
+        paces = {id: placing.pace(end, now) for id, end in used.items()}
+        return {id: round(pace, 4) for id, pace in paces.items() if pace is not None}
+
     def _tokens_per_event(self) -> float | None:
         """Return the tokens that an event holds, as the ended items showed."""
         return self._ended_tokens / self._ended_events if self._ended_events else None
@@ -468,97 +449,3 @@
     def _notify_places(self) -> None:
         event, self._places_changed = self._places_changed, anyio.Event()
         event.set()
-
-    async def _write_results(self) -> None:
-        """List results as they end; renew the ownership in between."""
-        while self.row.state.listed < self.row.state.total:
-            with anyio.move_on_after(batch_order.RENEW_S):
-                await self._wake.wait()
-            self._wake = anyio.Event()
-            if self._ended:
-                await self._clock.sleep_until(self._clock.now() + JOIN_S)
-            if not await self._append():
-                break
-        self.stop()
-
-    async def _append(self) -> bool:
-        """Write once; return whether this process still owns the batch."""
-        chunk = self._next_chunk()
-        async with self._writing:
-            partials = self._due_text(chunk)
-            outcome = await self._log.append(
-                self.batch.id, self.row, chunk, partials, self._due_paces()
-            )
-            if outcome.is_err():
-                failure = outcome.unwrap_err()
-                log.event("batch.write_failed", self.batch.id, reason=failure.message)
-                if self._ended:
-                    self._wake.set()
-                return True
-            found = outcome.unwrap()
-            if isinstance(found, Lost):
-                self._note_loss(found)
-                return False
-            self.row = found
-            for item_id, piece in partials:
-                self._stored_text[item_id] = piece.first + len(piece.texts)
-            del self._ended[: len(chunk)]
-            if self._ended:
-                self._wake.set()
-            self._on_state(found, chunk)
-            return True
-
-    def _due_paces(self) -> dict[str, float]:
-        """Return the paces of endpoints for other instances, now and then."""
-        now = self._clock.now()
-        if now < self._paces_at:
-            return {}
-        self._paces_at = now + batch_order.PACES_GAP_S
-        placing = self._discovery.placing
-        used = {each.endpoint.id: each.endpoint for each in self._attempts.values()}
-        paces = {id: placing.pace(end, now) for id, end in used.items()}
-        return {id: round(pace, 4) for id, pace in paces.items() if pace is not None}
-
-    def _due_text(self, chunk: list[ItemResult]) -> list[Piece]:
-        """Return the text of long items that is not stored yet, now and then."""
-        now = self._clock.now()
-        if now < self._checkpoint_at:
-            return []
-        self._checkpoint_at = now + batch_order.CHECKPOINT_GAP_S
-        left = CHECKPOINT_BYTES - sum(len(result.text) for result in chunk)
-        return self._new_text(batch_order.CHECKPOINT_AGE_S, left)
-
-    def _new_text(self, age_s: float, bytes_max: int) -> list[Piece]:
-        pieces: list[Piece] = []
-        now = self._clock.now()
-        size = 0
-        for item_id, run in self._runs.items():
-            if now - self._begun_at.get(item_id, now) < age_s:
-                continue
-            piece = run.partial(self._stored_text.get(item_id, 0))
-            if piece is None:
-                continue
-            length = sum(len(text) for text in piece.texts)
-            size += length
-            if size > bytes_max or len(pieces) >= CHECKPOINT_ITEMS:
-                break
-            if length <= PIECE_BYTES:
-                pieces.append((item_id, piece))
-        return pieces
-
-    def _next_chunk(self) -> list[ItemResult]:
-        chunk: list[ItemResult] = []
-        size = 0
-        for result in self._ended[:APPEND_ITEMS]:
-            size += len(result.text)
-            if chunk and size > APPEND_BYTES:
-                break
-            chunk.append(result)
-        return chunk
-
-    def _note_loss(self, found: Lost) -> None:
-        current = found.current
-        reason = "ended" if current and current.state.ended else "taken over"
-        log.event("batch.lost", self.batch.id, reason=reason)
-        if current is not None:
-            self._on_state(current, [])
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -16,7 +16,8 @@
     StateRow,
     state_row,
 )
-from plantainstack.services.batch_runs import APPEND_ITEMS, BatchRun, batch_route
+from plantainstack.services.batch_results import APPEND_ITEMS
+from plantainstack.services.batch_runs import BatchRun, batch_route
 from plantainstack.services.discovery import STORE_SILENCE_MAX_S
 from plantainstack.services.feeds import Changed, Follower
 from plantainstack.serving import Batch, ItemResult, ItemState, Route, RowsRead
--- a/tests/policy/test_placing.py
+++ b/tests/policy/test_placing.py
@@ -123,7 +123,7 @@
     assert set(counts.values()) == {2}
 
 
-def test_a_long_item_waits_rather_than_going_to_an_endpoint_that_failed():
+def test_an_endpoint_that_failed_is_not_the_fastest():
     found = placing()
     found.failed(A, 0.0)
     assert found.choose_fast([A], 0.1, 1.0) is None
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -1,11 +1,13 @@
 """Tests of batches on one metadata store: acceptance, owners, results and ends."""
 
 import anyio
+import msgspec
 import pytest
 
 from plantainstack.errors import ErrorKind
 from plantainstack.policy import batch_order
-from plantainstack.services import batch_log
+from plantainstack.policy.item_runs import PartialText
+from plantainstack.services import batch_log, batch_results
 from plantainstack.services.batch_runs import BatchRun
 from plantainstack.serving import ItemState, Share
 from tests.policy.serving_samples import batch, endpoint, item
@@ -29,6 +31,15 @@
     return batch(*(item(f"i{n}", f"g{n // 2}") for n in range(4)))
 
 
+def stored_events(world, item_id):
+    """Return how many events of an item the store holds."""
+    names = world.rows.range(
+        batch_log.PARTIAL_TABLE, "b1", f"{item_id}/", f"{item_id}0"
+    )
+    pieces = [msgspec.msgpack.decode(row.value, type=PartialText) for _, row in names]
+    return sum(len(piece.texts) for piece in pieces)
+
+
 @pytest.fixture(autouse=True)
 def short_times(monkeypatch):
     monkeypatch.setattr(batch_order, "RENEW_S", 0.1)
@@ -156,8 +167,7 @@
             owner = owners[0].plugin("batches")
             assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
             await all_results(owner, "b1", 3)
-            run = owner._entries["b1"].run
-            await until(lambda: run._stored_text.get("i0") == 4)
+            await until(lambda: stored_events(world, "i0") == 4)
         world.client.holds.clear()
         found = await all_results(kernels[0].plugin("batches"), "b1", 4)
         assert len({result.text for result in found}) == 1
@@ -398,3 +408,20 @@
         )
         hold.set()
         await all_results(kernels[1].plugin("batches"), "b1", 4)
+
+
+async def test_a_leaving_owner_lists_what_has_just_ended(monkeypatch):
+    """Guards against items that run again because their owner left in time."""
+    monkeypatch.setattr(batch_results, "JOIN_S", 30.0)
+    world = World()
+    hold = world.client.holds["i3", 3] = anyio.Event()
+    async with running(world, "a", "b") as kernels:
+        owner = kernels[0].plugin("batches")
+        assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await until(lambda: len(owner._entries["b1"].run._attempts) == 1)
+        await owner.drain(world.clock.now() + 1.0)
+        monkeypatch.setattr(batch_results, "JOIN_S", 0.0)
+        hold.set()
+        await all_results(kernels[1].plugin("batches"), "b1", 4)
+    begun = [request for request, _, _ in world.client.begun]
+    assert sorted(begun) == ["i0", "i1", "i2", "i3", "i3"]
