Find running batches at a start by the store's recent changes

The feed now begins with the rows that changed lately (three calls), the whole table follows beside it, and a batch that a former process of the instance owned is taken over when it is seen.

Found on the way: an instance that took a batch over before it knew its configuration ended with an exception. It follows the batches once it knows the routes. A batch seen in the feed before the answer to its own acceptance is not taken over a second time.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -19,7 +19,7 @@
 from plantainstack.services.batch_results import APPEND_ITEMS
 from plantainstack.services.batch_runs import BatchRun, batch_route
 from plantainstack.services.discovery import STORE_SILENCE_MAX_S
-from plantainstack.services.feeds import Changed, Follower
+from plantainstack.services.feeds import Changed, Follower, recent_rows
 from plantainstack.serving import Batch, ItemResult, ItemState, Route, RowsRead
 
 # Joins the listings that follow each other; readers ask about twice a second.
@@ -27,6 +27,9 @@
 # While a reader waits here, for what another instance lists.
 READ_PAUSE_S = 0.02
 SUPERVISE_S = 0.4
+CONFIG_CHECK_S = 0.5
+# After a failed read of the whole table; the feed shows what is being written.
+TABLE_RETRY_S = 1.0
 # Spreads the instances that see the same batch without an owner.
 TAKE_OVER_SPREAD_S = 0.3
 PAGE_RESULTS = 64
@@ -75,6 +78,9 @@
         self._cached = 0
         self._draining = False
         self._left = anyio.Event()
+        # Batches whose acceptance is being written; their runs begin with its answer.
+        self._accepting: set[str] = set()
+        self._whole_table_due = anyio.Event()
         self._waiting = 0
 
     async def start(self, tasks) -> None:
@@ -86,11 +92,10 @@
         self._healthy_since = self.kernel.clock.now()
 
         async def read(cursor, wait_s):
-            if cursor is None:
-                found = await store.table_rows(STATE_TABLE)
-            else:
-                found = await store.rows_changed(STATE_TABLE, cursor, wait_s)
-            return found
+            if cursor is not None:
+                return await store.rows_changed(STATE_TABLE, cursor, wait_s)
+            self._whole_table_due.set()
+            return await recent_rows(store, STATE_TABLE)
 
         self._feed = Follower(
             "batches",
@@ -100,9 +105,32 @@
             lambda: READ_PAUSE_S if self._waiting else FEED_PAUSE_S,
             self._regained,
         )
-        tasks.start_soon(self._feed.run)
+        tasks.start_soon(self._follow)
+        tasks.start_soon(self._read_whole_table)
         tasks.start_soon(self._supervise)
 
+    async def _follow(self) -> None:
+        """Follow the states once the routes of batches are known."""
+        while self._discovery.serving is None:
+            await self._discovery.changed.wait(CONFIG_CHECK_S)
+        await self._feed.run()
+
+    async def _read_whole_table(self) -> None:
+        """Find the batches that nobody writes any more, beside the feed."""
+        clock = self.kernel.clock
+        store = self.kernel.plugin("store").rows
+        while True:
+            await self._whole_table_due.wait()
+            self._whole_table_due = anyio.Event()
+            found = await store.table_rows(STATE_TABLE)
+            if found.is_ok():
+                self._take_rows(found.unwrap(), True)
+                continue
+            reason = found.unwrap_err().message
+            log.event("batches.table_not_read", reason=reason)
+            self._whole_table_due.set()
+            await clock.sleep_until(clock.now() + TABLE_RETRY_S)
+
     def on_drain(self) -> None:
         """Take no more batches over, and leave those that this instance owns."""
         self._draining = True
@@ -144,6 +172,15 @@
             message = "the store does not answer"
             return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
         owner = "" if self._draining else self._owner
+        self._accepting.add(batch.id)
+        try:
+            return await self._accept(batch, route, owner, started)
+        finally:
+            self._accepting.discard(batch.id)
+
+    async def _accept(
+        self, batch: Batch, route: Route, owner: str, started: float
+    ) -> Result[None, Failure]:
         outcome = await self._log.accept(batch, route.name, owner)
         seconds = round(self.kernel.clock.now() - started, 4)
         if outcome.is_err():
@@ -168,8 +205,8 @@
             seconds=seconds,
         )
         entry = self._take_row(batch.id, row)
-        if ours and owner and not self._draining:
-            entry.batch = batch
+        entry.batch = batch
+        if ours and owner and not self._draining and entry.run is None:
             self._start_run(entry, batch, route, [], {})
         return Ok(None)
 
@@ -314,10 +351,14 @@
     def _take_rows(self, found: RowsRead, whole: bool) -> None:
         for row in found.rows:
             decoded = state_row(row)
+            batch_id = row.name.part
             if decoded is None:
-                self._entries.pop(row.name.part, None)
-            else:
-                self._take_row(row.name.part, decoded)
+                self._entries.pop(batch_id, None)
+                continue
+            entry = self._take_row(batch_id, decoded)
+            unowned = entry.row.state.owner in ("", self._owner)
+            if unowned and not self._draining and self._orphaned(batch_id, entry):
+                self._claim(batch_id, entry)
 
     def _take_row(self, batch_id: str, row: StateRow) -> _Entry:
         now = self.kernel.clock.now()
@@ -332,13 +373,8 @@
             entry.run.stop()
             entry.run = None
         entry.changed.notify()
-        if not entry.row.state.owner and self._may_claim(entry, now):
-            self._claim(batch_id, entry)
         return entry
 
-    def _may_claim(self, entry: _Entry, now: float) -> bool:
-        return not self._draining and self._orphaned(entry, now)
-
     def _regained(self) -> None:
         self._healthy_since = self.kernel.clock.now()
 
@@ -368,7 +404,7 @@
                 continue
             now = clock.now()
             for batch_id, entry in list(self._entries.items()):
-                if self._orphaned(entry, now):
+                if self._orphaned(batch_id, entry):
                     self._claim(batch_id, entry)
                 elif not entry.claiming and batch_order.removal_due(
                     entry.row.state.owner, self._owner, now - entry.known_since
@@ -380,15 +416,18 @@
         entry.claiming = True
         self._tasks.start_soon(self._take_over, batch_id, entry)
 
-    def _orphaned(self, entry: _Entry, now: float) -> bool:
+    def _orphaned(self, batch_id: str, entry: _Entry) -> bool:
         state = entry.row.state
-        if state.ended or state.listed >= state.total or entry.claiming:
+        if state.ended or state.listed >= state.total:
+            return False
+        if entry.claiming or batch_id in self._accepting:
             return False
         if entry.run is not None and not entry.run.stopped:
             return False
         if state.owner == self._owner and entry.run is None:
             # A former process of this instance owned it.
             return True
+        now = self.kernel.clock.now()
         return batch_order.owner_lost(
             state.owner, entry.seen_at, self._healthy_since, now
         )
@@ -397,8 +436,9 @@
         clock = self.kernel.clock
         try:
             version = entry.row.version
-            spread = random.uniform(0.0, TAKE_OVER_SPREAD_S)
-            await clock.sleep_until(clock.now() + spread)
+            if entry.row.state.owner != self._owner:
+                spread = random.uniform(0.0, TAKE_OVER_SPREAD_S)
+                await clock.sleep_until(clock.now() + spread)
             if entry.row.version != version or self._draining:
                 return
             outcome = await self._log.take_over(batch_id, entry.row, self._owner)
--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -10,7 +10,7 @@
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import Failure
-from plantainstack.serving import Cursor, HistoryLost
+from plantainstack.serving import Cursor, HistoryLost, MetadataStore, RowsRead
 
 # A long poll is answered at least this often, so that a connection that went
 # silent is noticed within 1.5 s.
@@ -18,9 +18,32 @@
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
 
+# Transactions of the last seconds, within a history of 20 s at some hundred a second;
+# the second distance is for a store that has just dropped its history.
+RECENT_VERSIONS = (2000, 100)
+
 Read = Callable[[Cursor | None, float], Awaitable[Result[Any, Failure]]]
 
 
+async def recent_rows(
+    store: MetadataStore, table: str
+) -> Result[RowsRead | HistoryLost, Failure]:
+    """Return the rows of a table that changed lately, with a cursor to go on from.
+
+    Two or three calls show all that is being written; a whole table takes a call
+    for each part.
+    """
+    found = await store.read(table, "")
+    if found.is_err():
+        return found
+    newest = found.unwrap().cursor
+    for distance in RECENT_VERSIONS:
+        outcome = await store.rows_changed(table, max(0, newest - distance), 0.0)
+        if outcome.is_err() or isinstance(outcome.unwrap(), RowsRead):
+            return outcome
+    return found
+
+
 class Follower:
     """Read a feed for ever; a cursor that the store forgot leads to a new snapshot.
 
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -17,6 +17,7 @@
     CONFIG,
     MAY_HAVE_RUN,
     NOT_RUN,
+    MemoryStore,
     World,
     all_results,
     running,
@@ -460,3 +461,48 @@
         await owner.drain(0.0)
         hold.set()
         await all_results(kernels[1].plugin("batches"), "b1", 4)
+
+
+async def test_a_restarted_owner_goes_on_without_reading_the_whole_table(monkeypatch):
+    """Guards against steps that wait while every instance reads every batch."""
+    monkeypatch.setattr(batch_order, "OWNER_SILENCE_S", 60.0)
+    monkeypatch.setattr(batches_module, "SUPERVISE_S", 60.0)
+    world = World()
+    hold = world.client.holds["i3", 3] = anyio.Event()
+    async with running(world, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(batches, "b1", 3)
+    hold.set()
+
+    async def never(store, table):
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(MemoryStore, "table_rows", never)
+    async with running(world, "a") as kernels:
+        await all_results(kernels[0].plugin("batches"), "b1", 4)
+
+
+async def test_a_batch_that_nobody_writes_is_found_after_its_history_is_gone():
+    """Guards against a batch that no feed shows and no instance runs."""
+    world = World()
+    hold = world.client.holds["i3", 3] = anyio.Event()
+    async with running(world, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(batches, "b1", 3)
+    hold.set()
+    world.rows.forget()
+    async with running(world, "b") as kernels:
+        await all_results(kernels[0].plugin("batches"), "b1", 4)
+
+
+async def test_a_batch_whose_acceptance_is_not_answered_yet_is_run_once():
+    """Guards against two runs of one batch when its row is seen before its answer."""
+    world = World()
+    async with running(world, "a") as kernels:
+        kernels[0].plugin("store").rows.faults = ["lost", "lost"]
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(batches, "b1", 4)
+        assert len(world.client.begun) == 4
