Load versions of a single model once its step has places

Ruled out: loads at once or 1.5 s after the naming, as before; steps arrive 0 to 2 s after it.

Where one model has all endpoints, they again load every version, and begin 1 s after the step that follows it has arrived, so that all of them may take its items. A play of 80 s finds at least four of five endpoints free of loads in the second after each version.

--- a/plantainstack/policy/version_plan.py
+++ b/plantainstack/policy/version_plan.py
@@ -5,7 +5,8 @@
 endpoints that may serve the next step must not load while it arrives. A step accepts
 the version before the newest one: each version is loaded by one share of the
 endpoints that are kept for a model, and the other share serves meanwhile. Where
-several models share the endpoints, each is kept on two shares of them only.
+several models share the endpoints, each is kept on two shares of them only. Where a
+model has them all, they load once the step that follows a version has its places.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -21,9 +22,13 @@
 KEEPERS_MIN = 2
 # One share has the newest version, the other one the version before it.
 SHARES = 2
-# Most items of a step have a place within this time after the version was named.
-# With several models the endpoints are busy with loads, and each waits less.
-SPREAD_S = 1.5
+# Most items of a step have a place within this time after its arrival.
+PLACED_S = 1.0
+# A step follows its version within a step's period of 4 s as a rule; without one,
+# nothing is to be spared.
+STEP_WAIT_S = 5.0
+# A step that arrives with its version may be seen before it.
+STEP_LEAD_S = 0.3
 
 
 class Load(NamedTuple):
@@ -35,10 +40,20 @@
 
 
 class Wanted(NamedTuple):
-    """Hold the newest version of a model and how long ago it was named."""
+    """Hold the newest version of a model, and the seconds since it was named.
+
+    `step_for_s` are those since the newest step of the service arrived.
+    """
 
     version: int
     named_for_s: float = float("inf")
+    step_for_s: float = float("inf")
+
+    def step_placed(self) -> bool:
+        """Return whether the step that follows the version has its places."""
+        if self.named_for_s >= STEP_WAIT_S:
+            return True
+        return PLACED_S <= self.step_for_s <= self.named_for_s + STEP_LEAD_S
 
 
 class _Keepers(NamedTuple):
@@ -70,7 +85,7 @@
         kept = sorted(hosts, key=rank)[: SHARES * share]
         for end in kept:
             assigned[end.id] = assigned.get(end.id, 0) + 1
-        chosen[model] = _Keepers(kept, max(KEEPERS_MIN, ceil(len(kept) / SHARES)))
+        chosen[model] = _Keepers(kept, share)
     return chosen
 
 
@@ -88,17 +103,17 @@
     for model, (hosts, share) in kept.items():
         if model not in wanted:
             continue
-        newest, named_for_s = wanted[model]
+        newest = wanted[model].version
         stale = [end for end in hosts if end.versions[model] < newest - 1]
         urgent += [Load(end, model, newest) for end in stale]
         fresh = [end for end in hosts if end.versions[model] >= newest]
         missing = share - len(fresh) - len(stale)
-        if missing > 0 and named_for_s >= SPREAD_S / len(kept):
+        if missing > 0 and (len(kept) > 1 or wanted[model].step_placed()):
             older = [end for end in hosts if end.versions[model] == newest - 1]
             ahead += [Load(end, model, newest) for end in older[:missing]]
     usable = {
-        model: sum(end.versions.get(model, 0) >= newest - 1 for end in staying)
-        for model, (newest, _) in wanted.items()
+        model: sum(end.versions.get(model, 0) >= each.version - 1 for end in staying)
+        for model, each in wanted.items()
     }
     urgent.sort(key=lambda load: (usable[load.model], -_behind(load)))
     return urgent + ahead
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -365,6 +365,8 @@
         entry = self._entries.get(batch_id)
         if entry is None:
             entry = self._entries[batch_id] = _Entry(row, now)
+            if not row.state.listed and not row.state.ended:
+                self._discovery.note_step(row.state.route)
         elif row.version > entry.row.version:
             entry.row = row
             entry.seen_at = now
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -41,6 +41,8 @@
         super().__init__(kernel)
         self.serving: ServingConfig | None = None
         self.versions: dict[str, NamedVersion] = {}
+        # When the newest batch of each service was first seen here.
+        self.step_seen_at: dict[str, float] = {}
         self.view = EndpointView()
         self.placing = Placing(kernel.settings.instance.data_centre)
         self.changed = Changed()
@@ -96,6 +98,14 @@
         """Return the version that an endpoint named last, 0 without one."""
         return self._seen_versions.get((endpoint.incarnation(), model), 0)
 
+    def note_step(self, route_name: str) -> None:
+        """Keep when a new batch came by a route."""
+        routes = self.serving.routes if self.serving else ()
+        for route in routes:
+            if route.name == route_name:
+                now = self.kernel.clock.now()
+                self.step_seen_at.update((share.service, now) for share in route.shares)
+
     def hear_paces(self, paces: dict[str, float]) -> None:
         """Take over the paces of endpoints that another instance measured."""
         now = self.kernel.clock.now()
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -114,8 +114,9 @@
         """Return the loads that are missing."""
         endpoints = [self._corrected(end) for end in self._usable()]
         now = self._clock.now()
+        step_for_s = now - self._discovery.step_seen_at.get(self._service, 0.0)
         wanted = {
-            model: Wanted(named.version, now - named.seen_at)
+            model: Wanted(named.version, now - named.seen_at, step_for_s)
             for model, named in self._discovery.versions.items()
         }
         return version_plan.due_loads(endpoints, wanted)
--- a/tests/policy/test_version_plan.py
+++ b/tests/policy/test_version_plan.py
@@ -3,7 +3,8 @@
 import pytest
 
 from plantainstack.policy.version_plan import (
-    SPREAD_S,
+    PLACED_S,
+    STEP_WAIT_S,
     Wanted,
     due_loads,
     keepers,
@@ -72,10 +73,10 @@
     assert {kept.count(f"e{number}") for number in range(5)} == {2, 3}
 
 
-def test_one_model_is_kept_on_all_endpoints_and_loaded_by_half():
+def test_one_model_is_kept_on_all_endpoints():
     ends = [endpoint(str(number)) for number in range(5)]
     found = keepers(ends, {})["m0"]
-    assert (len(found.endpoints), found.share) == (5, 3)
+    assert (len(found.endpoints), found.share) == (5, 5)
 
 
 class Play:
@@ -107,7 +108,7 @@
                 self.ends[id] = self.ends[id]._replace(versions=versions)
                 del self.loading[id]
         named_for = (tenth - self.named_at) / 10
-        newest = {m: Wanted(self.version, named_for) for m in self.models}
+        newest = {m: Wanted(self.version, named_for, named_for) for m in self.models}
         loads = due_loads(list(self.ends.values()), newest)
         for load in startable(loads, self.loading, len(self.ends)):
             end = (tenth + 11, load.model, load.version)
@@ -126,7 +127,7 @@
 
 
 @pytest.mark.parametrize(
-    ("models", "count", "least"), [(1, 5, 2), (3, 5, 2), (4, 23, 4), (3, 24, 8)]
+    ("models", "count", "least"), [(1, 5, 4), (3, 5, 2), (4, 23, 4), (3, 24, 8)]
 )
 def test_the_arriving_step_finds_its_share_not_loading(models, count, least):
     """Guards against loads that refuse the items of the step that just arrives.
@@ -142,7 +143,7 @@
     play = Play(ends, 40)
     for tenth in range(800):
         play.tick(tenth)
-        if tenth - play.named_at <= 10:
+        if tenth - play.named_at < 10:
             assert min(play.idle(model) for model in names) >= least
 
 
@@ -157,7 +158,7 @@
     play = Play(ends, 40)
     for tenth in range(800):
         play.tick(tenth)
-    share = max(2, -(-min(count, 2 * -(-count // models)) // 2))
+    share = max(2, -(-count // models))
     assert play.loads <= 20 * models * share
 
 
@@ -180,10 +181,27 @@
     assert chosen[0] == {m: {e.id for e in f.endpoints} for m, f in first.items()}
 
 
-def test_further_loads_wait_until_the_step_has_its_places():
+@pytest.mark.parametrize(
+    ("named_for", "step_for", "loads"),
+    [
+        # The step of the version before this one.
+        (1.0, 3.0, 0),
+        # The step arrives with its version, or after it.
+        (0.0, 0.0, 0),
+        (2.0, 0.5, 0),
+        (PLACED_S, PLACED_S, 5),
+        (2.0, PLACED_S, 5),
+        # No step follows.
+        (STEP_WAIT_S, STEP_WAIT_S + 4.0, 5),
+    ],
+)
+def test_endpoints_of_one_model_load_once_its_step_has_places(
+    named_for, step_for, loads
+):
+    """Guards against loads that refuse a step which follows its version later."""
     ends = [endpoint(str(number)) for number in range(5)]
-    assert due_loads(ends, {"m0": Wanted(2, 0.0)}) == []
-    assert len(due_loads(ends, {"m0": Wanted(2, SPREAD_S)})) == 3
+    newest = {"m0": Wanted(2, named_for, step_for)}
+    assert len(due_loads(ends, newest)) == loads
 
 
 def test_models_that_steps_wait_for_come_first():
--- a/tests/services/test_version_orders.py
+++ b/tests/services/test_version_orders.py
@@ -23,7 +23,7 @@
     monkeypatch.setattr(order_lease, "RENEW_AFTER_S", 0.1)
     monkeypatch.setattr(order_lease, "ORDER_TRANSIT_S", 0.1)
     monkeypatch.setattr(order_lease, "SEND_MARGIN_S", 0.05)
-    monkeypatch.setattr(version_plan, "SPREAD_S", 0.0)
+    monkeypatch.setattr(version_plan, "STEP_WAIT_S", 0.0)
     monkeypatch.setattr(version_orders, "CLAIM_DELAY_MIN_S", 0.01)
     monkeypatch.setattr(version_orders, "CLAIM_DELAY_MAX_S", 0.1)
     monkeypatch.setattr(version_orders, "IDLE_CHECK_S", 0.05)
