Move slow streams one by one, and bar endpoints from the last order only

Its items moved in groups of 9 to 13, each group to the endpoint that was the fastest just then, five times in 6 s; an endpoint that takes ten of them reads 70,000 tokens again, which slows all of its streams by 0.2 s, and the next check moved them on. Now one stream moves at a check, the one that gains most; four, if their endpoint is at least twice as slow.

In the same log a new holder of orders was barred from four endpoints until 4.9 s after their last order. The window of an endpoint now closes with the answer to its order, so that the next holder waits 3.5 s from there.

Ruled out: places, and loads while streams run (no pause in their events).

--- a/plantainstack/policy/order_lease.py
+++ b/plantainstack/policy/order_lease.py
@@ -99,6 +99,12 @@
     return lease._replace(until=until, windows=windows, barred=barred)
 
 
+def answered(lease: OrderLease, endpoint_id: str, store_now: float) -> OrderLease:
+    """Return the lease after an order's answer; it is closed for the endpoint."""
+    end = min(store_now, lease.windows.get(endpoint_id, store_now))
+    return lease._replace(windows={**lease.windows, endpoint_id: end})
+
+
 def released(
     lease: OrderLease, in_flight: Collection[str], store_now: float
 ) -> OrderLease:
--- a/plantainstack/policy/pace.py
+++ b/plantainstack/policy/pace.py
@@ -7,6 +7,7 @@
 again and again.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 # An endpoint's usual events are 40 to 60 ms apart; a load of weights stops them for
@@ -27,6 +28,11 @@
 # A move opens a connection, reads the text again and loses the event under way,
 # about 0.1 s; it also occupies a place at each of two endpoints.
 MOVE_GAIN_S = 0.25
+# An endpoint in trouble is 2.6 times slower and more (the users' site files). It is
+# left within half a second, four of its sixteen streams at each check.
+SICK_RATIO = 2.0
+SICK_MOVES_MAX = 4
+SLOW_MOVES_MAX = 1
 # Lengths have a heavy tail: what has outlived its hint has much before it.
 OUTLIVED_SHARE = 0.5
 # The loop's delay is forgotten over about a second of checks each 0.1 s.
@@ -73,14 +79,35 @@
     return now - progress.last_event_at > allowed
 
 
-def faster_pays(
+def move_gain(
     progress: Progress, pace_here: float | None, pace_there: float | None, now: float
-) -> bool:
-    """Return whether a stream ends sooner at a faster endpoint.
+) -> float:
+    """Return the seconds that a stream ends sooner elsewhere, 0.0 if it should stay.
 
     The paces are seconds for each event.
     """
     if pace_here is None or pace_there is None or now - progress.since < MOVE_GAP_S:
-        return False
+        return 0.0
     gain = progress.events_left * (pace_here - pace_there)
-    return pace_here > SLOW_RATIO * pace_there and gain > MOVE_GAIN_S
+    return gain if pace_here > SLOW_RATIO * pace_there and gain > MOVE_GAIN_S else 0.0
+
+
+class SlowStream(NamedTuple):
+    """Hold a stream that would gain by a move, and how slow its endpoint is."""
+
+    item_id: str
+    gain_s: float
+    ratio: float
+
+
+def moves_now(streams: Iterable[SlowStream]) -> list[str]:
+    """Return the items to move at one check, those that gain most first.
+
+    The endpoint that they move to reads their text again, which slows all of its
+    streams; its pace must show that before more follow, or all move to and fro.
+    """
+    ranked = sorted(streams, key=lambda stream: stream.gain_s, reverse=True)
+    sick = [stream.item_id for stream in ranked if stream.ratio >= SICK_RATIO]
+    if sick:
+        return sick[:SICK_MOVES_MAX]
+    return [stream.item_id for stream in ranked[:SLOW_MOVES_MAX]]
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -12,8 +12,10 @@
 from plantainstack.policy.pace import (
     LoopLag,
     Progress,
+    SlowStream,
     events_left,
-    faster_pays,
+    move_gain,
+    moves_now,
     stalled,
 )
 from plantainstack.policy.placing import EVENT_WEIGHT
@@ -338,8 +340,7 @@
                 progress = attempt.progress(self._tokens_per_event())
                 if stalled(progress, best, now, lag.seconds):
                     self._leave_silent(item_id, attempt, usable, now)
-                else:
-                    self._leave_slow(item_id, attempt, progress, usable, now)
+            self._leave_slow(usable, now)
 
     def _leave_silent(self, item_id: str, attempt: _Attempt, usable, now) -> None:
         placing = self._discovery.placing
@@ -350,16 +351,21 @@
         placing.refused(attempt.endpoint, now)
         self._move(item_id, attempt, None, now)
 
-    def _leave_slow(
-        self, item_id: str, attempt: _Attempt, progress: Progress, usable, now
-    ) -> None:
+    def _leave_slow(self, usable: list[Endpoint], now: float) -> None:
         placing = self._discovery.placing
         faster = placing.fastest_with_place(usable, now, LOAD_MAX)
         if faster is None:
             return
-        pace_here = placing.pace(attempt.endpoint, now)
-        if faster_pays(progress, pace_here, placing.pace(faster, now), now):
-            self._move(item_id, attempt, faster, now)
+        there = placing.pace(faster, now)
+        slow: list[SlowStream] = []
+        for item_id, attempt in self._attempts.items():
+            here = placing.pace(attempt.endpoint, now)
+            progress = attempt.progress(self._tokens_per_event())
+            gain = move_gain(progress, here, there, now)
+            if gain > 0.0 and not attempt.scope.cancel_called:
+                slow.append(SlowStream(item_id, gain, here / there))
+        for item_id in moves_now(slow):
+            self._move(item_id, self._attempts[item_id], faster, now)
 
     def _move(self, item_id: str, attempt: _Attempt, to: Endpoint | None, now) -> None:
         placing = self._discovery.placing
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -107,6 +107,8 @@
         self._lease_version = 0
         self._renewed_at = 0.0
         self._loading: set[str] = set()
+        # Endpoints to which an order is on its way, or about to be sent.
+        self._ordering: set[str] = set()
         self._orders_seen: dict[tuple[str, int], int] = {}
         self._confirmed: dict[tuple, _Confirmed] = {}
 
@@ -142,6 +144,7 @@
                     break
                 for load in chosen:
                     self._loading.add(load.endpoint.id)
+                    self._ordering.add(load.endpoint.id)
                     tasks.start_soon(self._load, load)
                 await self._clock.sleep_until(now + STEP_S)
 
@@ -151,7 +154,7 @@
         if lease is None or lease.holder != self._me:
             return
         latest = self._store_clock.latest(self._clock.now())
-        if await self._write(order_lease.released(lease, self._loading, latest)):
+        if await self._write(order_lease.released(lease, self._ordering, latest)):
             log.event("orders.lease_released", service=self._service, fence=lease.fence)
         self._lease = None
 
@@ -213,8 +216,7 @@
     async def _keep_lease(self, chosen: list[Load]) -> bool:
         """Renew the lease where it is due, or closed for an order to be given."""
         now = self._clock.now()
-        # Endpoints that load may get the order once more if its answer was lost.
-        wanted = {load.endpoint.id for load in chosen} | self._loading
+        wanted = {load.endpoint.id for load in chosen} | self._ordering
         renewed_lately = now - self._renewed_at < order_lease.RENEW_AFTER_S
         is_open = all(self._order_deadline(id) is not None for id in wanted)
         if renewed_lately and is_open:
@@ -260,8 +262,10 @@
         try:
             deadline = self._clock.now() + LOAD_LIMIT_S
             if await self._order(load, deadline):
+                self._ordering.discard(endpoint.id)
                 await self._confirm(load, deadline)
         finally:
+            self._ordering.discard(endpoint.id)
             self._loading.discard(endpoint.id)
 
     async def _order(self, load: Load, deadline: float) -> bool:
@@ -303,12 +307,19 @@
             return False
         if answer is OrderAnswer.ACCEPTED:
             self._orders_seen[key] += 1
+            self._note_answer(endpoint)
             return True
         # Its count of orders is read again before the next one.
         self._orders_seen.pop(key, None)
         await self._clock.sleep_until(self._clock.now() + LOOK_AGAIN_S)
         return answer is None
 
+    def _note_answer(self, endpoint: Endpoint) -> None:
+        """Tell the next holder that no further order follows this one."""
+        if self._lease is not None:
+            latest = self._store_clock.latest(self._clock.now())
+            self._lease = order_lease.answered(self._lease, endpoint.id, latest)
+
     async def _confirm(self, load: Load, deadline: float) -> None:
         wake_at = self._clock.now() + FIRST_LOOK_S
         while self._clock.now() < deadline:
--- a/tests/policy/test_order_lease.py
+++ b/tests/policy/test_order_lease.py
@@ -9,6 +9,7 @@
     SEND_MARGIN_S,
     OrderLease,
     StoreClock,
+    answered,
     order_deadline,
     released,
     renewed,
@@ -139,3 +140,13 @@
 
 def test_renewals_come_well_before_the_end():
     assert 2 * order_lease.RENEW_AFTER_S + SEND_MARGIN_S < LEASE_S
+
+
+def test_an_answered_order_bars_its_endpoint_from_the_answer_on():
+    """Guards against a wait that counts from the end of the lease."""
+    lease = opened(taken(None, "a", 500.0, QUIET_S), "e1")
+    closed = answered(lease, "e1", 500.2)
+    assert not may_order(closed, "e1", clock(store_now=500.2))
+    kept = opened(closed, "e2", at=501.0)
+    later = taken(kept, "b", kept.until + 0.1, QUIET_S)
+    assert later.barred["e1"] == 500.2 + QUIET_S + ORDER_TRANSIT_S
--- a/tests/policy/test_pace.py
+++ b/tests/policy/test_pace.py
@@ -9,8 +9,10 @@
     STALL_S,
     LoopLag,
     Progress,
+    SlowStream,
     events_left,
-    faster_pays,
+    move_gain,
+    moves_now,
     stalled,
 )
 
@@ -60,15 +62,15 @@
 def test_a_stream_at_a_slow_endpoint_moves(ratio, due):
     """Guards against a step that waits for one slow endpoint."""
     progress = Progress(0.0, 9.99)
-    assert faster_pays(progress, ratio * USUAL_S, USUAL_S, 10.0) is due
+    assert (move_gain(progress, ratio * USUAL_S, USUAL_S, 10.0) > 0.0) is due
 
 
 def test_a_stream_moves_to_a_faster_endpoint_only():
     """Guards against a move between two endpoints that are equally slow."""
     progress = Progress(0.0, 9.99)
     slow = 1.5 * USUAL_S
-    assert not faster_pays(progress, slow, slow, 10.0)
-    assert not faster_pays(progress, slow, None, 10.0)
+    assert not move_gain(progress, slow, slow, 10.0)
+    assert not move_gain(progress, slow, None, 10.0)
 
 
 def test_a_stream_that_is_almost_done_stays():
@@ -76,27 +78,27 @@
     gap = 0.3 * USUAL_S
     few, many = 0.9 * MOVE_GAIN_S / gap, 1.1 * MOVE_GAIN_S / gap
     slow = USUAL_S + gap
-    assert not faster_pays(Progress(0.0, 9.99, few), slow, USUAL_S, 10.0)
-    assert faster_pays(Progress(0.0, 9.99, many), slow, USUAL_S, 10.0)
+    assert not move_gain(Progress(0.0, 9.99, few), slow, USUAL_S, 10.0)
+    assert move_gain(Progress(0.0, 9.99, many), slow, USUAL_S, 10.0)
 
 
 def test_a_stream_that_has_just_moved_stays():
     """Guards against streams that only move to and fro."""
     progress = Progress(10.0 - MOVE_GAP_S / 2, 9.99)
-    assert not faster_pays(progress, 5 * USUAL_S, USUAL_S, 10.0)
+    assert not move_gain(progress, 5 * USUAL_S, USUAL_S, 10.0)
 
 
 def test_nothing_is_known_of_new_endpoints():
     progress = Progress(0.0, 9.99)
     assert not stalled(progress, None, 10.0)
-    assert not faster_pays(progress, None, None, 10.0)
+    assert not move_gain(progress, None, None, 10.0)
 
 
 def test_slow_models_are_no_stall():
     """Guards against moves where every event takes longer than the usual stall."""
     progress = Progress(0.0, 9.4)
     assert not stalled(progress, 0.5, 10.0)
-    assert not faster_pays(progress, 0.5, 0.5, 10.0)
+    assert not move_gain(progress, 0.5, 0.5, 10.0)
 
 
 @pytest.mark.parametrize(
@@ -105,3 +107,17 @@
 )
 def test_events_left_follow_the_hint_until_it_is_outlived(events, hint, tokens, left):
     assert events_left(events, hint, tokens) == left
+
+
+def test_streams_do_not_all_move_to_the_fastest_endpoint_at_once():
+    """Guards against ten streams that slow each other wherever they go together."""
+    slow = [SlowStream(f"i{number}", 1.0 + number, 1.3) for number in range(10)]
+    assert moves_now(slow) == ["i9"]
+
+
+def test_an_endpoint_in_trouble_is_left_quickly():
+    """Guards against a step that waits for an endpoint 3.5 times slower."""
+    sick = [SlowStream(f"i{number}", 5.0 - number, 3.5) for number in range(5)]
+    slow = [SlowStream("other", 9.0, 1.3)]
+    assert moves_now(slow + sick) == ["i0", "i1", "i2", "i3"]
+    assert moves_now([]) == []
