Tell holders of orders apart by their addresses too

Found by reading: a lease named its holder by the instance's id alone. The new test fails without the change. Whether the platform gives a name twice was not seen.

--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -97,7 +97,9 @@
         self._owner = owner
         self._service = service
         self._clock = owner.kernel.clock
-        self._me = owner.kernel.settings.instance.id
+        # A machine that replaces another one may bear its name, never its address.
+        options = owner.kernel.settings.instance
+        self._me = f"{options.id}@{options.listen}"
         self._quiet_s = owner.kernel.settings.bounds.order_gap
         self._rows = owner.kernel.plugin("store").rows
         self._endpoints = owner.kernel.plugin("store").endpoints
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -265,11 +265,11 @@
         self.endpoints = self.world.client
 
 
-def new_kernel(world, name, more=()):
+def new_kernel(world, name, more=(), address="127.0.0.1:1"):
     """Build an instance of the world, with more plug-ins than the usual ones."""
     plugin = type("WorldStore", (StorePlugin,), {"world": world}, register=False)
     settings = SimpleNamespace(
-        instance=SimpleNamespace(id=name, data_centre="dc-a"),
+        instance=SimpleNamespace(id=name, data_centre="dc-a", listen=address),
         bounds=SimpleNamespace(order_gap=0.3, grace=5.0),
     )
     kinds = (plugin, Discovery, Forwarding, Batches, VersionOrders, *more)
@@ -277,10 +277,10 @@
 
 
 @contextlib.asynccontextmanager
-async def running(world, *names):
+async def running(world, *names, address="127.0.0.1:1"):
     """Run instances until the block ends."""
     async with anyio.create_task_group() as tasks:
-        kernels = [new_kernel(world, name) for name in names]
+        kernels = [new_kernel(world, name, address=address) for name in names]
         for kernel in kernels:
             tasks.start_soon(kernel.run, False)
         for kernel in kernels:
--- a/tests/services/test_version_orders.py
+++ b/tests/services/test_version_orders.py
@@ -149,3 +149,16 @@
         assert world.client.orders == []
         kernels[0].plugin("store").rows.away = False
         await until(lambda: loaded(world, 2))
+
+
+async def test_a_machine_with_the_name_of_another_one_waits_too():
+    """Guards against orders of a replaced machine and its successor."""
+    world = World()
+    async with running(world, "a", address="127.0.0.1:1"):
+        world.versions = {"m0": 2}
+        await until(lambda: loaded(world, 2))
+    async with running(world, "a", address="127.0.0.2:1"):
+        world.versions = {"m0": 3}
+        await until(lambda: loaded(world, 3))
+    assert len({order.holder for _, order, _ in world.client.orders}) == 2
+    check_order_gaps(world)
