Close a connection after an answer that belongs to another request

Cause: an endpoint that sends a second copy of an answer late, on a connection in use again, left every later answer on it one request behind: the check of the request id failed that request, but the connection went back to the pool, so the next request got the answer before, and so on.

Change: an exchange whose answer has another request id marks its connection as out of step, and the pool closes it.

Before: test_connection_is_closed_after_a_crossed_answer fails, the third request gets the answer to the second (answer_crossed). After: it gets its own on a new connection.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -34,6 +34,8 @@
         self._deadline = Deadline(clock, deadline)
         self.sent = False
         self.reused = False
+        # Whether the connection may carry another exchange afterwards.
+        self.connection_in_step = True
 
     def before_first_byte(self) -> None:
         """Record that bytes are sent; raise DeadlineExceeded after the deadline."""
@@ -50,6 +52,15 @@
         outcome = Outcome.MAY_HAVE_RUN if self.sent else Outcome.NOT_RUN
         return Failure(kind, message, outcome)
 
+    def crossed(self, message: str) -> Failure:
+        """Build the failure for an answer that belongs to another request.
+
+        The connection is closed afterwards: the next answer on it would be that to
+        this request.
+        """
+        self.connection_in_step = False
+        return self.failure(ErrorKind.ANSWER_CROSSED, message)
+
     def failure_from_exception(self, exc: Exception, answering: bool) -> Failure:
         """Build the failure for an exception raised by the connection.
 
@@ -169,7 +180,7 @@
             yield response
             await response.aclose()
         finally:
-            await self._release(conn)
+            await self._release(conn, exchange)
 
     async def close_idle(self) -> None:
         """Close all idle connections."""
@@ -193,8 +204,9 @@
         http = httpcore.AsyncHTTP11Connection(self._origin, stream, self._idle_limit_s)
         return Connection(http, stream)
 
-    async def _release(self, conn: Connection) -> None:
-        if conn.http.is_idle() and len(self._idle) < IDLE_CONNECTIONS_MAX:
+    async def _release(self, conn: Connection, exchange: Exchange) -> None:
+        reusable = exchange.connection_in_step and conn.http.is_idle()
+        if reusable and len(self._idle) < IDLE_CONNECTIONS_MAX:
             self._idle.append(conn)
         else:
             await _close(conn)
--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -113,7 +113,7 @@
         if returned is None and not self._options.echoes_request_id:
             return None
         message = "the answer has the id of another attempt, or none"
-        return exchange.failure(ErrorKind.ANSWER_CROSSED, message)
+        return exchange.crossed(message)
 
     async def _read(
         self, request: OutgoingRequest, exchange: Exchange, attempt_id: str | None
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -119,7 +119,7 @@
                 return
             problem = _answer_mismatch(response, call)
             if problem:
-                yield Err(exchange.failure(ErrorKind.ANSWER_CROSSED, problem))
+                yield Err(exchange.crossed(problem))
                 return
             yield Ok(_Stream(response, exchange))
 
@@ -248,7 +248,7 @@
         )
         problem = None if not_run else _answer_mismatch(response, call)
         if problem:
-            return Err(exchange.failure(ErrorKind.ANSWER_CROSSED, problem))
+            return Err(exchange.crossed(problem))
         return Ok(
             EndpointAnswer(
                 PlainAnswer(
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -145,6 +145,23 @@
     assert second.is_err() or second.unwrap().answer.body == b"mine"
 
 
+async def test_connection_is_closed_after_a_crossed_answer():
+    """Guards against answers that are one request late from then on.
+
+    A second copy of the first answer arrives when the second request has been sent on
+    the same connection, so the second answer would be read by the third request.
+    """
+    steps = [answer(), answer() + answer(headers=ID.replace("r1", "r2") + SEAL)]
+    script = Script(*steps, answer(headers=ID.replace("r1", "r3") + SEAL))
+    async with serving(script) as (client, target):
+        outcomes = [
+            await client.call(target, call(request_id=id)) for id in ("r1", "r2", "r3")
+        ]
+    assert outcomes[1].unwrap_err().kind is ErrorKind.ANSWER_CROSSED
+    assert outcomes[2].is_ok()
+    assert script.connections == 2
+
+
 @pytest.mark.parametrize("status", ["503 Service Unavailable", "421 Misdirected"])
 async def test_refused_requests_are_reported_as_not_run(status):
     refusal = answer(status, "Plantainstack-Not-Executed: 1\r\n", "")
