Score the items of a batch by reward calls

Cause: the items of some trainers name a request whose answer scores their text (`scorer`).

Change: the reward call is a stage of an item after its text is complete. - platform/ decodes `scorer` into RewardCall and encodes `score`, the receipt of the answer. - policy/reward_calls.py decides where and how often: reward calls leave a third of an endpoint's slots to live callers, wait in the order of the step that is due first and the group that is nearly complete, are given up after the route's objective (doubled each time), and abandon an item only after the higher `max_attempts` of both routes in answers of 500. - services/reward_calls.py sends them, by the route in force at each attempt. A call whose id was sent before uses a new connection, since a late copy of the earlier answer has the same id. - A complete text is stored with the other partial texts, with the errors of its call, so a new owner scores it and does not generate it again. - Stored records leave out trailing fields with defaults, so that builds without these fields still read items, results and texts without calls. - Found beside it: a text that was restarted under other weights was stored from the old event count on, which no owner could join. ItemProgress names the generation.

Ruled out: Forwarding.plain, whose hedge at 0.4 of the objective and limit of attempts would double the load at the end of a step and hide the count of 500s.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -61,6 +61,27 @@
     ["direction"],
     registry=REGISTRY,
 )
+REWARD_CALLS = Counter(
+    "plantainstack_reward_calls",
+    "Attempts at reward calls, by service and end.",
+    ["service", "end"],
+    registry=REGISTRY,
+)
+REWARD_CALLS_WAITING = Gauge(
+    "plantainstack_reward_calls_waiting",
+    "Reward calls that wait for a slot on this instance.",
+    registry=REGISTRY,
+)
+REWARD_WAIT_SECONDS = Histogram(
+    "plantainstack_reward_wait_seconds",
+    "Time that reward calls waited for a slot, in seconds.",
+    registry=REGISTRY,
+)
+REWARD_SECONDS = Histogram(
+    "plantainstack_reward_seconds",
+    "Time from a complete text to its score or its abandonment, in seconds.",
+    registry=REGISTRY,
+)
 SAMPLE_ATTEMPTS = Counter(
     "plantainstack_sample_attempts",
     "Attempts at samples, by trainer and end.",
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -256,6 +256,7 @@
                 ),
                 not_run,
                 _load_report(response.headers),
+                names.header(response.headers, names.SEAL),
             )
         )
 
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -32,6 +32,7 @@
     "plantainstack.platform.plugin",
     "plantainstack.services.discovery",
     "plantainstack.services.forwarding",
+    "plantainstack.services.reward_calls",
     "plantainstack.services.batches",
     "plantainstack.services.version_orders",
     "plantainstack.front.gateway",
--- a/plantainstack/policy/load_balancing.py
+++ b/plantainstack/policy/load_balancing.py
@@ -96,6 +96,11 @@
         others = state.other_requests if fresh else 0.0
         return (state.own_requests + others) / endpoint.slots
 
+    def report_age_s(self, endpoint: Endpoint, now: float) -> float | None:
+        """Return the age in seconds of the load report in use, or None without one."""
+        age_s = now - self._state(endpoint).reported_at
+        return age_s if age_s < REPORT_AGE_MAX_S else None
+
     def is_avoided(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether the endpoint failed or refused a request recently."""
         return self._state(endpoint).avoid_until > now
--- a/plantainstack/services/batch_results.py
+++ b/plantainstack/services/batch_results.py
@@ -28,12 +28,12 @@
 
 
 class _StoredText:
-    """Track how many events of a running item are in the store."""
+    """Track how much of a running item is in the store."""
 
     def __init__(self, run: ItemRun, begun_at: float):
         self.run = run
         self.begun_at = begun_at
-        self.stored = run.events()
+        self.stored = run.progress()
 
 
 class ResultWriter:
@@ -145,7 +145,7 @@
         self.row = row
         for item_id, piece in partials:
             if item_id in self._texts:
-                self._texts[item_id].stored = piece.first + len(piece.texts)
+                self._texts[item_id].stored = piece.progress()
         del self._ended[: len(chunk)]
         if self._ended:
             self._wake.set()
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -10,6 +10,7 @@
 from plantainstack.policy import batch_scheduling, route_table
 from plantainstack.policy.item_runs import ItemRun, PartialText, StreamCheck
 from plantainstack.policy.load_balancing import EVENT_WEIGHT
+from plantainstack.policy.reward_calls import GroupProgress
 from plantainstack.policy.stream_migration import (
     LoopLag,
     MigrationCandidate,
@@ -21,6 +22,7 @@
 )
 from plantainstack.services.batch_results import ResultWriter
 from plantainstack.services.batch_store import BatchStore, StateRow
+from plantainstack.services.reward_calls import RewardRequest
 from plantainstack.serving import (
     Batch,
     Endpoint,
@@ -28,6 +30,7 @@
     EndpointCall,
     Item,
     ItemResult,
+    ItemState,
     OpenStream,
     RequestKind,
     Route,
@@ -101,6 +104,7 @@
         self._clock = kernel.clock
         self._discovery = kernel.plugin("discovery")
         self._endpoints = kernel.plugin("store").endpoint_client
+        self._reward_calls = kernel.plugin("reward_calls")
         self._route = route
         self._writer = ResultWriter(
             kernel.clock, batch_store, batch.id, row, self._latencies, on_state
@@ -116,6 +120,9 @@
         self._ended_events = 0
         self._slot_freed = anyio.Event()
         self._group_endpoints: dict[str, str] = {}
+        self._group_progress: dict[str, GroupProgress] = {}
+        # Scopes of the items that are being scored.
+        self._scoring: dict[str, anyio.CancelScope] = {}
         self._started_at = self._clock.now()
         self._deadline = self._started_at + route.queue_limit_s
         self._scope = anyio.CancelScope()
@@ -130,6 +137,8 @@
             for item in order.long + order.others
             if item.id not in self._listed_items
         ]
+        for item in items:
+            self._progress_of_group(item).unfinished += 1
         with self._scope:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write_results)
@@ -155,9 +164,11 @@
             if number % START_ITEMS == 0:
                 await self._clock.sleep_until(self._clock.now() + START_GAP_S)
             run = ItemRun(item, self.batch, self._route.single_version)
-            endpoint = await self._reserve_slot(item, frozenset())
             if item.id in self._partials:
                 run.restore(self._partials[item.id])
+            endpoint = None
+            if not run.text_complete:
+                endpoint = await self._reserve_slot(item, frozenset())
             self._writer.begin(run)
             tasks.start_soon(self._run_item, run, endpoint)
 
@@ -238,6 +249,8 @@
         self._deadline = 0.0
         for attempt in self._attempts.values():
             attempt.scope.cancel()
+        for scope in self._scoring.values():
+            scope.cancel()
 
     def _has_recent_weights(self, endpoint: Endpoint) -> bool:
         version = endpoint.versions.get(self.batch.model, 0)
@@ -247,11 +260,39 @@
     async def _run_item(self, run: ItemRun, endpoint: Endpoint | None) -> None:
         started = self._clock.now()
         tried: list[str] = []
+        result = await self._generate(run, endpoint, tried)
+        generated_at = self._clock.now()
+        if result.state is ItemState.COMPLETED and run.item.reward_call is not None:
+            result = await self._score(run)
+        now = self._clock.now()
+        metrics.BATCH_SECONDS.labels(result.state.value).observe(now - started)
+        log.event(
+            "item.ended",
+            run.item.id,
+            batch=self.batch.id,
+            group=run.item.group,
+            state=result.state.value,
+            events=run.events(),
+            versions=result.versions,
+            length_hint=run.item.length_hint,
+            endpoints=tried,
+            waited_s=round(started - self._started_at, 3),
+            seconds=round(now - started, 3),
+            score_s=round(now - generated_at, 3),
+        )
+        self._progress_of_group(run.item).unfinished -= 1
+        self._writer.end(result)
+
+    async def _generate(
+        self, run: ItemRun, endpoint: Endpoint | None, tried: list[str]
+    ) -> ItemResult:
+        """Generate the text of an item; `tried` collects the endpoints used."""
+        if run.text_complete:
+            return run.completed()
         result = None
         while result is None:
             if endpoint is None:
-                result = run.abandoned()
-                break
+                return run.abandoned()
             tried.append(endpoint.id)
             attempt = _Attempt(run, endpoint, self._clock.now())
             self._attempts[run.item.id] = attempt
@@ -264,24 +305,34 @@
                 self._notify_slot_freed()
             if result is None:
                 endpoint = await self._reserve_slot(run.item, frozenset((endpoint.id,)))
-        seconds = self._clock.now() - started
-        metrics.BATCH_SECONDS.labels(result.state.value).observe(seconds)
-        log.event(
-            "item.ended",
-            run.item.id,
-            batch=self.batch.id,
-            group=run.item.group,
-            state=result.state.value,
-            events=run.events(),
-            versions=result.versions,
-            length_hint=run.item.length_hint,
-            endpoints=tried,
-            waited_s=round(started - self._started_at, 3),
-            seconds=round(seconds, 3),
-        )
         self._ended_tokens += run.item.length_hint
         self._ended_events += run.events()
-        self._writer.end(result)
+        return result
+
+    async def _score(self, run: ItemRun) -> ItemResult:
+        """Score a complete text; the item is abandoned if that is not possible."""
+        request = RewardRequest(
+            run.item.reward_call,
+            run.item.id,
+            self.batch.id,
+            self._route,
+            self._deadline,
+            self._started_at + self._route.result_target_s,
+            self._progress_of_group(run.item),
+            run.reward_attempts,
+        )
+        score = None
+        scope = self._scoring[run.item.id] = anyio.CancelScope()
+        try:
+            with scope:
+                score = await self._reward_calls.score(request)
+        finally:
+            del self._scoring[run.item.id]
+        return run.abandoned() if score is None else run.completed(score)
+
+    def _progress_of_group(self, item: Item) -> GroupProgress:
+        key = item.group or item.id
+        return self._group_progress.setdefault(key, GroupProgress())
 
     async def _attempt(self, run: ItemRun, attempt: _Attempt) -> ItemResult | None:
         item = run.item
@@ -330,7 +381,7 @@
                 self._drop_stream(run, endpoint, check)
                 return None
             self._record_event(attempt)
-        return run.completed()
+        return run.completed() if run.end_stream() else None
 
     def _record_event(self, attempt: _Attempt) -> None:
         now = self._clock.now()
--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -106,7 +106,9 @@
         returned then.
         """
         state = BatchState(owner, 1, len(batch.items), 0, False, route, _nonce())
-        data = zlib.compress(msgspec.msgpack.encode(batch), 1)
+        items = tuple(_without_defaults(item) for item in batch.items)
+        encoded = msgspec.msgpack.encode(batch._replace(items=items))
+        data = zlib.compress(encoded, 1)
         if len(data) > TRANSACTION_BYTES:
             stored = await self._store.put_object(_object_name(batch.id), data)
             if stored.is_err():
@@ -314,7 +316,7 @@
     return [
         (
             RowName(RESULT_TABLE, batch_id, _position(row.state.listed + number)),
-            msgspec.msgpack.encode(result),
+            msgspec.msgpack.encode(_without_defaults(result)),
         )
         for number, result in enumerate(results)
     ]
@@ -329,12 +331,25 @@
                 batch_id,
                 f"{item_id}/{piece.generation:04}-{piece.first:06}",
             ),
-            msgspec.msgpack.encode(piece),
+            msgspec.msgpack.encode(_without_defaults(piece)),
         )
         for item_id, piece in partials
     ]
 
 
+def _without_defaults(record) -> tuple:
+    """Return the fields of a named tuple without trailing ones that have defaults.
+
+    Builds that do not know these fields reject records that contain them.
+    """
+    size = len(record)
+    names = record._fields
+    defaults = record._field_defaults
+    while names[size - 1] in defaults and record[size - 1] == defaults[names[size - 1]]:
+        size -= 1
+    return tuple(record[:size])
+
+
 def _position(number: int) -> str:
     return f"{number:08}"
 
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -74,7 +74,7 @@
     """Track the state of all batches and run those that this instance owns."""
 
     name = "batches"
-    requires = ("discovery", "store", "forwarding")
+    requires = ("discovery", "store", "forwarding", "reward_calls")
 
     def __init__(self, kernel):
         super().__init__(kernel)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -7,7 +7,7 @@
 
 from plantainstack.clock import FakeClock
 from plantainstack.platform import records
-from plantainstack.serving import ItemResult, ItemState, RequestKind
+from plantainstack.serving import ItemResult, ItemState, RequestKind, RewardCall
 from tests.platform.samples import CONFIG, ENTRY, lot
 
 
@@ -91,6 +91,36 @@
     assert (batch.min_version, batch.groups_wanted) == (3, 1)
 
 
+SCORER = {"id": "r1", "hostname": "a.example", "path": "/r/1?x=2", "body": "q80="}
+
+
+def test_reward_call_of_an_item_is_decoded():
+    """Guards against a reward call that differs from the trainer's in any field."""
+    item = lot(1)["requests"][0] | {"scorer": SCORER}
+    data = msgspec.json.encode(lot(1) | {"requests": [item]})
+    batch = records.decode_batch("b1", "train.example", "/train/x", data).unwrap()
+    assert batch.items[0].reward_call == RewardCall(
+        "r1", "a.example", "/r/1?x=2", b"\xab\xcd"
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"id": ""},
+        {"path": "r"},
+        {"path": "/r\r\nx: y"},
+        {"hostname": "a b"},
+        {"body": "*"},
+    ],
+)
+def test_invalid_reward_call_makes_the_batch_invalid(change):
+    """Guards against items that are accepted but can never be scored."""
+    item = lot(1)["requests"][0] | {"scorer": SCORER | change}
+    data = msgspec.json.encode(lot(1) | {"requests": [item]})
+    assert records.decode_batch("b1", "h", "/train/", data).is_err()
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -109,6 +139,13 @@
     assert records.decode_batch("b1", "h", "/train/", data).is_err()
 
 
+def test_score_is_encoded_if_the_result_has_one():
+    """Guards against a score field in results of items without a reward call."""
+    found = ItemResult("i", ItemState.COMPLETED, "a", (6,))
+    assert "score" not in records.encode_result(found)
+    assert records.encode_result(found._replace(score="s"))["score"] == "s"
+
+
 def test_result_is_encoded_with_the_platforms_fields():
     found = ItemResult("i", ItemState.ABANDONED, "a\nb", (6, 7))
     assert records.encode_result(found) == {
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -162,6 +162,12 @@
     assert script.connections == 2
 
 
+async def test_receipt_of_an_answer_is_decoded():
+    """Guards against a score that is not the receipt of the answer."""
+    outcomes, _ = await call_endpoint(answer())
+    assert outcomes[0].unwrap().receipt == "s"
+
+
 @pytest.mark.parametrize("status", ["503 Service Unavailable", "421 Misdirected"])
 async def test_refused_requests_are_reported_as_not_run(status):
     refusal = answer(status, "Plantainstack-Not-Executed: 1\r\n", "")
--- a/tests/policy/serving_samples.py
+++ b/tests/policy/serving_samples.py
@@ -5,6 +5,7 @@
     Endpoint,
     Item,
     RequestKind,
+    RewardCall,
     Route,
     StreamEvent,
     WeightedService,
@@ -53,6 +54,12 @@
     return Item(id, group, f"/a/{id}", (), b"body", hint)
 
 
+def scored_item(id="i1", group="g1") -> Item:
+    """Return a batch item whose text is scored by a reward call of its own."""
+    call = RewardCall(f"reward-{id}", "desk.example", f"/reward/{id}", b"score")
+    return item(id, group)._replace(reward_call=call)
+
+
 def batch(*items: Item, min_version=1, id="b1") -> Batch:
     """Return a batch of items."""
     found = items or (item(),)
