Give up answers and events that never end

Cause: an endpoint in trouble may send bytes that are no answer, in a head or a body, until the caller closes. A plain answer was read whole (350 MB in 3 s, more than the smallest machines have), interim heads kept a core busy until the deadline, SseDecoder joined and split its whole buffer at each chunk, and a stream that sent a few bytes now and then without completing an event had no end but its deadline.

Change: a body is read up to 8 MiB (64 MiB for the KV cache of a completion), a head up to 256 KiB and 512 reads, an event up to 1 MiB with linear work, and a stream of the store deployment ends 2.5 s after its last complete event. The limits hold for both deployments; the connection is closed.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -21,12 +21,23 @@
 IDLE_LIMIT_S = 4.0
 IDLE_CONNECTIONS_MAX = 64
 ATTEMPT_HEADER = "X-Attempt-Id"
+# Bytes read until the head of an answer is complete, with interim answers. The limit
+# includes the part of the body that arrives in the same read.
+HEAD_BYTES_MAX = 256 * 1024
+# Reads until the head is complete; many small interim answers cost processor time.
+HEAD_READS_MAX = 512
+# A complete answer is held in memory, of which the smallest instances have 128 MB.
+ANSWER_BYTES_MAX = 8 * 1024 * 1024
 
 
 class DeadlineExceeded(Exception):
     """The deadline of an exchange passed before its first byte was sent."""
 
 
+class AnswerTooLarge(httpcore.RemoteProtocolError):
+    """The head or the body of an answer exceeds its limit."""
+
+
 class Exchange:
     """State of one HTTP exchange: its deadline, and whether a byte was sent."""
 
@@ -76,6 +87,8 @@
             return self.failure(
                 ErrorKind.ANSWER_TIMEOUT, "the endpoint did not answer in time"
             )
+        if isinstance(exc, AnswerTooLarge):
+            return self.failure(ErrorKind.ENDPOINT_FAILED, str(exc))
         if answering:
             message = "the connection ended before the answer was complete"
             return self.failure(ErrorKind.ANSWER_TRUNCATED, message)
@@ -84,15 +97,24 @@
 
 
 class GuardedStream(httpcore.AsyncNetworkStream):
-    """Network stream that checks an exchange's deadline before its first byte."""
+    """Network stream that checks the deadline and the head's size of an exchange."""
 
     def __init__(self, stream: httpcore.AsyncNetworkStream):
         self._stream = stream
         self._exchange: Exchange | None = None
+        self._awaiting_head = False
+        self._head_bytes = 0
+        self._head_reads = 0
 
     def arm(self, exchange: Exchange) -> None:
         """Set the exchange that is checked before the next write."""
         self._exchange = exchange
+        self._awaiting_head = True
+        self._head_bytes = self._head_reads = 0
+
+    def head_received(self) -> None:
+        """Stop to limit the bytes that are read."""
+        self._awaiting_head = False
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write bytes; check the deadline before the first bytes of an exchange."""
@@ -102,8 +124,15 @@
         await self._stream.write(buffer, timeout)
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read bytes."""
-        return await self._stream.read(max_bytes, timeout)
+        """Read bytes; raise AnswerTooLarge if the head does not end in time."""
+        data = await self._stream.read(max_bytes, timeout)
+        if self._awaiting_head:
+            self._head_bytes += len(data)
+            self._head_reads += 1
+            if self._head_bytes > HEAD_BYTES_MAX or self._head_reads > HEAD_READS_MAX:
+                message = f"the head did not end within {self._head_bytes} bytes"
+                raise AnswerTooLarge(message)
+        return data
 
     async def aclose(self) -> None:
         """Close the stream."""
@@ -177,6 +206,7 @@
             conn.stream.arm(exchange)
             prepared = self._request(request, timeouts.progress)
             response = await conn.http.handle_async_request(prepared)
+            conn.stream.head_received()
             yield response
             await response.aclose()
         finally:
@@ -233,6 +263,18 @@
         )
 
 
+async def read_body(response: httpcore.Response, limit=ANSWER_BYTES_MAX) -> bytes:
+    """Return the body of an answer; raise AnswerTooLarge above `limit` bytes."""
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in response.stream:
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > limit:
+            raise AnswerTooLarge(f"the body of the answer exceeds {limit} bytes")
+    return b"".join(chunks)
+
+
 async def _close(conn: Connection) -> None:
     with anyio.CancelScope(shield=True), contextlib.suppress(Exception):
         await conn.http.aclose()
--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -24,19 +24,23 @@
     PlainService,
 )
 from plantainstack.links.connections import (
+    ANSWER_BYTES_MAX,
     ATTEMPT_HEADER,
     ConnectionPool,
     DeadlineExceeded,
     Exchange,
     OutgoingRequest,
     Timeouts,
+    read_body,
 )
-from plantainstack.links.events import SseDecoder
+from plantainstack.links.events import EventTooLarge, SseDecoder
 from plantainstack.plugins import Plugin
 from plantainstack.settings.fleet import FleetOptions, Scope
 
 CONTROL_TIMEOUT_S = 2.0
 BODY_DRAIN_TIMEOUT_S = 0.05
+# The KV cache of a completion is the largest answer to a control call.
+CONTROL_BYTES_MAX = 64 * 1024 * 1024
 DONE = "[DONE]"
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -116,7 +120,11 @@
         return exchange.crossed(message)
 
     async def _read(
-        self, request: OutgoingRequest, exchange: Exchange, attempt_id: str | None
+        self,
+        request: OutgoingRequest,
+        exchange: Exchange,
+        attempt_id: str | None,
+        bytes_max: int = ANSWER_BYTES_MAX,
     ):
         answering = False
         try:
@@ -127,7 +135,7 @@
                         crossed = self._check_id(attempt_id, response.headers, exchange)
                         if crossed:
                             return Err(crossed)
-                    return Ok(PlainAnswer(*await _read_answer(response)))
+                    return Ok(PlainAnswer(*await _read_answer(response, bytes_max)))
         except _CONNECTION_ERRORS as exc:
             failure = exchange.failure_from_exception(exc, answering)
             if failure.kind is ErrorKind.ANSWER_TIMEOUT:
@@ -211,7 +219,12 @@
                 message = "the stream ended without an end marker"
                 yield Err(exchange.failure(ErrorKind.ANSWER_TRUNCATED, message))
                 return
-            for event in decoder.feed(data):
+            try:
+                events = list(decoder.feed(data))
+            except EventTooLarge as exc:
+                yield Err(exchange.failure(ErrorKind.ENDPOINT_FAILED, str(exc)))
+                return
+            for event in events:
                 text = event.data()
                 if text is None:
                     continue
@@ -259,7 +272,7 @@
         kind = "application/octet-stream" if content is body else "application/json"
         request = OutgoingRequest(method, target, [("Content-Type", kind)], body)
         exchange = self._exchange(self._clock.now() + CONTROL_TIMEOUT_S)
-        answer = await self._read(request, exchange, None)
+        answer = await self._read(request, exchange, None, CONTROL_BYTES_MAX)
         return answer.and_then(_control_answer)
 
 
@@ -312,8 +325,10 @@
         return self._pools[key], self.kernel.clock, options
 
 
-async def _read_answer(response) -> tuple[int, list[tuple[str, str]], bytes]:
-    body = b"".join([chunk async for chunk in response.stream])
+async def _read_answer(
+    response, limit: int
+) -> tuple[int, list[tuple[str, str]], bytes]:
+    body = await read_body(response, limit)
     headers = [
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in response.headers
--- a/plantainstack/links/events.py
+++ b/plantainstack/links/events.py
@@ -7,6 +7,13 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+# Limit on the bytes of one event, and of bytes that belong to no event.
+EVENT_BYTES_MAX = 1024 * 1024
+
+
+class EventTooLarge(Exception):
+    """An event exceeds EVENT_BYTES_MAX, or does not end."""
+
 
 class SseEvent(NamedTuple):
     """One complete event: its fields in order, and its raw bytes."""
@@ -29,24 +36,39 @@
     """Splits a byte stream, given in chunks, into server-sent events."""
 
     def __init__(self):
-        self._buffer = b""
+        # Chunks of a line that has not ended, and the complete lines of an event.
+        self._unended: list[bytes] = []
         self._lines: list[bytes] = []
+        self._size = 0
 
     def feed(self, chunk: bytes) -> Iterator[SseEvent]:
-        """Decode the next bytes and yield each event that they complete."""
-        *lines, self._buffer = (self._buffer + chunk).split(b"\n")
+        """Decode the next bytes and yield each event that they complete.
+
+        Raises EventTooLarge if an event does not end within its limit.
+        """
+        self._unended.append(chunk)
+        if b"\n" in chunk:
+            *lines, rest = b"".join(self._unended).split(b"\n")
+            self._unended = [rest]
+            yield from self._complete(lines)
+        self._size += len(chunk)
+        if self._size > EVENT_BYTES_MAX:
+            raise EventTooLarge(f"an event exceeds {EVENT_BYTES_MAX} bytes")
+
+    def has_incomplete_event(self) -> bool:
+        """Return whether the bytes so far end within an event."""
+        return bool(b"".join(self._unended).strip() or self._lines)
+
+    def _complete(self, lines: list[bytes]) -> Iterator[SseEvent]:
         for raw in lines:
             self._lines.append(raw)
             if raw in (b"", b"\r"):
                 event = _event(self._lines)
                 self._lines = []
+                self._size = 0
                 if event.fields:
                     yield event
 
-    def has_incomplete_event(self) -> bool:
-        """Return whether the bytes so far end within an event."""
-        return bool(self._buffer.strip() or self._lines)
-
 
 def _event(lines: list[bytes]) -> SseEvent:
     fields = []
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -18,8 +18,9 @@
     Exchange,
     OutgoingRequest,
     Timeouts,
+    read_body,
 )
-from plantainstack.links.events import SseDecoder, SseEvent
+from plantainstack.links.events import EventTooLarge, SseDecoder, SseEvent
 from plantainstack.platform import names, records
 from plantainstack.serving import (
     Endpoint,
@@ -96,7 +97,7 @@
                 return opened
             response, exchange = opened.unwrap()
             try:
-                body = await response.aread()
+                body = await read_body(response)
             except _TRANSPORT_ERRORS as exc:
                 return Err(exchange.failure_from_exception(exc, answering=True))
             return self._answer(response, call, body, exchange)
@@ -111,7 +112,7 @@
             response, exchange = opened.unwrap()
             if response.status != HTTPStatus.OK:
                 try:
-                    body = await response.aread()
+                    body = await read_body(response)
                 except _TRANSPORT_ERRORS as exc:
                     yield Err(exchange.failure_from_exception(exc, answering=True))
                     return
@@ -121,7 +122,7 @@
             if problem:
                 yield Err(exchange.crossed(problem))
                 return
-            yield Ok(_Stream(response, exchange))
+            yield Ok(_Stream(response, exchange, self._clock))
 
     async def order(
         self, endpoint: Endpoint, order: VersionOrder, deadline: float
@@ -262,9 +263,10 @@
 
 
 class _Stream(OpenStream):
-    def __init__(self, response: httpcore.Response, exchange: Exchange):
+    def __init__(self, response: httpcore.Response, exchange: Exchange, clock: Clock):
         self._response = response
         self._exchange = exchange
+        self._clock = clock
         self.head = StreamHead(
             response.status,
             _end_to_end_headers(response.headers),
@@ -275,10 +277,23 @@
     async def events(self) -> AsyncIterator[Result[StreamEvent, Failure]]:
         """Yield complete events, and a failure last if the stream ends early."""
         decoder = SseDecoder()
+        silent_since = self._clock.now()
         try:
             async for chunk in self._response.stream:
+                now = self._clock.now()
                 for event in decoder.feed(chunk):
+                    silent_since = now
                     yield Ok(_stream_event(event))
+                # The read time-out does not cover a stream that sends bytes without
+                # completing an event.
+                if now - silent_since > SILENCE_TIMEOUT_S:
+                    message = f"no event was completed for {SILENCE_TIMEOUT_S} s"
+                    yield Err(self._exchange.failure(ErrorKind.ANSWER_TIMEOUT, message))
+                    return
+        except EventTooLarge as exc:
+            message = str(exc)
+            yield Err(self._exchange.failure(ErrorKind.ANSWER_TRUNCATED, message))
+            return
         except _TRANSPORT_ERRORS as exc:
             yield Err(self._exchange.failure_from_exception(exc, answering=True))
             return
