--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -66,6 +66,7 @@
         self.request = request
         self.since = now
         self.slot: _Slot | None = None
+        self.without_route = False
         self.granted = anyio.Event()
 
     def rank(self) -> RewardRank:
@@ -152,7 +153,8 @@
     def _grant_slots(self) -> None:
         full: set[str] = set()
         for waiting in sorted(self._waiting, key=_Waiting.rank):
-            slot = self._choose(waiting.request, full)
+            route = self._route(waiting)
+            slot = self._choose(waiting.request, route, full) if route else None
             if slot is None:
                 continue
             self._discovery.balancer.request_started(slot.endpoint)
@@ -161,14 +163,28 @@
             waiting.granted.set()
         metrics.REWARD_CALLS_WAITING.set(len(self._waiting))
 
-    def _choose(self, request: RewardRequest, full: set[str]) -> _Slot | None:
-        """Choose an endpoint of the call's current route; `full` collects services."""
-        call = request.call
-        route = route_table.match(
-            self._discovery.serving, call.host, call.path.partition("?")[0]
-        )
-        if route is None or route.kind is RequestKind.BATCH:
-            return None
+    def _route(self, waiting: _Waiting) -> Route | None:
+        """Return the current route of a call, which may have been dropped."""
+        call = waiting.request.call
+        cfg = self._discovery.serving
+        route = route_table.match(cfg, call.host, call.path.partition("?")[0])
+        if route is not None and route.kind is not RequestKind.BATCH:
+            return route
+        if not waiting.without_route:
+            waiting.without_route = True
+            log.event(
+                "reward.no_route",
+                call.id,
+                item=waiting.request.item_id,
+                batch=waiting.request.batch_id,
+                config=cfg.version,
+            )
+        return None
+
+    def _choose(
+        self, request: RewardRequest, route: Route, full: set[str]
+    ) -> _Slot | None:
+        """Choose an endpoint of the route; `full` collects services without room."""
         service = route_table.pick_service(route, self._rng)
         if service in full:
             return None
--- a/tests/services/test_reward_calls.py
+++ b/tests/services/test_reward_calls.py
@@ -1,5 +1,7 @@
 """Tests of items that are scored by a reward call once their text is complete."""
 
+import zlib
+
 import anyio
 import msgspec
 import pytest
@@ -317,3 +319,6 @@
         await all_results(batches, "b1", 1)
     [(_, row)] = platform.rows.range(batch_store.RESULT_TABLE, "b1", "", "")
     assert len(msgspec.msgpack.decode(row.value)) == 4
+    [(_, row)] = platform.rows.range(batch_store.ITEM_TABLE, "b1", "", "")
+    stored = msgspec.msgpack.decode(zlib.decompress(row.value))
+    assert len(stored[-1][0]) == 6
