Do not avoid an endpoint since one reward call took long

Change: an endpoint that has reported its load with another answer since the attempt began is not marked. One that answers nobody still is.

Ruled out: a longer limit, since a lost answer or a silent endpoint would then delay the step by as much.

Before: test_endpoint_of_one_slow_call_is_not_avoided fails. After: it passes.

--- a/plantainstack/policy/load_balancing.py
+++ b/plantainstack/policy/load_balancing.py
@@ -101,6 +101,10 @@
         age_s = now - self._state(endpoint).reported_at
         return age_s if age_s < REPORT_AGE_MAX_S else None
 
+    def reported_since(self, endpoint: Endpoint, since: float) -> bool:
+        """Return whether the endpoint has answered with its load since a time."""
+        return self._state(endpoint).reported_at > since
+
     def is_avoided(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether the endpoint failed or refused a request recently."""
         return self._state(endpoint).avoid_until > now
--- a/plantainstack/policy/reward_calls.py
+++ b/plantainstack/policy/reward_calls.py
@@ -47,6 +47,7 @@
 
     def __init__(self, errors: int = 0):
         self.count = 0
+        self.begun_at = 0.0
         self.errors = errors
         self._unanswered = 0
         self._failures = 0
@@ -59,6 +60,7 @@
         The wait doubles with each such attempt, in case all endpoints are slow.
         """
         self.count += 1
+        self.begun_at = now
         wait_s = max(route.objective_s, RETRY_MIN_S) * 2**self._unanswered
         if route.timeout_s > 0.0:
             wait_s = min(wait_s, route.timeout_s)
--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -282,9 +282,13 @@
         now = self._clock.now()
         attempts = request.attempts
         if outcome.is_err():
-            balancer.record_failure(endpoint, now)
             unanswered = outcome.unwrap_err().kind is ErrorKind.ANSWER_TIMEOUT
             attempts.record_failure(endpoint.id, unanswered)
+            # An endpoint that has answered others meanwhile only took long for this.
+            if not (
+                unanswered and balancer.reported_since(endpoint, attempts.begun_at)
+            ):
+                balancer.record_failure(endpoint, now)
         elif outcome.unwrap().not_run:
             balancer.record_refusal(endpoint, now)
             attempts.record_refusal()
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -217,6 +217,7 @@
         self.statuses = {}
         self.scripts = {}
         self.sent_calls = []
+        self.load = None
         self.blocked_events = {}
         self.failing_events = []
         self.opened_streams = []
@@ -240,7 +241,7 @@
             return Err(scripted)
         answer = PlainAnswer(scripted, [], endpoint.id.encode())
         receipt = f"receipt of {call.request_id}" if scripted < 300 else None
-        return Ok(EndpointAnswer(answer, scripted == 503, None, receipt))
+        return Ok(EndpointAnswer(answer, scripted == 503, self.load, receipt))
 
     @contextlib.asynccontextmanager
     async def stream(self, endpoint, call):
--- a/tests/services/test_reward_calls.py
+++ b/tests/services/test_reward_calls.py
@@ -12,7 +12,12 @@
 from plantainstack.policy.item_runs import PartialText
 from plantainstack.services import batch_store
 from plantainstack.services import batches as batches_module
-from plantainstack.serving import ItemState, RequestKind, WeightedService
+from plantainstack.serving import (
+    EndpointLoadReport,
+    ItemState,
+    RequestKind,
+    WeightedService,
+)
 from tests.policy.serving_samples import batch, endpoint, route, scored_item
 from tests.services.store_fleet import (
     BATCH_ROUTE,
@@ -185,6 +190,24 @@
         assert len(set(reward_calls(platform))) == 2
 
 
+async def test_endpoint_of_one_slow_call_is_not_avoided(monkeypatch):
+    """Guards against live callers that avoid an endpoint since one call was long.
+
+    The endpoint answers another call while the slow one waits.
+    """
+    platform = new_platform()
+    del platform.endpoints["a2"]
+    platform.client.scripts["reward-i0"] = [anyio.Event()]
+    platform.client.load = EndpointLoadReport(1, 0, 6)
+    async with running(platform, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(scored_batch(2), BATCH_ROUTE)).is_ok()
+        await all_results(batches, "b1", 2)
+        balancer = kernels[0].plugin("discovery").balancer
+        now = platform.clock.now()
+        assert not balancer.is_avoided(platform.endpoints["a1"], now)
+
+
 async def test_stored_text_is_scored_after_a_takeover_and_not_generated_again():
     """Guards against texts that are generated twice since their owner crashed."""
     platform = new_platform()
