Leave a batch to the owner that the newest version of its row names

Cause: the store's feed returns every version of a row, in order. An instance that read a released version (no owner) or one of its own former process began a takeover at once, although a later version in the same answer already named the present owner; the takeover then expected that later version and succeeded.

Change: the rows of an answer are applied first, then the last state decides; and a takeover expects the version that was seen when it was decided.

Ruled out: late renewals.

Before: three new tests fail. After: they pass.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -373,13 +373,18 @@
                     entry.batch = None
 
     def _apply_rows(self, found: RowsRead, is_snapshot: bool) -> None:
+        changed: dict[str, _Entry] = {}
         for row in found.rows:
             decoded = state_row(row)
             batch_id = row.name.part
             if decoded is None:
                 self._entries.pop(batch_id, None)
-                continue
-            entry = self._apply_row(batch_id, decoded)
+                changed.pop(batch_id, None)
+            else:
+                changed[batch_id] = self._apply_row(batch_id, decoded)
+        # A feed can return several versions of a row, of which only the last one tells
+        # who owns the batch now.
+        for batch_id, entry in changed.items():
             claimable = entry.row.state.owner in ("", self._instance_id)
             if claimable and not self._draining and self._orphaned(batch_id, entry):
                 self._start_take_over(batch_id, entry)
@@ -440,7 +445,7 @@
 
     def _start_take_over(self, batch_id: str, entry: _Entry) -> None:
         entry.pending = True
-        self._tasks.start_soon(self._take_over, batch_id, entry)
+        self._tasks.start_soon(self._take_over, batch_id, entry, entry.row.version)
 
     def _orphaned(self, batch_id: str, entry: _Entry) -> bool:
         state = entry.row.state
@@ -458,10 +463,10 @@
             state.owner, entry.seen_at, self._healthy_since, now
         )
 
-    async def _take_over(self, batch_id: str, entry: _Entry) -> None:
+    async def _take_over(self, batch_id: str, entry: _Entry, version: int) -> None:
+        """Take a batch over, unless its state has changed since the given version."""
         clock = self.kernel.clock
         try:
-            version = entry.row.version
             if entry.row.state.owner != self._instance_id:
                 jitter = random.uniform(0.0, TAKE_OVER_JITTER_S)
                 await clock.sleep_until(clock.now() + jitter)
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -10,7 +10,13 @@
 from plantainstack.services import batch_results, batch_store
 from plantainstack.services import batches as batches_module
 from plantainstack.services.batch_runs import BatchRun
-from plantainstack.serving import ItemState, WeightedService
+from plantainstack.serving import (
+    ItemState,
+    RowName,
+    RowsRead,
+    StoredRow,
+    WeightedService,
+)
 from tests.policy.serving_samples import batch, endpoint, item
 from tests.services.store_fleet import (
     BATCH_ROUTE,
@@ -532,3 +538,55 @@
         assert len(platform.client.opened_streams) == 4
         # A takeover would have increased the term.
         assert batches._entries["b1"].row.state.term == 1
+
+
+@pytest.mark.parametrize("former", ["", "b"])
+async def test_batch_with_a_newer_owner_in_the_same_answer_is_not_taken_over(
+    former, monkeypatch
+):
+    """Guards against a running batch that is started again at another instance.
+
+    An answer of the feed can hold several versions of a row. An instance that starts
+    reads versions of several seconds, in which the batch had no owner, or belonged to
+    its own former process, before the present owner took it over.
+    """
+    monkeypatch.setattr(batch_scheduling, "OWNER_RENEWAL_INTERVAL_S", 30.0)
+    monkeypatch.setattr(batch_scheduling, "OWNER_TIMEOUT_S", 30.0)
+    platform = FakePlatform()
+    platform.client.blocked_events[("i0", 1)] = anyio.Event()
+    async with running(platform, "a", "b") as (first, second):
+        owner, other = first.plugin("batches"), second.plugin("batches")
+        assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(owner, "b1", 3)
+        present = owner._entries["b1"].row
+        before = present.state._replace(owner=former)
+        name = RowName(batch_store.STATE_TABLE, "b1", batch_store.STATE_KEY)
+        rows = [
+            StoredRow(name, msgspec.msgpack.encode(before), present.version - 1),
+            StoredRow(name, msgspec.msgpack.encode(present.state), present.version),
+        ]
+        other._entries.clear()
+        other._apply_rows(RowsRead(tuple(rows), present.version, 0.0), False)
+        await anyio.sleep(batches_module.TAKE_OVER_JITTER_S + 0.2)
+        assert owner._entries["b1"].row.state.owner == "a"
+
+
+async def test_batch_that_got_an_owner_before_the_takeover_began_is_left_to_it(
+    monkeypatch,
+):
+    """Guards against two takeovers of one released batch, one after the other."""
+    monkeypatch.setattr(batch_scheduling, "OWNER_RENEWAL_INTERVAL_S", 30.0)
+    monkeypatch.setattr(batch_scheduling, "OWNER_TIMEOUT_S", 30.0)
+    platform = FakePlatform()
+    platform.client.blocked_events[("i0", 1)] = anyio.Event()
+    async with running(platform, "a", "b") as (first, second):
+        owner, other = first.plugin("batches"), second.plugin("batches")
+        assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(other, "b1", 3)
+        entry = other._entries["b1"]
+        present = entry.row
+        entry.row = present._replace(state=present.state._replace(owner=""), version=1)
+        other._start_take_over("b1", entry)
+        entry.row = present
+        await anyio.sleep(batches_module.TAKE_OVER_JITTER_S + 0.2)
+        assert owner._entries["b1"].row.state.owner == "a"
