Run a trainer's next step where its previous one ran

Cause: a step opens a stream for each of its items, and each step ran at the instance that happened to accept it, where no connection to the model servers was open.

Change: the accepting instance stores the batch for the owner of the trainer's previous step (policy/batch_owners.py), unless that one also runs the latest step of another trainer or was not heard of for 8 s. An owner that expects a step reads the feed each 0.05 s. If it has not taken the batch over within 0.4 s, the accepting instance does; a takeover expects the stored version, so only one of them runs it. What a new owner reads, it reads at the same time.

Ruled out: keeping connections open at all instances (machines times servers, and servers accept a bounded number), and a choice by machine size, which the state row cannot carry without locking out builds that are still running.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -9,7 +9,8 @@
 from plantainstack import log
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.plugins import Plugin
-from plantainstack.policy import batch_scheduling
+from plantainstack.policy import batch_owners, batch_scheduling
+from plantainstack.policy.batch_owners import StepOwner
 from plantainstack.services.batch_results import APPEND_ITEMS
 from plantainstack.services.batch_runs import BatchRun, batch_route
 from plantainstack.services.batch_store import (
@@ -28,6 +29,8 @@
 # Shorter pause while a reader of this instance waits for results, which another
 # instance may be about to list.
 READ_PAUSE_S = 0.02
+# Pause of an instance that ran a trainer's step and may be given the next one.
+NEXT_STEP_PAUSE_S = 0.05
 SUPERVISE_INTERVAL_S = 0.4
 CONFIG_CHECK_S = 0.5
 # Delay after a failed read of the whole table. The feed still shows the batches that
@@ -88,6 +91,7 @@
         self._accepting: set[str] = set()
         self._full_read_due = anyio.Event()
         self._waiting_readers = 0
+        self._next_step_until = 0.0
 
     async def start(self, tasks) -> None:
         """Start to track the states of all batches."""
@@ -108,13 +112,19 @@
             self.kernel.clock,
             read,
             self._apply_rows,
-            lambda: READ_PAUSE_S if self._waiting_readers else FEED_PAUSE_S,
+            self._feed_pause_s,
             self._handle_feed_regained,
         )
         tasks.start_soon(self._read_feed)
         tasks.start_soon(self._read_full_table)
         tasks.start_soon(self._supervise)
 
+    def _feed_pause_s(self) -> float:
+        if self._waiting_readers:
+            return READ_PAUSE_S
+        next_step_expected = self.kernel.clock.now() < self._next_step_until
+        return NEXT_STEP_PAUSE_S if next_step_expected else FEED_PAUSE_S
+
     async def _read_feed(self) -> None:
         """Read the feed of states once a configuration with the routes is known."""
         while self._discovery.serving is None:
@@ -185,13 +195,27 @@
             log.event("batch.refused", batch.id, reason="the store does not answer")
             message = "the store does not answer"
             return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
-        owner = "" if self._draining else self._instance_id
+        owner = self._choose_owner(route)
         self._accepting.add(batch.id)
         try:
             return await self._accept(batch, route, owner, started)
         finally:
             self._accepting.discard(batch.id)
 
+    def _choose_owner(self, route: Route) -> str:
+        steps = [
+            StepOwner(
+                entry.row.state.route,
+                entry.row.state.owner,
+                entry.known_since,
+                entry.seen_at,
+            )
+            for entry in self._entries.values()
+        ]
+        now = self.kernel.clock.now()
+        owner = batch_owners.choose_owner(self._instance_id, route.name, steps, now)
+        return "" if self._draining and owner == self._instance_id else owner
+
     async def _accept(
         self, batch: Batch, route: Route, owner: str, started: float
     ) -> Result[None, Failure]:
@@ -216,14 +240,29 @@
             groups_wanted=batch.groups_wanted,
             min_version=batch.min_version,
             stored_here=stored_here,
+            owner=row.state.owner,
             seconds=seconds,
         )
         entry = self._apply_row(batch.id, row)
         entry.batch = batch
-        if stored_here and owner and not self._draining and entry.run is None:
+        if not stored_here or self._draining or entry.run is not None:
+            return Ok(None)
+        if owner == self._instance_id:
             self._start_run(entry, batch, route, [], {})
+        elif owner:
+            self._tasks.start_soon(self._ensure_handover, batch.id, entry, row.version)
         return Ok(None)
 
+    async def _ensure_handover(
+        self, batch_id: str, entry: _Entry, version: int
+    ) -> None:
+        """Run a batch here if the owner that it was given does not take it over."""
+        clock = self.kernel.clock
+        await clock.sleep_until(clock.now() + batch_owners.HANDOVER_TIMEOUT_S)
+        if entry.row.version == version and not entry.pending:
+            entry.pending = True
+            await self._take_over(batch_id, entry, version, jitter_s=0.0)
+
     async def results(
         self, batch_id: str, after: int, wait_s: float
     ) -> Result[ResultPage, Failure]:
@@ -424,7 +463,13 @@
             partials,
             on_state,
         )
-        self._tasks.start_soon(entry.run.run)
+        self._tasks.start_soon(self._run, entry.run)
+
+    async def _run(self, run: BatchRun) -> None:
+        """Run a batch; the trainer's next one may be given to this instance."""
+        await run.run()
+        now = self.kernel.clock.now()
+        self._next_step_until = now + batch_owners.PREVIOUS_STEP_MAX_AGE_S
 
     async def _supervise(self) -> None:
         """Take over orphaned batches and delete expired ones, periodically."""
@@ -463,13 +508,19 @@
             state.owner, entry.seen_at, self._healthy_since, now
         )
 
-    async def _take_over(self, batch_id: str, entry: _Entry, version: int) -> None:
+    async def _take_over(
+        self,
+        batch_id: str,
+        entry: _Entry,
+        version: int,
+        jitter_s: float = TAKE_OVER_JITTER_S,
+    ) -> None:
         """Take a batch over, unless its state has changed since the given version."""
         clock = self.kernel.clock
         try:
             if entry.row.state.owner != self._instance_id:
-                jitter = random.uniform(0.0, TAKE_OVER_JITTER_S)
-                await clock.sleep_until(clock.now() + jitter)
+                delay_s = random.uniform(0.0, jitter_s)
+                await clock.sleep_until(clock.now() + delay_s)
             if entry.row.version != version or self._draining:
                 return
             outcome = await self._batch_store.take_over(
@@ -492,9 +543,7 @@
 
     async def _resume(self, batch_id: str, entry: _Entry) -> None:
         """Continue a batch that was taken over, from its stored results and texts."""
-        loaded = await self._load_batch(entry, batch_id)
-        listed = await self._batch_store.results(batch_id, 0, entry.row.state.listed)
-        partials = await self._batch_store.partials(batch_id)
+        loaded, listed, partials = await self._read_progress(entry, batch_id)
         for outcome in (loaded, listed, partials):
             if outcome.is_err():
                 reason = outcome.unwrap_err().message
@@ -509,6 +558,23 @@
             entry, loaded.unwrap(), route, listed.unwrap(), partials.unwrap()
         )
 
+    async def _read_progress(self, entry: _Entry, batch_id: str) -> list[Result]:
+        """Read a batch, its listed results and its texts at the same time."""
+        reads = (
+            lambda: self._load_batch(entry, batch_id),
+            lambda: self._batch_store.results(batch_id, 0, entry.row.state.listed),
+            lambda: self._batch_store.partials(batch_id),
+        )
+        found: list[Result] = [None] * len(reads)
+
+        async def read(number: int) -> None:
+            found[number] = await reads[number]()
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(len(reads)):
+                tasks.start_soon(read, number)
+        return found
+
     async def _abandon(
         self, batch_id: str, entry: _Entry, batch: Batch, listed: list[ItemResult]
     ) -> None:
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -590,3 +590,65 @@
         entry.row = present
         await anyio.sleep(batches_module.TAKE_OVER_JITTER_S + 0.2)
         assert owner._entries["b1"].row.state.owner == "a"
+
+
+async def runner_of(kernels, batch_id):
+    """Return the id of the instance that runs a batch, once one does."""
+
+    def running_at():
+        return [
+            kernel.settings.instance.id
+            for kernel in kernels
+            if (entry := kernel.plugin("batches")._entries.get(batch_id))
+            and entry.run is not None
+        ]
+
+    await until(running_at)
+    return running_at()
+
+
+async def test_next_step_runs_at_the_instance_that_ran_the_previous_one():
+    """Guards against steps that open all connections anew at another instance."""
+    platform = FakePlatform()
+    async with running(platform, "a", "b") as kernels:
+        first, second = (kernel.plugin("batches") for kernel in kernels)
+        assert (await first.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(second, "b1", 4)
+        following = four_items()._replace(id="b2")
+        assert (await second.submit(following, BATCH_ROUTE)).is_ok()
+        assert await runner_of(kernels, "b2") == ["a"]
+        assert len(await all_results(second, "b2", 4)) == 4
+        assert len(platform.client.opened_streams) == 8
+
+
+async def test_step_runs_where_it_was_accepted_if_the_previous_owner_is_gone():
+    """Guards against a step that waits for an instance that was lost."""
+    platform = FakePlatform()
+    async with running(platform, "b") as kernels:
+        other = kernels[0].plugin("batches")
+        async with running(platform, "a") as owners:
+            owner = owners[0].plugin("batches")
+            assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
+            await all_results(other, "b1", 4)
+        following = four_items()._replace(id="b2")
+        assert (await other.submit(following, BATCH_ROUTE)).is_ok()
+        assert len(await all_results(other, "b2", 4)) == 4
+        assert other._entries["b2"].row.state.owner == "b"
+        assert len(platform.client.opened_streams) == 8
+
+
+async def test_step_is_not_handed_over_twice(monkeypatch):
+    """Guards against two owners if the previous one begins at the last moment."""
+    monkeypatch.setattr(batches_module.batch_owners, "HANDOVER_TIMEOUT_S", 0.0)
+    platform = FakePlatform()
+    async with running(platform, "a", "b") as kernels:
+        first, second = (kernel.plugin("batches") for kernel in kernels)
+        assert (await first.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await all_results(second, "b1", 4)
+        for number in range(2, 8):
+            following = four_items()._replace(id=f"b{number}")
+            assert (await second.submit(following, BATCH_ROUTE)).is_ok()
+            found = await all_results(second, f"b{number}", 4)
+            assert {result.text for result in found} == {TEXT}
+            stored = platform.rows.range(batch_store.RESULT_TABLE, f"b{number}", "", "")
+            assert len(stored) == 4
