Wait for another endpoint after an error to a reward call

Change: the endpoints that failed a call are left out before the free slots are looked at, so that the call waits for another one.

Before: test_a_failed_call_waits_for_an_endpoint_that_did_not_fail_it fails. After: it passes. Not measured on its own.

--- a/plantainstack/policy/reward_calls.py
+++ b/plantainstack/policy/reward_calls.py
@@ -120,7 +120,7 @@
     healthy = [end for end in endpoints if not balancer.is_avoided(end, now)]
     with_room = [
         end
-        for end in healthy or endpoints
+        for end in attempts.preferred(healthy or endpoints)
         if balancer.load(end, now) * end.slots < slots_for_reward_calls(end.slots)
     ]
-    return balancer.choose(attempts.preferred(with_room), now)
+    return balancer.choose(with_room, now)
--- a/tests/policy/test_reward_calls.py
+++ b/tests/policy/test_reward_calls.py
@@ -99,6 +99,22 @@
     assert found.endpoint.id == "e2"
 
 
+def test_a_failed_call_waits_for_an_endpoint_that_did_not_fail_it():
+    """Guards against errors of one broken endpoint that abandon an item.
+
+    The broken endpoint is the only one with a free slot.
+    """
+    balancer = LoadBalancer("dc-a")
+    ends = [endpoint("e1", slots=1), endpoint("e2", slots=1)]
+    balancer.request_started(ends[1])
+    attempts = RewardAttempts()
+    attempts.record_error("e1")
+    assert reward_calls.choose_endpoint(balancer, ends, attempts, 1.0) is None
+    balancer.request_ended(ends[1])
+    found = reward_calls.choose_endpoint(balancer, ends, attempts, 1.0)
+    assert found.endpoint.id == "e2"
+
+
 def test_delay_grows_up_to_its_limit():
     """Guards against calls that load full or lost endpoints even more."""
     attempts = RewardAttempts()
