--- a/plantainstack/policy/reward_calls.py
+++ b/plantainstack/policy/reward_calls.py
@@ -81,6 +81,10 @@
         """Record that an endpoint refused the call because it was full."""
         self._failures += 1
 
+    def failed(self) -> bool:
+        """Return whether an endpoint has failed this call."""
+        return bool(self._failed_endpoints)
+
     def exhausted(self, errors_max: int) -> bool:
         """Return whether the call has failed often enough to abandon its item."""
         return self.errors >= errors_max
--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -193,7 +193,9 @@
         usable = self._discovery.usable(service)
         found = reward_calls.choose_endpoint(balancer, usable, request.attempts, now)
         if found is None:
-            full.add(service)
+            # A call that failed may only wait for the endpoints that did not fail it.
+            if not request.attempts.failed():
+                full.add(service)
             return None
         age_s = balancer.report_age_s(found.endpoint, now)
         return _Slot(route, found.endpoint, found.load, age_s)
--- a/tests/services/test_reward_calls.py
+++ b/tests/services/test_reward_calls.py
@@ -22,6 +22,7 @@
 from tests.services.store_fleet import (
     BATCH_ROUTE,
     CONFIG,
+    REWARD_ROUTE,
     FakePlatform,
     all_results,
     running,
@@ -345,3 +346,25 @@
     [(_, row)] = platform.rows.range(batch_store.ITEM_TABLE, "b1", "", "")
     stored = msgspec.msgpack.decode(zlib.decompress(row.value))
     assert len(stored[-1][0]) == 6
+
+
+async def test_call_that_waits_for_another_endpoint_does_not_hold_up_others():
+    """Guards against free slots that no call uses while a failed one waits.
+
+    The first call failed at a1 and waits for a2, which is busy with the second one.
+    """
+    platform = new_platform(app_slots=1)
+    patient = REWARD_ROUTE._replace(objective_s=30.0, timeout_s=30.0)
+    platform.config = CONFIG._replace(routes=(BATCH_ROUTE, patient))
+    gate = anyio.Event()
+    platform.client.scripts |= {"reward-i0": [500], "reward-i1": [gate]}
+    async with running(platform, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        # The failed call goes before those of the larger group.
+        groups = {"i0": "g0", "i1": "g1"} | {f"i{n}": "g2" for n in range(2, 6)}
+        items = batch(*(scored_item(id, group) for id, group in groups.items()))
+        assert (await batches.submit(items, BATCH_ROUTE)).is_ok()
+        found = await all_results(batches, "b1", 4)
+        assert {result.item_id for result in found} == {"i2", "i3", "i4", "i5"}
+        gate.set()
+        await all_results(batches, "b1", 6)
