Record a failed reward call before its slot is given to the next one

Before: test_waiting_calls_are_not_sent_to_an_endpoint_that_just_failed fails (more than two calls at the silent endpoint). After: it passes. Not measured on its own.

--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -107,9 +107,13 @@
         while (slot := await self._reserve_slot(request)) is not None:
             outcome = await self._attempt(request, slot)
             answer = outcome.ok()
-            if answer is not None and _is_score(answer):
+            scored = answer is not None and _is_score(answer)
+            if not scored:
+                self._handle_failure(request, slot.endpoint, outcome)
+            # Only now, since a failure decides which endpoints others may use.
+            self._grant_slots()
+            if scored:
                 return answer.receipt
-            self._handle_failure(request, slot.endpoint, outcome)
             limit = reward_calls.errors_max(request.batch_route, slot.route)
             if attempts.exhausted(limit):
                 return None
@@ -130,7 +134,7 @@
                 await waiting.granted.wait()
         except BaseException:
             if waiting.slot is not None:
-                self._release_slot(waiting.slot.endpoint)
+                self._discovery.balancer.request_ended(waiting.slot.endpoint)
             raise
         finally:
             if waiting.slot is None:
@@ -138,10 +142,6 @@
         metrics.REWARD_WAIT_SECONDS.observe(self._clock.now() - waiting.since)
         return waiting.slot
 
-    def _release_slot(self, endpoint: Endpoint) -> None:
-        self._discovery.balancer.request_ended(endpoint)
-        self._grant_slots()
-
     async def _assign_slots(self) -> None:
         while True:
             await self._arrived.wait()
@@ -211,7 +211,7 @@
                 call = self._endpoint_call(request)
                 outcome = await self._endpoints.call(slot.endpoint, call)
         finally:
-            self._release_slot(slot.endpoint)
+            self._discovery.balancer.request_ended(slot.endpoint)
         self._record_attempt(request, slot, outcome, started, answer_by)
         return outcome
 
--- a/tests/services/test_reward_calls.py
+++ b/tests/services/test_reward_calls.py
@@ -368,3 +368,21 @@
         assert {result.item_id for result in found} == {"i2", "i3", "i4", "i5"}
         gate.set()
         await all_results(batches, "b1", 6)
+
+
+async def test_waiting_calls_are_not_sent_to_an_endpoint_that_just_failed():
+    """Guards against a lost endpoint that delays all calls, a few at a time."""
+    platform = new_platform(app_slots=3)
+
+    async def silent():
+        await anyio.sleep_forever()
+
+    async def busy():
+        await anyio.sleep(0.2)
+
+    platform.client.statuses |= {"a1": silent, "a2": busy}
+    async with running(platform, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(scored_batch(10), BATCH_ROUTE)).is_ok()
+        await all_results(batches, "b1", 10)
+        assert reward_calls(platform).count("a1") == 2
