Keep the cache of batches in a module of its own

batches.py held ownership, reading and the cache of results. No change of behaviour but one: a removed batch no longer counts in the size of the cache, which otherwise evicted more and more as batches came and went (test_removed_batches_no_longer_count fails with the former count).

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -11,6 +11,7 @@
 from plantainstack.plugins import Plugin
 from plantainstack.policy import batch_owners, batch_scheduling
 from plantainstack.policy.batch_owners import StepOwner
+from plantainstack.services.batch_cache import BatchCache, BatchEntry
 from plantainstack.services.batch_results import APPEND_ITEMS
 from plantainstack.services.batch_runs import BatchRun, batch_route
 from plantainstack.services.batch_store import (
@@ -20,7 +21,7 @@
     state_row,
 )
 from plantainstack.services.discovery import STORE_OUTAGE_MAX_S
-from plantainstack.services.feeds import ChangeNotifier, FeedReader, recent_rows
+from plantainstack.services.feeds import FeedReader, recent_rows
 from plantainstack.serving import Batch, ItemResult, ItemState, Route, RowsRead
 
 # Pause between reads of the feed, so that one read returns several state changes.
@@ -47,8 +48,6 @@
 # Timeout for looking up an unknown or possibly outdated state; after it, the read fails
 # and the reader can try another instance. A working store responds within 0.3 s.
 STATE_READ_TIMEOUT_S = 0.7
-# Half of the memory that the process leaves free on the smallest machine (128 MB).
-CACHE_BYTES = 24 * 1024 * 1024
 
 
 class ResultPage(NamedTuple):
@@ -58,21 +57,6 @@
     results: list[ItemResult]
 
 
-class _Entry:
-    """Cache the state, the results and the run of one batch."""
-
-    def __init__(self, row: StateRow, now: float):
-        self.row = row
-        self.seen_at = now
-        self.known_since = now
-        self.changed = ChangeNotifier()
-        self.results: dict[int, ItemResult] = {}
-        self.batch: Batch | None = None
-        self.run: BatchRun | None = None
-        # Whether a takeover or the removal of the batch is in progress.
-        self.pending = False
-
-
 class Batches(Plugin):
     """Track the state of all batches and run those that this instance owns."""
 
@@ -81,9 +65,9 @@
 
     def __init__(self, kernel):
         super().__init__(kernel)
-        self._entries: dict[str, _Entry] = {}
+        self._cache = BatchCache()
+        self._entries = self._cache.entries
         self._instance_id = kernel.settings.instance.id
-        self._cached_bytes = 0
         self._draining = False
         self._released = anyio.Event()
         # Ids of batches that are being stored. Their runs start once the store has
@@ -254,7 +238,7 @@
         return Ok(None)
 
     async def _ensure_handover(
-        self, batch_id: str, entry: _Entry, version: int
+        self, batch_id: str, entry: BatchEntry, version: int
     ) -> None:
         """Run a batch here if the owner that it was given does not take it over."""
         clock = self.kernel.clock
@@ -305,7 +289,7 @@
             return Ok(ResultPage(state.total, []))
         return await self._read_page(entry, batch_id, after)
 
-    async def _wait(self, entry: _Entry, seconds: float) -> None:
+    async def _wait(self, entry: BatchEntry, seconds: float) -> None:
         self._waiting_readers += 1
         try:
             await entry.changed.wait(seconds)
@@ -347,13 +331,13 @@
         self._apply_row(batch_id, row)
         return Ok(None)
 
-    async def _find_entry(self, batch_id: str) -> Result[_Entry, Failure]:
+    async def _find_entry(self, batch_id: str) -> Result[BatchEntry, Failure]:
         """Return a batch, reading its state from the store if necessary.
 
         The store is read if the batch is unknown or its state may be out of date.
         """
         entry = self._entries.get(batch_id)
-        running = entry is not None and entry.run is not None and not entry.run.stopped
+        running = entry is not None and entry.is_running()
         if entry is not None and (running or self._feed.lost_at is None):
             return Ok(entry)
         found = None
@@ -368,7 +352,7 @@
         return Ok(self._apply_row(batch_id, row))
 
     async def _read_page(
-        self, entry: _Entry, batch_id: str, after: int
+        self, entry: BatchEntry, batch_id: str, after: int
     ) -> Result[ResultPage, Failure]:
         count = min(PAGE_RESULTS, max(1, entry.row.state.listed - after))
         if any(after + number not in entry.results for number in range(count)):
@@ -376,13 +360,15 @@
             if found.is_err():
                 message = found.unwrap_err().message
                 return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
-            self._cache(entry, after, found.unwrap())
+            self._cache.add_results(entry, after, found.unwrap())
         page = []
         while len(page) < count and after + len(page) in entry.results:
             page.append(entry.results[after + len(page)])
         return Ok(ResultPage(entry.row.state.total, page))
 
-    async def _load_batch(self, entry: _Entry, batch_id: str) -> Result[Batch, Failure]:
+    async def _load_batch(
+        self, entry: BatchEntry, batch_id: str
+    ) -> Result[Batch, Failure]:
         if entry.batch is not None:
             return Ok(entry.batch)
         found = await self._batch_store.batch(batch_id)
@@ -390,34 +376,13 @@
             entry.batch = found.unwrap()
         return found
 
-    def _cache(self, entry: _Entry, first: int, results: list[ItemResult]) -> None:
-        for number, result in enumerate(results):
-            if first + number not in entry.results:
-                entry.results[first + number] = result
-                self._cached_bytes += len(result.text)
-        if self._cached_bytes > CACHE_BYTES:
-            self._evict(entry)
-
-    def _evict(self, kept: _Entry) -> None:
-        """Evict cached results, those of the earliest known batches first."""
-        for entry in self._entries.values():
-            if self._cached_bytes <= CACHE_BYTES / 2:
-                return
-            if entry is not kept:
-                self._cached_bytes -= sum(
-                    len(each.text) for each in entry.results.values()
-                )
-                entry.results.clear()
-                if entry.run is None or entry.run.stopped:
-                    entry.batch = None
-
     def _apply_rows(self, found: RowsRead, is_snapshot: bool) -> None:
-        changed: dict[str, _Entry] = {}
+        changed: dict[str, BatchEntry] = {}
         for row in found.rows:
             decoded = state_row(row)
             batch_id = row.name.part
             if decoded is None:
-                self._entries.pop(batch_id, None)
+                self._cache.remove(batch_id)
                 changed.pop(batch_id, None)
             else:
                 changed[batch_id] = self._apply_row(batch_id, decoded)
@@ -428,11 +393,11 @@
             if claimable and not self._draining and self._orphaned(batch_id, entry):
                 self._start_take_over(batch_id, entry)
 
-    def _apply_row(self, batch_id: str, row: StateRow) -> _Entry:
+    def _apply_row(self, batch_id: str, row: StateRow) -> BatchEntry:
         now = self.kernel.clock.now()
         entry = self._entries.get(batch_id)
         if entry is None:
-            entry = self._entries[batch_id] = _Entry(row, now)
+            entry = self._entries[batch_id] = BatchEntry(row, now)
             if not row.state.listed and not row.state.ended:
                 self._discovery.record_step(row.state.route)
         elif row.version > entry.row.version:
@@ -450,7 +415,8 @@
 
     def _start_run(self, entry, batch, route, listed, partials) -> None:
         def on_state(row: StateRow, results: list[ItemResult]) -> None:
-            self._cache(entry, row.state.listed - len(results), results)
+            first = row.state.listed - len(results)
+            self._cache.add_results(entry, first, results)
             self._apply_row(batch.id, row)
 
         entry.run = BatchRun(
@@ -488,17 +454,17 @@
                     entry.pending = True
                     self._tasks.start_soon(self._remove, batch_id, entry)
 
-    def _start_take_over(self, batch_id: str, entry: _Entry) -> None:
+    def _start_take_over(self, batch_id: str, entry: BatchEntry) -> None:
         entry.pending = True
         self._tasks.start_soon(self._take_over, batch_id, entry, entry.row.version)
 
-    def _orphaned(self, batch_id: str, entry: _Entry) -> bool:
+    def _orphaned(self, batch_id: str, entry: BatchEntry) -> bool:
         state = entry.row.state
         if state.ended or state.listed >= state.total:
             return False
         if entry.pending or batch_id in self._accepting:
             return False
-        if entry.run is not None and not entry.run.stopped:
+        if entry.is_running():
             return False
         if state.owner == self._instance_id and entry.run is None:
             # An earlier process of this instance owned the batch.
@@ -511,7 +477,7 @@
     async def _take_over(
         self,
         batch_id: str,
-        entry: _Entry,
+        entry: BatchEntry,
         version: int,
         jitter_s: float = TAKE_OVER_JITTER_S,
     ) -> None:
@@ -541,7 +507,7 @@
         finally:
             entry.pending = False
 
-    async def _resume(self, batch_id: str, entry: _Entry) -> None:
+    async def _resume(self, batch_id: str, entry: BatchEntry) -> None:
         """Continue a batch that was taken over, from its stored results and texts."""
         loaded, listed, partials = await self._read_progress(entry, batch_id)
         for outcome in (loaded, listed, partials):
@@ -549,7 +515,7 @@
                 reason = outcome.unwrap_err().message
                 log.event("batch.not_resumed", batch_id, reason=reason)
                 return
-        self._cache(entry, 0, listed.unwrap())
+        self._cache.add_results(entry, 0, listed.unwrap())
         route = batch_route(self._discovery.serving, loaded.unwrap())
         if route is None:
             await self._abandon(batch_id, entry, loaded.unwrap(), listed.unwrap())
@@ -558,7 +524,7 @@
             entry, loaded.unwrap(), route, listed.unwrap(), partials.unwrap()
         )
 
-    async def _read_progress(self, entry: _Entry, batch_id: str) -> list[Result]:
+    async def _read_progress(self, entry: BatchEntry, batch_id: str) -> list[Result]:
         """Read a batch, its listed results and its texts at the same time."""
         reads = (
             lambda: self._load_batch(entry, batch_id),
@@ -576,7 +542,7 @@
         return found
 
     async def _abandon(
-        self, batch_id: str, entry: _Entry, batch: Batch, listed: list[ItemResult]
+        self, batch_id: str, entry: BatchEntry, batch: Batch, listed: list[ItemResult]
     ) -> None:
         """List the unfinished items as abandoned, since the batch has no route."""
         log.event("batch.route_gone", batch_id, route=entry.row.state.route)
@@ -593,6 +559,6 @@
                 return
             self._apply_row(batch_id, outcome.unwrap())
 
-    async def _remove(self, batch_id: str, entry: _Entry) -> None:
+    async def _remove(self, batch_id: str, entry: BatchEntry) -> None:
         await self._batch_store.remove(batch_id, entry.row)
-        self._entries.pop(batch_id, None)
+        self._cache.remove(batch_id)
