Fit the naive pool of the proof of late answers to the pool's release

The pool's release takes the exchange since; the naive version, which reuses every connection, now takes it too. The proof checks as much as before: it fails with the naive version and holds with the real one.

--- a/tests/proofs/test_guards.py
+++ b/tests/proofs/test_guards.py
@@ -95,7 +95,7 @@
     return second.ok_value.body != b"second"
 
 
-async def naive_release(pool, conn):
+async def naive_release(pool, conn, exchange):
     """Reuse a connection even if its answer has not been read."""
     stream = GuardedStream(conn.stream._stream)
     http = httpcore.AsyncHTTP11Connection(pool._origin, stream, None)
