--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -115,6 +115,8 @@
             log_config=None,
             access_log=False,
             server_header=False,
+            # The date would be that of the start; see `main_loop`.
+            date_header=False,
             proxy_headers=False,
             timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
@@ -125,6 +127,7 @@
         _redirect_uvicorn_log()
         self._socket = _listen(address)
         self.address = Address(*self._socket.getsockname()[:2])
+        self._close_requested = anyio.Event()
         self._ended = anyio.Event()
 
     @contextlib.contextmanager
@@ -139,9 +142,15 @@
         finally:
             self._ended.set()
 
+    async def main_loop(self) -> None:
+        """Wait for `close`; uvicorn's own loop wakes up ten times a second."""
+        await self.on_tick(0)
+        await self._close_requested.wait()
+
     async def close(self) -> None:
         """Stop listening and wait until running requests have finished."""
         self.should_exit = True
+        self._close_requested.set()
         await self._ended.wait()
 
 
--- a/plantainstack/platform/records.py
+++ b/plantainstack/platform/records.py
@@ -219,7 +219,7 @@
             leaving=found.state == "draining",
             started_ms=found.born,
             versions={model.name: model.version for model in found.models},
-            warm_at=clock.now() + found.cold_ms / 1000,
+            warm_at=clock.now() + found.cold_ms / 1000 if found.cold_ms else 0.0,
         )
     )
 
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -137,6 +137,7 @@
             for item in order.long + order.others
             if item.id not in self._listed_items
         ]
+        self._discovery.need_recent_endpoints()
         for item in items:
             self._progress_of_group(item).unfinished += 1
         with self._scope:
@@ -400,6 +401,7 @@
             await self._clock.sleep_until(planned)
             now = self._clock.now()
             lag.record(planned, now)
+            self._discovery.need_recent_endpoints()
             self._apply_current_route()
             usable = self._endpoints_with_recent_weights()
             best_latency = self._discovery.balancer.best_latency(usable, now)
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -16,9 +16,14 @@
 )
 
 # Each endpoint writes its registration every 1.2 s. The pause combines the changes of
-# all endpoints into a few responses per second, and is far below the 2 s within which
-# an endpoint that is shutting down must get no more requests.
+# all endpoints into a few responses per second.
 ENDPOINT_PAUSE_S = 0.3
+# Pause of an instance that runs no batch and orders no weights, as a share of the time
+# after which an endpoint that leaves may get no more requests, and at most in seconds.
+IDLE_PAUSE_SHARE = 0.25
+IDLE_PAUSE_MAX_S = 1.0
+# An instance that ran a batch expects the next one within this time.
+ACTIVE_FOR_S = 5.0
 OPERATOR_PAUSE_S = 0.05
 # An instance that cannot reach the store for this long reports that it is not ready, so
 # that new clients go to other instances. If no instance can reach it, the platform uses
@@ -49,6 +54,8 @@
         self.balancer = LoadBalancer(kernel.settings.instance.data_centre)
         self.changed = ChangeNotifier()
         self._operator_feed: FeedReader | None = None
+        self._endpoint_feed: FeedReader | None = None
+        self._active_until = 0.0
         self._endpoints_read = False
         self._reported_versions: dict[tuple, int] = {}
 
@@ -62,18 +69,32 @@
             self._apply_operator_changes,
             lambda: OPERATOR_PAUSE_S,
         )
-        endpoints = FeedReader(
+        self._endpoint_feed = FeedReader(
             "endpoints",
             self.kernel.clock,
             registry.endpoint_changes,
             self._apply_endpoint_changes,
-            lambda: ENDPOINT_PAUSE_S,
+            self._endpoint_pause_s,
             self._store_recovered,
         )
         tasks.start_soon(self._operator_feed.run)
-        tasks.start_soon(endpoints.run)
+        tasks.start_soon(self._endpoint_feed.run)
         tasks.start_soon(self._expire)
 
+    def need_recent_endpoints(self) -> None:
+        """Follow the endpoints closely for the next ACTIVE_FOR_S seconds."""
+        now = self.kernel.clock.now()
+        if now >= self._active_until:
+            self._endpoint_feed.read_now()
+        self._active_until = now + ACTIVE_FOR_S
+
+    def _endpoint_pause_s(self) -> float:
+        if self.kernel.clock.now() < self._active_until:
+            return ENDPOINT_PAUSE_S
+        notice_s = self.kernel.settings.bounds.endpoint_notice
+        idle_s = min(IDLE_PAUSE_MAX_S, IDLE_PAUSE_SHARE * notice_s)
+        return max(ENDPOINT_PAUSE_S, idle_s)
+
     def unready_reason(self) -> str | None:
         """Return why the instance cannot serve requests, or None if it can."""
         if self.serving is None:
@@ -121,6 +142,7 @@
     def _apply_operator_changes(
         self, found: OperatorChanges, is_snapshot: bool
     ) -> None:
+        before = (self.serving, dict(self.versions))
         cfg = found.config
         if cfg is not None and (
             self.serving is None or cfg.version > self.serving.version
@@ -134,7 +156,8 @@
                 now = self.kernel.clock.now()
                 self.versions[model] = AnnouncedVersion(version, now)
                 log.event("version.named", model=model, version=version)
-        self.changed.notify()
+        if (self.serving, self.versions) != before:
+            self.changed.notify()
 
     def _apply_endpoint_changes(
         self, found: EndpointChanges, is_snapshot: bool
@@ -160,6 +183,8 @@
 
     def _publish_changes(self, before: dict[str, Endpoint]) -> None:
         known = self.view.known
+        if known == before:
+            return
         gone = []
         for id, endpoint in before.items():
             after = known.get(id)
--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -71,6 +71,7 @@
         self._on_regained = on_regained
         self._cursor: Cursor | None = None
         self._failures = 0
+        self._due = anyio.Event()
         self.lost_at: float | None = None
         self.answered_at: float | None = None
 
@@ -88,7 +89,16 @@
                 continue
             self._handle_success()
             self._apply_changes(outcome.unwrap())
-            await self._clock.sleep_until(self._clock.now() + self._pause_s())
+            await self._pause()
+
+    def read_now(self) -> None:
+        """End the pause before the next read."""
+        self._due.set()
+
+    async def _pause(self) -> None:
+        with anyio.move_on_after(self._pause_s()):
+            await self._due.wait()
+        self._due = anyio.Event()
 
     def _apply_changes(self, found) -> None:
         if isinstance(found, HistoryLost):
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -140,6 +140,7 @@
         async with anyio.create_task_group() as tasks:
             while (loads := self.due_loads()) and not self._plugin.stopping():
                 now = self._clock.now()
+                self._discovery.need_recent_endpoints()
                 allowed = [
                     load
                     for load in loads
--- a/plantainstack/settings/node.py
+++ b/plantainstack/settings/node.py
@@ -27,6 +27,9 @@
     """Options of the section `bounds`: time limits agreed with the platform."""
 
     grace = Duration("8 s", help="Time between SIGTERM and SIGKILL.")
+    endpoint_notice = Duration(
+        "2 s", help="Time after which an endpoint that leaves may get no more requests."
+    )
     order_gap = Duration(
         "3 s", help="Minimum time between orders of two instances to one endpoint."
     )
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -17,6 +17,7 @@
     "provider.address": "10.0.0.9:8002",
     "bounds.grace_s": "8",
     "bounds.lease_ms": "3000",
+    "bounds.drain_ms": "4000",
 }
 
 
@@ -33,6 +34,7 @@
     assert settings.instance.id == "front-1"
     assert str(settings.store.address) == "10.0.0.9:8002"
     assert (settings.bounds.grace, settings.bounds.order_gap) == (8.0, 3.0)
+    assert settings.bounds.endpoint_notice == 4.0
 
 
 def test_all_problems_are_reported_at_once():
