Record an endpoint's load before the scored request counts as ended

Cause: an endpoint counts a request until it has answered it, so the load that it reports with the answer includes that request. Reward calls recorded the report after they had ended their own count, so the request was taken for another instance's, and a free slot stayed unused until the next report.

Change: the report is recorded first. Forwarded requests have the same order of steps, but no limit that it would lower; they are left as they are.

--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -206,12 +206,17 @@
         started = self._clock.now()
         answer_by = request.attempts.begin(slot.route, started, request.deadline)
         outcome = Err(_unanswered())
+        balancer = self._discovery.balancer
         try:
             with anyio.move_on_after(answer_by - started):
                 call = self._endpoint_call(request)
                 outcome = await self._endpoints.call(slot.endpoint, call)
+            # Before the request is counted as ended, since the report includes it.
+            if outcome.is_ok():
+                report = outcome.unwrap().load
+                balancer.record_load_report(slot.endpoint, report, self._clock.now())
         finally:
-            self._discovery.balancer.request_ended(slot.endpoint)
+            balancer.request_ended(slot.endpoint)
         self._record_attempt(request, slot, outcome, started, answer_by)
         return outcome
 
@@ -244,12 +249,9 @@
         return before is not None
 
     def _record_attempt(self, request, slot, outcome, started, answer_by) -> None:
-        balancer = self._discovery.balancer
         now = self._clock.now()
         failure = outcome.err()
         answer = outcome.ok()
-        if answer is not None:
-            balancer.record_load_report(slot.endpoint, answer.load, now)
         end = failure.kind.value if failure else str(answer.answer.status)
         service = slot.endpoint.service
         metrics.REWARD_CALLS.labels(service, end).inc()
--- a/tests/services/test_reward_calls.py
+++ b/tests/services/test_reward_calls.py
@@ -386,3 +386,19 @@
         assert (await batches.submit(scored_batch(10), BATCH_ROUTE)).is_ok()
         await all_results(batches, "b1", 10)
         assert reward_calls(platform).count("a1") == 2
+
+
+async def test_answered_call_does_not_count_as_load_of_others():
+    """Guards against slots that stay unused after each answer.
+
+    An endpoint reports its load with an answer while it still counts that request.
+    """
+    platform = new_platform()
+    del platform.endpoints["a2"]
+    platform.client.load = EndpointLoadReport(1, 0, 6)
+    async with running(platform, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        assert (await batches.submit(scored_batch(), BATCH_ROUTE)).is_ok()
+        await all_results(batches, "b1", 1)
+        balancer = kernels[0].plugin("discovery").balancer
+        assert balancer.load(platform.endpoints["a1"], platform.clock.now()) == 0.0
