--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -61,6 +61,17 @@
     ["direction"],
     registry=REGISTRY,
 )
+LIMITED_ENDPOINTS = Gauge(
+    "plantainstack_limited_endpoints",
+    "Endpoints that have named this instance a limit on their request rate.",
+    registry=REGISTRY,
+)
+LIMITED_REQUESTS = Counter(
+    "plantainstack_limited_requests",
+    "Requests sent to endpoints that have named a limit, by service.",
+    ["service"],
+    registry=REGISTRY,
+)
 REWARD_CALLS = Counter(
     "plantainstack_reward_calls",
     "Attempts at reward calls, by service and end.",
--- a/plantainstack/platform/names.py
+++ b/plantainstack/platform/names.py
@@ -5,6 +5,8 @@
 EXPECT_INSTANCE = "Plantainstack-Expect-Instance"
 SEAL = "Plantainstack-Server-Seal"
 LOAD = "Plantainstack-Server-Load"
+# Requests a second that the endpoint takes from all instances together.
+RATE_LIMIT = "Server-Limit"
 NOT_EXECUTED = "Plantainstack-Not-Executed"
 WEIGHT_VERSIONS = "Plantainstack-Weight-Versions"
 LENGTH_HINT = "Plantainstack-Length-Hint"
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's servers, which the project calls endpoints."""
 
 import contextlib
+import math
 from collections.abc import AsyncIterator, Sequence
 from http import HTTPStatus
 
@@ -9,6 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from plantainstack import log
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.interfaces import PlainAnswer
@@ -258,6 +260,7 @@
                 not_run,
                 _load_report(response.headers),
                 names.header(response.headers, names.SEAL),
+                _rate_limit(response.headers),
             )
         )
 
@@ -272,6 +275,7 @@
             _end_to_end_headers(response.headers),
             _parse_version(names.header(response.headers, names.WEIGHT_VERSIONS)),
             _load_report(response.headers),
+            _rate_limit(response.headers),
         )
 
     async def events(self) -> AsyncIterator[Result[StreamEvent, Failure]]:
@@ -336,6 +340,20 @@
     return EndpointLoadReport(*(int(part) for part in parts))
 
 
+def _rate_limit(headers) -> float | None:
+    text = names.header(headers, names.RATE_LIMIT)
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if math.isfinite(limit) and limit >= 0.0:
+        return limit
+    log.event("endpoint.limit_unreadable", value=text[:40])
+    return None
+
+
 def _parse_version(text: str | None) -> int | None:
     return int(text) if text and text.strip().isdigit() else None
 
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -35,6 +35,7 @@
     RequestKind,
     Route,
     ServingConfig,
+    rate_limit_of,
 )
 
 # Maximum wait for a free slot before the endpoints are checked again. Slots that other
@@ -348,7 +349,11 @@
             self._deadline,
             run.last_event,
         )
+        self._discovery.record_request(endpoint, item.id)
         async with self._endpoints.stream(endpoint, call) as opened:
+            if opened.is_ok():
+                limit = rate_limit_of(opened.unwrap())
+                self._discovery.record_rate_limit(endpoint, limit, attempt.started_at)
             if opened.is_err():
                 self._handle_failure(run, endpoint, opened.unwrap_err())
             elif isinstance(opened.unwrap(), EndpointAnswer):
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -6,6 +6,7 @@
 from plantainstack.plugins import Plugin
 from plantainstack.policy.endpoint_view import EndpointView
 from plantainstack.policy.load_balancing import LoadBalancer
+from plantainstack.policy.rate_limits import RateLimits
 from plantainstack.services.feeds import ChangeNotifier, FeedReader
 from plantainstack.serving import (
     ClientLimits,
@@ -52,6 +53,7 @@
         self.last_step_at: dict[str, float] = {}
         self.view = EndpointView()
         self.balancer = LoadBalancer(kernel.settings.instance.data_centre)
+        self.rate_limits = RateLimits()
         self.changed = ChangeNotifier()
         self._operator_feed: FeedReader | None = None
         self._endpoint_feed: FeedReader | None = None
@@ -139,6 +141,31 @@
             if endpoint is not None:
                 self.balancer.record_remote_latency(endpoint, seconds, now)
 
+    def record_request(self, endpoint: Endpoint, request_id: str) -> None:
+        """Record a request that is sent, if the endpoint has named a limit."""
+        limit = self.rate_limits.limit(endpoint)
+        if limit is None:
+            return
+        metrics.LIMITED_REQUESTS.labels(endpoint.service).inc()
+        log.event(
+            "endpoint.limited_request", request_id, endpoint=endpoint.id, limit=limit
+        )
+
+    def record_rate_limit(
+        self, endpoint: Endpoint, limit: float | None, sent_at: float
+    ) -> None:
+        """Record the limit that an answer names; `sent_at` is that of its request."""
+        now = self.kernel.clock.now()
+        if not self.rate_limits.record(endpoint, limit, sent_at, now):
+            return
+        metrics.LIMITED_ENDPOINTS.set(self.rate_limits.count())
+        log.event(
+            "endpoint.limit_ended" if limit is None else "endpoint.limit_named",
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            limit=limit,
+        )
+
     def _apply_operator_changes(
         self, found: OperatorChanges, is_snapshot: bool
     ) -> None:
@@ -205,6 +232,8 @@
         if gone:
             self.kernel.plugin("store").endpoint_client.drop_connections(gone)
             self.balancer.forget(gone)
+            self.rate_limits.forget(gone)
+            metrics.LIMITED_ENDPOINTS.set(self.rate_limits.count())
             ended = {endpoint.incarnation() for endpoint in gone}
             self._reported_versions = {
                 key: version
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -19,6 +19,7 @@
     OpenStream,
     Route,
     StreamHead,
+    rate_limit_of,
 )
 
 
@@ -139,6 +140,7 @@
             return None
         self.tried.append(selection.endpoint.id)
         metrics.ATTEMPTS.labels(self.service).inc()
+        self._plugin.discovery.record_request(selection.endpoint, self._call.request_id)
         return selection.endpoint
 
     def _endpoint_call(self, resume_after: int | None = None) -> EndpointCall:
@@ -226,20 +228,21 @@
         finally:
             self._balancer.request_ended(endpoint)
             self.running -= 1
-        self._handle_outcome(endpoint, outcome, self._clock.now() - started)
+        self._handle_outcome(endpoint, outcome, started)
         self._attempt_ended.set()
 
-    def _handle_outcome(self, endpoint: Endpoint, outcome, seconds: float) -> None:
+    def _handle_outcome(self, endpoint: Endpoint, outcome, started: float) -> None:
         if outcome.is_err():
             self._handle_failure(endpoint, outcome.unwrap_err())
             return
         answer = outcome.unwrap()
         now = self._clock.now()
         self._balancer.record_load_report(endpoint, answer.load, now)
+        self._plugin.discovery.record_rate_limit(endpoint, answer.rate_limit, started)
         if answer.not_run:
             self._handle_refusal(endpoint, answer.answer.status)
         elif forwarding.is_final(answer, self._route):
-            self._balancer.record_latency(endpoint, seconds, now)
+            self._balancer.record_latency(endpoint, now - started, now)
             self._answer = answer
         else:
             self._balancer.record_failure(endpoint, now)
@@ -264,10 +267,12 @@
         """Yield the response head, then complete events."""
         while (endpoint := self._next_endpoint()) is not None:
             self.ran += 1
+            started = self._clock.now()
             self._balancer.request_started(endpoint)
             try:
                 call = self._endpoint_call(self._last_event)
                 async with self._plugin.endpoints.stream(endpoint, call) as opened:
+                    self._record_rate_limit(endpoint, opened, started)
                     async for part in self._attempt_parts(endpoint, opened):
                         if part is None:
                             return
@@ -276,6 +281,11 @@
                 self._balancer.request_ended(endpoint)
         yield Err(forwarding.final_failure(self.failures, self.ran))
 
+    def _record_rate_limit(self, endpoint: Endpoint, opened, started: float) -> None:
+        if opened.is_ok():
+            limit = rate_limit_of(opened.unwrap())
+            self._plugin.discovery.record_rate_limit(endpoint, limit, started)
+
     async def _attempt_parts(self, endpoint: Endpoint, opened):
         """Yield the parts of one attempt, then None if the stream is complete."""
         if opened.is_err():
--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -207,14 +207,19 @@
         answer_by = request.attempts.begin(slot.route, started, request.deadline)
         outcome = Err(_unanswered())
         balancer = self._discovery.balancer
+        self._discovery.record_request(slot.endpoint, request.call.id)
         try:
             with anyio.move_on_after(answer_by - started):
                 call = self._endpoint_call(request)
                 outcome = await self._endpoints.call(slot.endpoint, call)
             # Before the request is counted as ended, since the report includes it.
             if outcome.is_ok():
-                report = outcome.unwrap().load
-                balancer.record_load_report(slot.endpoint, report, self._clock.now())
+                answer = outcome.unwrap()
+                now = self._clock.now()
+                balancer.record_load_report(slot.endpoint, answer.load, now)
+                self._discovery.record_rate_limit(
+                    slot.endpoint, answer.rate_limit, started
+                )
         finally:
             balancer.request_ended(slot.endpoint)
         self._record_attempt(request, slot, outcome, started, answer_by)
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -339,13 +339,15 @@
     """Hold an endpoint's complete response to a non-streaming request.
 
     `not_run` is set if the endpoint declared that it did not run the request.
-    `receipt` is the endpoint's proof that it produced this response.
+    `receipt` is the endpoint's proof that it produced this response. `rate_limit` is
+    the number of requests a second that it accepts from all instances together.
     """
 
     answer: PlainAnswer
     not_run: bool
     load: EndpointLoadReport | None
     receipt: str | None = None
+    rate_limit: float | None = None
 
 
 class StreamEvent(NamedTuple):
@@ -364,13 +366,15 @@
 class StreamHead(NamedTuple):
     """Hold the response head of a stream.
 
-    `version` is the weight version of the first event.
+    `version` is the weight version of the first event. `rate_limit` is that of an
+    `EndpointAnswer`.
     """
 
     status: int
     headers: list[tuple[str, str]]
     version: int | None
     load: EndpointLoadReport | None
+    rate_limit: float | None = None
 
 
 class OpenStream(ABC):
@@ -386,6 +390,11 @@
         """
 
 
+def rate_limit_of(found: OpenStream | EndpointAnswer) -> float | None:
+    """Return the limit that an endpoint named when a stream was requested."""
+    return found.head.rate_limit if isinstance(found, OpenStream) else found.rate_limit
+
+
 class EndpointCall(NamedTuple):
     """Hold a request to one endpoint; the deadline is a time on the process's clock.
 
