--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -290,7 +290,7 @@
     [("1.5", 1.5), ("0", 0.0), ("4", 4.0), ("many", None), ("-1", None), ("nan", None)],
 )
 async def test_limit_of_an_endpoint_is_read_from_its_answer(text, limit):
-    """Guards against a limit that is lost, or an unreadable one that fails an answer."""
+    """Guards against a limit that is lost, and an unreadable one that does harm."""
     headers = f"{ID}{SEAL}Server-Limit: {text}\r\n"
     [outcome], _ = await call_endpoint(answer(headers=headers))
     assert outcome.unwrap().rate_limit == limit
