--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -31,6 +31,7 @@
 STORE_MODULES = (
     "plantainstack.platform.plugin",
     "plantainstack.services.discovery",
+    "plantainstack.services.rate_permits",
     "plantainstack.services.forwarding",
     "plantainstack.services.reward_calls",
     "plantainstack.services.batches",
--- a/plantainstack/policy/load_balancing.py
+++ b/plantainstack/policy/load_balancing.py
@@ -109,6 +109,10 @@
         """Return whether the endpoint failed or refused a request recently."""
         return self._state(endpoint).avoid_until > now
 
+    def has_room(self, selection: Selection, now: float) -> bool:
+        """Return whether a chosen endpoint is sound and has a free slot."""
+        return selection.load < 1.0 and not self.is_avoided(selection.endpoint, now)
+
     def request_started(self, endpoint: Endpoint) -> None:
         """Count a request that this process sends."""
         self._state(endpoint).own_requests += 1
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -7,6 +7,7 @@
 
 from plantainstack import log, metrics
 from plantainstack.errors import Failure, Outcome
+from plantainstack.interfaces import Priority
 from plantainstack.policy import batch_scheduling, route_table
 from plantainstack.policy.item_runs import ItemRun, PartialText, StreamCheck
 from plantainstack.policy.load_balancing import EVENT_WEIGHT
@@ -106,6 +107,7 @@
         self._discovery = kernel.plugin("discovery")
         self._endpoints = kernel.plugin("store").endpoint_client
         self._reward_calls = kernel.plugin("reward_calls")
+        self._permits = kernel.plugin("rate_permits")
         self._route = route
         self._writer = ResultWriter(
             kernel.clock, batch_store, batch.id, row, self._latencies, on_state
@@ -186,6 +188,7 @@
             endpoint = self._choose(item, exclude)
             exclude = frozenset()
             if endpoint is not None:
+                self._permits.take(endpoint, Priority.ROLLOUT)
                 self._discovery.balancer.request_started(endpoint)
                 return endpoint
             with anyio.move_on_after(SLOT_RETRY_S):
@@ -196,7 +199,7 @@
         balancer = self._discovery.balancer
         now = self._clock.now()
         self._apply_current_route()
-        usable = self._candidates()
+        usable = self._permits.open_endpoints(self._candidates(), Priority.ROLLOUT)
         if item.id in self._long_items:
             fast = [end for end in usable if end.id not in exclude]
             selection = balancer.choose_fastest(fast, now, LOAD_MAX)
@@ -349,11 +352,11 @@
             self._deadline,
             run.last_event,
         )
-        self._discovery.record_request(endpoint, item.id)
+        self._permits.record_request(endpoint, item.id)
         async with self._endpoints.stream(endpoint, call) as opened:
             if opened.is_ok():
                 limit = rate_limit_of(opened.unwrap())
-                self._discovery.record_rate_limit(endpoint, limit, attempt.started_at)
+                self._permits.record_answer(endpoint, limit, attempt.started_at)
             if opened.is_err():
                 self._handle_failure(run, endpoint, opened.unwrap_err())
             elif isinstance(opened.unwrap(), EndpointAnswer):
@@ -408,14 +411,20 @@
             lag.record(planned, now)
             self._discovery.need_recent_endpoints()
             self._apply_current_route()
-            usable = self._endpoints_with_recent_weights()
-            best_latency = self._discovery.balancer.best_latency(usable, now)
+            recent = self._endpoints_with_recent_weights()
+            best_latency = self._discovery.balancer.best_latency(recent, now)
+            usable = self._open_endpoints(recent, now)
             for item_id, attempt in list(self._attempts.items()):
                 progress = attempt.progress(self._tokens_per_event())
                 if is_stalled(progress, best_latency, now, lag.seconds):
                     self._migrate_stalled(item_id, attempt, usable, now)
             self._migrate_slow(usable, now)
 
+    def _open_endpoints(self, endpoints: list[Endpoint], now: float) -> list[Endpoint]:
+        """Return the endpoints to which a stream may be moved without a new permit."""
+        limits = self._discovery.rate_limits
+        return [end for end in endpoints if limits.may_send(end, Priority.ROLLOUT, now)]
+
     def _migrate_stalled(self, item_id: str, attempt: _Attempt, usable, now) -> None:
         balancer = self._discovery.balancer
         exclude = frozenset((attempt.endpoint.id,))
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -141,31 +141,6 @@
             if endpoint is not None:
                 self.balancer.record_remote_latency(endpoint, seconds, now)
 
-    def record_request(self, endpoint: Endpoint, request_id: str) -> None:
-        """Record a request that is sent, if the endpoint has named a limit."""
-        limit = self.rate_limits.limit(endpoint)
-        if limit is None:
-            return
-        metrics.LIMITED_REQUESTS.labels(endpoint.service).inc()
-        log.event(
-            "endpoint.limited_request", request_id, endpoint=endpoint.id, limit=limit
-        )
-
-    def record_rate_limit(
-        self, endpoint: Endpoint, limit: float | None, sent_at: float
-    ) -> None:
-        """Record the limit that an answer names; `sent_at` is that of its request."""
-        now = self.kernel.clock.now()
-        if not self.rate_limits.record(endpoint, limit, sent_at, now):
-            return
-        metrics.LIMITED_ENDPOINTS.set(self.rate_limits.count())
-        log.event(
-            "endpoint.limit_ended" if limit is None else "endpoint.limit_named",
-            endpoint=endpoint.id,
-            service=endpoint.service,
-            limit=limit,
-        )
-
     def _apply_operator_changes(
         self, found: OperatorChanges, is_snapshot: bool
     ) -> None:
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -9,6 +9,7 @@
 
 from plantainstack import log, metrics
 from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.interfaces import Priority
 from plantainstack.plugins import Plugin
 from plantainstack.policy import forwarding, route_table
 from plantainstack.policy.forwarding import AttemptCounts
@@ -42,7 +43,7 @@
     """Forward requests, with retries and hedging where the route allows them."""
 
     name = "forwarding"
-    requires = ("discovery", "store")
+    requires = ("discovery", "rate_permits", "store")
 
     def __init__(self, kernel):
         super().__init__(kernel)
@@ -51,6 +52,7 @@
     async def start(self, tasks) -> None:
         """Look up the plug-ins that this one depends on."""
         self.discovery = self.kernel.plugin("discovery")
+        self.permits = self.kernel.plugin("rate_permits")
         self.endpoints = self.kernel.plugin("store").endpoint_client
 
     def route(self, host: str, path: str) -> Result[Route, Failure]:
@@ -127,21 +129,39 @@
         self.ran = 0
         self.running = 0
 
-    def _next_endpoint(self) -> Endpoint | None:
+    async def _next_endpoint(self) -> Endpoint | None:
         counts = AttemptCounts(len(self.tried), self.ran, self.running)
         if not forwarding.may_start_attempt(self._route, counts):
             return None
-        selection = self._balancer.choose(
-            self._plugin.discovery.usable(self.service),
-            self._clock.now(),
-            frozenset(self.tried),
-        )
-        if selection is None:
+        endpoint = await self._choose_endpoint()
+        if endpoint is None:
             return None
-        self.tried.append(selection.endpoint.id)
+        self.tried.append(endpoint.id)
         metrics.ATTEMPTS.labels(self.service).inc()
-        self._plugin.discovery.record_request(selection.endpoint, self._call.request_id)
-        return selection.endpoint
+        self._plugin.permits.record_request(endpoint, self._call.request_id)
+        return endpoint
+
+    async def _choose_endpoint(self) -> Endpoint | None:
+        """Choose an endpoint, one with a limit only if a permit is to be had."""
+        limits = self._plugin.discovery.rate_limits
+        now = self._clock.now()
+        untried = [
+            end
+            for end in self._plugin.discovery.usable(self.service)
+            if end.id not in self.tried
+        ]
+        unlimited = [end for end in untried if limits.limit(end) is None]
+        limited = [end for end in untried if limits.limit(end) is not None]
+        first = self._balancer.choose(unlimited, now)
+        if first is not None and self._balancer.has_room(first, now):
+            limited = [end for end in limited if limits.recheck_due(end, now)][:1]
+        while (found := self._balancer.choose(limited, now)) is not None:
+            if await self._plugin.permits.acquire(
+                found.endpoint, Priority.CALLER, self._call.deadline
+            ):
+                return found.endpoint
+            limited.remove(found.endpoint)
+        return first.endpoint if first else None
 
     def _endpoint_call(self, resume_after: int | None = None) -> EndpointCall:
         call = self._call
@@ -204,7 +224,9 @@
 
     async def _run_attempts(self, tasks) -> None:
         while self._answer is None:
-            endpoint = self._next_endpoint()
+            endpoint = await self._next_endpoint()
+            if self._answer is not None:
+                return
             if endpoint is not None:
                 self.ran += 1
                 self.running += 1
@@ -238,7 +260,7 @@
         answer = outcome.unwrap()
         now = self._clock.now()
         self._balancer.record_load_report(endpoint, answer.load, now)
-        self._plugin.discovery.record_rate_limit(endpoint, answer.rate_limit, started)
+        self._plugin.permits.record_answer(endpoint, answer.rate_limit, started)
         if answer.not_run:
             self._handle_refusal(endpoint, answer.answer.status)
         elif forwarding.is_final(answer, self._route):
@@ -265,7 +287,7 @@
 
     async def parts(self) -> AsyncIterator[Result[StreamHead | bytes, Failure]]:
         """Yield the response head, then complete events."""
-        while (endpoint := self._next_endpoint()) is not None:
+        while (endpoint := await self._next_endpoint()) is not None:
             self.ran += 1
             started = self._clock.now()
             self._balancer.request_started(endpoint)
@@ -284,7 +306,7 @@
     def _record_rate_limit(self, endpoint: Endpoint, opened, started: float) -> None:
         if opened.is_ok():
             limit = rate_limit_of(opened.unwrap())
-            self._plugin.discovery.record_rate_limit(endpoint, limit, started)
+            self._plugin.permits.record_answer(endpoint, limit, started)
 
     async def _attempt_parts(self, endpoint: Endpoint, opened):
         """Yield the parts of one attempt, then None if the stream is complete."""
--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -9,6 +9,7 @@
 
 from plantainstack import log, metrics
 from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.interfaces import Priority
 from plantainstack.plugins import Plugin
 from plantainstack.policy import reward_calls, route_table
 from plantainstack.policy.reward_calls import (
@@ -78,7 +79,7 @@
     """Send reward calls to endpoints, in the order in which trainers need them."""
 
     name = "reward_calls"
-    requires = ("discovery", "store")
+    requires = ("discovery", "rate_permits", "store")
 
     def __init__(self, kernel):
         super().__init__(kernel)
@@ -91,6 +92,7 @@
     async def start(self, tasks) -> None:
         """Start to assign slots to waiting calls."""
         self._discovery = self.kernel.plugin("discovery")
+        self._permits = self.kernel.plugin("rate_permits")
         self._endpoints = self.kernel.plugin("store").endpoint_client
         tasks.start_soon(self._assign_slots)
 
@@ -157,6 +159,7 @@
             slot = self._choose(waiting.request, route, full) if route else None
             if slot is None:
                 continue
+            self._permits.take(slot.endpoint, Priority.ROLLOUT)
             self._discovery.balancer.request_started(slot.endpoint)
             self._waiting.remove(waiting)
             waiting.slot = slot
@@ -190,7 +193,9 @@
             return None
         now = self._clock.now()
         balancer = self._discovery.balancer
-        usable = self._discovery.usable(service)
+        usable = self._permits.open_endpoints(
+            self._discovery.usable(service), Priority.ROLLOUT
+        )
         found = reward_calls.choose_endpoint(balancer, usable, request.attempts, now)
         if found is None:
             # A call that failed may only wait for the endpoints that did not fail it.
@@ -207,7 +212,7 @@
         answer_by = request.attempts.begin(slot.route, started, request.deadline)
         outcome = Err(_unanswered())
         balancer = self._discovery.balancer
-        self._discovery.record_request(slot.endpoint, request.call.id)
+        self._permits.record_request(slot.endpoint, request.call.id)
         try:
             with anyio.move_on_after(answer_by - started):
                 call = self._endpoint_call(request)
@@ -217,9 +222,7 @@
                 answer = outcome.unwrap()
                 now = self._clock.now()
                 balancer.record_load_report(slot.endpoint, answer.load, now)
-                self._discovery.record_rate_limit(
-                    slot.endpoint, answer.rate_limit, started
-                )
+                self._permits.record_answer(slot.endpoint, answer.rate_limit, started)
         finally:
             balancer.request_ended(slot.endpoint)
         self._record_attempt(request, slot, outcome, started, answer_by)
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -14,6 +14,7 @@
 from plantainstack.services.batches import Batches
 from plantainstack.services.discovery import Discovery
 from plantainstack.services.forwarding import Forwarding
+from plantainstack.services.rate_permits import RatePermits
 from plantainstack.services.reward_calls import RewardCalls
 from plantainstack.services.version_orders import VersionOrders
 from plantainstack.serving import (
@@ -179,7 +180,8 @@
 
 class _Stream(OpenStream):
     def __init__(self, platform, request_id, endpoint_id, call):
-        self.head = StreamHead(200, [], platform.client.version, None)
+        limit = platform.client.rate_limits.get(endpoint_id)
+        self.head = StreamHead(200, [], platform.client.version, None, limit)
         self._platform = platform
         self._id = request_id
         self._endpoint = endpoint_id
@@ -208,6 +210,7 @@
     before which the connection is reset, once each. `statuses` sets other response
     statuses by item or endpoint id. `scripts` lists the outcomes of the next calls with
     a request id: a status, a failure, or an event that must be set before a success.
+    `rate_limits` holds the limits that endpoints name in their answers.
     """
 
     def __init__(self, platform):
@@ -218,6 +221,7 @@
         self.scripts = {}
         self.sent_calls = []
         self.load = None
+        self.rate_limits = {}
         self.blocked_events = {}
         self.failing_events = []
         self.opened_streams = []
@@ -241,7 +245,8 @@
             return Err(scripted)
         answer = PlainAnswer(scripted, [], endpoint.id.encode())
         receipt = f"receipt of {call.request_id}" if scripted < 300 else None
-        return Ok(EndpointAnswer(answer, scripted == 503, self.load, receipt))
+        limit = self.rate_limits.get(endpoint.id)
+        return Ok(EndpointAnswer(answer, scripted == 503, self.load, receipt, limit))
 
     @contextlib.asynccontextmanager
     async def stream(self, endpoint, call):
@@ -311,7 +316,16 @@
         instance=SimpleNamespace(id=name, data_centre="dc-a", listen=address),
         bounds=SimpleNamespace(order_gap=0.3, grace=5.0, endpoint_notice=2.0),
     )
-    kinds = (plugin, Discovery, Forwarding, RewardCalls, Batches, VersionOrders, *more)
+    kinds = (
+        plugin,
+        Discovery,
+        RatePermits,
+        Forwarding,
+        RewardCalls,
+        Batches,
+        VersionOrders,
+        *more,
+    )
     return Kernel(settings, kinds, platform.clock)
 
 
--- /dev/null
+++ b/tests/services/test_rate_permits.py
@@ -0,0 +1,152 @@
+"""Tests of the limits of endpoints with several instances on one store."""
+
+import anyio
+import pytest
+
+from plantainstack.errors import Outcome
+from plantainstack.services.forwarding import ClientCall
+from tests.policy.serving_samples import batch, endpoint, item, scored_item
+from tests.services.store_fleet import (
+    BATCH_ROUTE,
+    SAFE_ROUTE,
+    FakePlatform,
+    all_results,
+    running,
+    until,
+)
+
+pytestmark = pytest.mark.anyio
+
+LIMIT = 2.0
+OBSERVED_S = 1.5
+
+
+def call(kernel, number):
+    deadline = kernel.clock.now() + 0.5
+    id = f"r{number}"
+    return ClientCall(id, "POST", "/s/x", "desk.example", (), b"", deadline)
+
+
+def allowed(seconds):
+    """Return how many requests an endpoint may get in a time, told instances only."""
+    return 1.5 * LIMIT * seconds + 5
+
+
+async def send_calls(kernel, outcomes, count=40):
+    """Send one request after another, for OBSERVED_S."""
+    forwarding = kernel.plugin("forwarding")
+    for number in range(count):
+        outcomes.append(await forwarding.plain(call(kernel, number), SAFE_ROUTE))
+        await anyio.sleep(OBSERVED_S / count)
+
+
+async def send_from_all(kernels):
+    outcomes = []
+    async with anyio.create_task_group() as tasks:
+        for kernel in kernels:
+            tasks.start_soon(send_calls, kernel, outcomes)
+    return outcomes
+
+
+async def test_instances_together_keep_to_the_limit_of_an_endpoint():
+    """Guards against a limited endpoint that gets its limit from each instance."""
+    platform = FakePlatform()
+    platform.client.rate_limits = {"e1": LIMIT, "e2": LIMIT}
+    async with running(platform, "a", "b", "c") as kernels:
+        started = platform.clock.now()
+        outcomes = await send_from_all(kernels)
+        seconds = platform.clock.now() - started
+    for id in ("e1", "e2"):
+        sent = [each for _, each in platform.client.calls if each == id]
+        # The first request of each instance is sent before it is told.
+        assert 1 <= len(sent) <= allowed(seconds) + len(kernels)
+    refused = [each.unwrap_err() for each in outcomes if each.is_err()]
+    assert refused
+    assert {failure.outcome for failure in refused} == {Outcome.NOT_RUN}
+
+
+async def test_callers_are_served_by_endpoints_without_a_limit():
+    """Guards against refused requests while another endpoint has room."""
+    platform = FakePlatform()
+    platform.client.rate_limits = {"e1": LIMIT}
+    async with running(platform, "a", "b", "c") as kernels:
+        outcomes = await send_from_all(kernels)
+    assert all(outcome.is_ok() for outcome in outcomes)
+
+
+async def test_limit_that_has_ended_is_not_kept_to():
+    """Guards against requests that are refused after the endpoint has recovered."""
+    platform = FakePlatform()
+    del platform.endpoints["e2"]
+    platform.client.rate_limits = {"e1": LIMIT}
+    async with running(platform, "a", "b") as kernels:
+        await send_from_all(kernels)
+        platform.client.rate_limits.clear()
+        limits = [kernel.plugin("discovery").rate_limits for kernel in kernels]
+        with anyio.fail_after(20.0):
+            while any(each.count() for each in limits):
+                await send_from_all(kernels)
+        outcomes = await send_from_all(kernels)
+    assert all(outcome.is_ok() for outcome in outcomes)
+
+
+async def test_limited_endpoints_are_not_used_while_the_store_is_away():
+    """Guards against the whole limit from each instance when none can get a permit."""
+    platform = FakePlatform()
+    platform.client.rate_limits = {"e1": LIMIT}
+    async with running(platform, "a") as kernels:
+        await send_from_all(kernels)
+        kernels[0].plugin("store").metadata_store.unavailable = True
+        await anyio.sleep(1.0)
+        platform.client.calls.clear()
+        outcomes = await send_from_all(kernels)
+    assert all(outcome.is_ok() for outcome in outcomes)
+    assert {id for _, id in platform.client.calls} == {"e2"}
+
+
+def in_first_window(times):
+    return [at for at in times if at < times[0] + OBSERVED_S]
+
+
+async def test_items_keep_to_the_limit_of_an_endpoint():
+    """Guards against a batch that sends all its items to limited model servers."""
+    platform = FakePlatform()
+    platform.client.rate_limits = {"e1": LIMIT, "e2": LIMIT}
+    times = record_streams(platform)
+    async with running(platform, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        items = [item(f"i{n}", f"g{n}") for n in range(40)]
+        assert (await batches.submit(batch(*items), BATCH_ROUTE)).is_ok()
+        await until(lambda: len(times) > 2 and times[-1] > times[0] + OBSERVED_S)
+    # Up to START_ITEMS items are sent to each endpoint before the first answer.
+    assert len(in_first_window(times)) <= 2 * (allowed(OBSERVED_S) + 4)
+
+
+def record_streams(platform):
+    """Return the list to which the time of each stream is added."""
+    times = []
+    opened = platform.client.stream
+
+    def stream(endpoint, call):
+        times.append(platform.clock.now())
+        return opened(endpoint, call)
+
+    platform.client.stream = stream
+    return times
+
+
+async def test_reward_calls_keep_to_the_limit_of_an_endpoint():
+    """Guards against the end of a step that overruns a limited endpoint."""
+    platform = FakePlatform()
+    platform.endpoints["a1"] = endpoint("a1", service="app", slots=6, versions={})
+    platform.client.rate_limits = {"a1": LIMIT}
+    async with running(platform, "a") as kernels:
+        batches = kernels[0].plugin("batches")
+        items = [scored_item(f"i{n}", f"g{n}") for n in range(40)]
+        assert (await batches.submit(batch(*items), BATCH_ROUTE)).is_ok()
+        await until(lambda: platform.client.calls)
+        await anyio.sleep(OBSERVED_S)
+        # Four of six slots take calls before the first answer.
+        assert len(platform.client.calls) <= allowed(OBSERVED_S) + 4
+        platform.client.rate_limits.clear()
+        await all_results(batches, "b1", 40)
