--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import anyio
+import xxhash
 from result import Err, Ok, Result
 
 from plantainstack import log, metrics
@@ -27,7 +28,8 @@
 class ClientCall(NamedTuple):
     """Hold a client's request; the deadline is a time on the process's clock.
 
-    `headers` holds the end-to-end headers, without the hop-by-hop ones.
+    `headers` holds the end-to-end headers, without the hop-by-hop ones. A request that
+    a client repeats has another `request_id`, but the same `digest`.
     """
 
     request_id: str
@@ -38,6 +40,13 @@
     body: bytes
     deadline: float
 
+    def digest(self) -> str:
+        """Return a hash of what the client asks for."""
+        found = xxhash.xxh3_128(self.body)
+        for part in (self.method, self.host, self.target):
+            found.update(f"\0{part}".encode())
+        return found.hexdigest()
+
 
 class Forwarding(Plugin):
     """Forward requests, with retries and hedging where the route allows them."""
@@ -103,6 +112,7 @@
             call.request_id,
             route=route.name,
             config=self.discovery.serving.version,
+            digest=run.digest,
             endpoints=run.tried,
             end=kind,
             outcome=outcome,
@@ -122,6 +132,7 @@
         self._clock = plugin.kernel.clock
         self._balancer = plugin.discovery.balancer
         self._call = call
+        self.digest = call.digest()
         self._route = route
         self.service = route_table.pick_service(route, plugin.rng)
         self.tried: list[str] = []
@@ -185,6 +196,7 @@
         log.event(
             "attempt.failed",
             self._call.request_id,
+            digest=self.digest,
             endpoint=endpoint.id,
             kind=failure.kind.value,
             outcome=failure.outcome.value,
