--- a/plantainstack/errors.py
+++ b/plantainstack/errors.py
@@ -39,6 +39,7 @@
     DEADLINE_PASSED = "deadline_passed"
     OVERLOADED = "overloaded"
     NO_ENDPOINT = "no_endpoint"
+    QUARANTINED = "quarantined"
     DRAINING = "draining"
     NOT_READY = "not_ready"
     ENDPOINT_REFUSED = "endpoint_refused"
@@ -101,6 +102,9 @@
     ErrorKind.NO_ENDPOINT: ErrorAnswer(
         HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN
     ),
+    ErrorKind.QUARANTINED: ErrorAnswer(
+        HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN
+    ),
     ErrorKind.DRAINING: ErrorAnswer(HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN),
     ErrorKind.NOT_READY: ErrorAnswer(HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN),
     ErrorKind.ENDPOINT_REFUSED: ErrorAnswer(HTTPStatus.BAD_GATEWAY, _LATER, _NOT_RUN),
@@ -133,11 +137,15 @@
 
 
 class Failure(NamedTuple):
-    """Describe an expected failure, as the error value of a `Result`."""
+    """Describe an expected failure, as the error value of a `Result`.
+
+    `retry_after_s` is the time after which a retry makes sense, None for the default.
+    """
 
     kind: ErrorKind
     message: str
     outcome: Outcome
+    retry_after_s: float | None = None
 
     @classmethod
     def of(
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -61,6 +61,11 @@
     ["direction"],
     registry=REGISTRY,
 )
+REQUESTS_WITH_LOSSES = Gauge(
+    "plantainstack_requests_with_losses",
+    "Requests under which endpoints were lost, as known to this instance.",
+    registry=REGISTRY,
+)
 LIMITED_ENDPOINTS = Gauge(
     "plantainstack_limited_endpoints",
     "Endpoints that have named this instance a limit on their request rate.",
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -326,6 +326,8 @@
         status = HTTPStatus.GATEWAY_TIMEOUT
     headers = [("Content-Type", "application/json")]
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
-        headers.append(("Retry-After", f"{math.ceil(RETRY_AFTER_S * 100) / 100}"))
+        wait_s = failure.retry_after_s
+        wait_s = RETRY_AFTER_S if wait_s is None else wait_s
+        headers.append(("Retry-After", f"{math.ceil(wait_s * 100) / 100}"))
     content = {"error": failure.kind.value, "message": failure.message}
     return _Response(status, headers, msgspec.json.encode(content))
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -32,6 +32,7 @@
     "plantainstack.platform.plugin",
     "plantainstack.services.discovery",
     "plantainstack.services.rate_permits",
+    "plantainstack.services.request_losses",
     "plantainstack.services.forwarding",
     "plantainstack.services.reward_calls",
     "plantainstack.services.batches",
--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -12,8 +12,8 @@
 from plantainstack.errors import Failure
 from plantainstack.serving import Cursor, HistoryLost, MetadataStore, RowsRead
 
-# Maximum duration of a long poll. It is short so that a dead connection is detected
-# within 1.5 s.
+# Usual maximum duration of a long poll. It is short so that a dead connection is
+# detected within 1.5 s.
 POLL_WAIT_S = 0.6
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
@@ -51,7 +51,7 @@
     If the store no longer has the history after the cursor, the feed starts again
     from a snapshot. `apply` is called with the changes and whether they are a
     snapshot. `pause_s` returns the pause before the next read, which combines changes
-    in quick succession into one response.
+    in quick succession into one response. `wait_s` is the duration of a long poll.
     """
 
     def __init__(
@@ -62,6 +62,7 @@
         apply: Callable[[Any, bool], None],
         pause_s: Callable[[], float],
         on_regained: Callable[[], None] = lambda: None,
+        wait_s: float = POLL_WAIT_S,
     ):
         self._name = name
         self._clock = clock
@@ -69,6 +70,7 @@
         self._apply = apply
         self._pause_s = pause_s
         self._on_regained = on_regained
+        self._wait_s = wait_s
         self._cursor: Cursor | None = None
         self._failures = 0
         self._due = anyio.Event()
@@ -82,7 +84,7 @@
     async def run(self) -> None:
         """Read the feed until cancelled, with a random back-off after failures."""
         while True:
-            outcome = await self._read(self._cursor, POLL_WAIT_S)
+            outcome = await self._read(self._cursor, self._wait_s)
             if outcome.is_err():
                 self._handle_failure(outcome.unwrap_err())
                 await self._back_off()
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -12,8 +12,9 @@
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.interfaces import Priority
 from plantainstack.plugins import Plugin
-from plantainstack.policy import forwarding, route_table
+from plantainstack.policy import forwarding, quarantine, route_table
 from plantainstack.policy.forwarding import AttemptCounts
+from plantainstack.policy.quarantine import LossRecord
 from plantainstack.serving import (
     Endpoint,
     EndpointAnswer,
@@ -52,7 +53,7 @@
     """Forward requests, with retries and hedging where the route allows them."""
 
     name = "forwarding"
-    requires = ("discovery", "rate_permits", "store")
+    requires = ("discovery", "rate_permits", "request_losses", "store")
 
     def __init__(self, kernel):
         super().__init__(kernel)
@@ -62,6 +63,7 @@
         """Look up the plug-ins that this one depends on."""
         self.discovery = self.kernel.plugin("discovery")
         self.permits = self.kernel.plugin("rate_permits")
+        self.losses = self.kernel.plugin("request_losses")
         self.endpoints = self.kernel.plugin("store").endpoint_client
 
     def route(self, host: str, path: str) -> Result[Route, Failure]:
@@ -82,7 +84,11 @@
         """Forward a non-streaming request and return the complete response."""
         started = self.kernel.clock.now()
         run = _PlainRun(self, call, route)
-        answer = await run.answer()
+        answer = None
+        try:
+            answer = await run.answer()
+        finally:
+            await run.settle(answered=answer is not None and answer.is_ok())
         self._record_end(call, route, run, answer, started)
         return answer
 
@@ -95,10 +101,17 @@
         """
         started = self.kernel.clock.now()
         run = _StreamRun(self, call, route)
-        async for part in run.parts():
-            yield part
-            if part.is_err():
-                break
+        complete = False
+        try:
+            async for part in run.parts():
+                if part.is_err():
+                    await run.settle(answered=False)
+                yield part
+                if part.is_err():
+                    break
+            complete = part.is_ok()
+        finally:
+            await run.settle(answered=complete)
         self._record_end(call, route, run, part, started)
 
     def _record_end(self, call, route, run, answer, started: float) -> None:
@@ -137,9 +150,19 @@
         self.service = route_table.pick_service(route, plugin.rng)
         self.tried: list[str] = []
         self.failures: list[Failure] = []
+        # Endpoints whose connection broke, until the loss is shared.
+        self._lost: list[Endpoint] = []
+        self._refusal: Failure | None = None
         self.ran = 0
         self.running = 0
 
+    async def settle(self, answered: bool) -> None:
+        """Clear or share the losses under this request."""
+        lost, self._lost = self._lost, []
+        await self._plugin.losses.settle(
+            self.digest, self._call.request_id, lost, answered
+        )
+
     async def _next_endpoint(self) -> Endpoint | None:
         counts = AttemptCounts(len(self.tried), self.ran, self.running)
         if not forwarding.may_start_attempt(self._route, counts):
@@ -156,13 +179,9 @@
         """Choose an endpoint, one with a limit only if a permit is to be had."""
         limits = self._plugin.discovery.rate_limits
         now = self._clock.now()
-        untried = [
-            end
-            for end in self._plugin.discovery.usable(self.service)
-            if end.id not in self.tried
-        ]
-        unlimited = [end for end in untried if limits.limit(end) is None]
-        limited = [end for end in untried if limits.limit(end) is not None]
+        allowed = self._allowed_endpoints(now)
+        unlimited = [end for end in allowed if limits.limit(end) is None]
+        limited = [end for end in allowed if limits.limit(end) is not None]
         first = self._balancer.choose(unlimited, now)
         if first is not None and self._balancer.has_room(first, now):
             limited = [end for end in limited if limits.recheck_due(end, now)][:1]
@@ -174,6 +193,28 @@
             limited.remove(found.endpoint)
         return first.endpoint if first else None
 
+    def _allowed_endpoints(self, now: float) -> list[Endpoint]:
+        """Return the untried endpoints, fewer if others were lost under the request."""
+        usable = self._plugin.discovery.usable(self.service)
+        untried = [end for end in usable if end.id not in self.tried]
+        record = self._losses_of_request()
+        if not record.lost:
+            return untried
+        avoided = [end for end in usable if self._balancer.is_avoided(end, now)]
+        allowed = quarantine.allowed_endpoints(usable, self.tried, record, avoided, now)
+        if untried and not allowed:
+            self._refusal = quarantine.refusal(record, now)
+        return allowed
+
+    def _losses_of_request(self) -> LossRecord:
+        return self._plugin.losses.records.get(self.digest)
+
+    def _failure(self) -> Failure:
+        """Return the failure to report when no endpoint gave an answer."""
+        if self._refusal is not None and self.ran == 0:
+            return self._refusal
+        return forwarding.final_failure(self.failures, self.ran)
+
     def _endpoint_call(self, resume_after: int | None = None) -> EndpointCall:
         call = self._call
         return EndpointCall(
@@ -193,6 +234,9 @@
         if failure.outcome is Outcome.NOT_RUN:
             self.ran -= 1
         self._balancer.record_failure(endpoint, self._clock.now())
+        if quarantine.is_loss(failure):
+            self._lost.append(endpoint)
+            self._plugin.losses.record(self.digest, self._call.request_id, endpoint)
         log.event(
             "attempt.failed",
             self._call.request_id,
@@ -245,7 +289,8 @@
                 tasks.start_soon(self._attempt, endpoint)
             elif self.running == 0:
                 return
-            await self._wait_for_attempt(hedging=endpoint is not None)
+            hedging = endpoint is not None and not self._losses_of_request().lost
+            await self._wait_for_attempt(hedging)
 
     async def _wait_for_attempt(self, hedging: bool) -> None:
         delay = forwarding.hedge_delay(self._route) if hedging else None
@@ -286,7 +331,7 @@
         answer = self._answer or self._fallback_answer
         if answer is not None:
             return Ok(answer)
-        return Err(forwarding.final_failure(self.failures, self.ran))
+        return Err(self._failure())
 
 
 class _StreamRun(_Run):
@@ -313,7 +358,7 @@
                         yield Ok(part)
             finally:
                 self._balancer.request_ended(endpoint)
-        yield Err(forwarding.final_failure(self.failures, self.ran))
+        yield Err(self._failure())
 
     def _record_rate_limit(self, endpoint: Endpoint, opened, started: float) -> None:
         if opened.is_ok():
--- /dev/null
+++ b/tests/policy/test_quarantine.py
@@ -0,0 +1,108 @@
+"""Tests of requests under which endpoints were lost."""
+
+import pytest
+
+from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.policy import quarantine
+from plantainstack.policy.quarantine import (
+    CAUTION_S,
+    LOSSES_MAX,
+    QUARANTINE_MAX_S,
+    QUARANTINE_MIN_S,
+    LossRecords,
+    allowed_endpoints,
+    endpoint_key,
+    is_loss,
+)
+from tests.policy.serving_samples import endpoint
+
+ENDPOINTS = [endpoint(id) for id in ("a", "b", "c", "d")]
+A, B, C, D = ENDPOINTS
+
+
+def record(*lost, at=0.0):
+    records = LossRecords()
+    for end in lost:
+        assert records.add("r", endpoint_key(end), at)
+    return records.get("r")
+
+
+def allowed(usable, lost, now=1.0, tried=(), avoided=()):
+    return allowed_endpoints(usable, tried, record(*lost), avoided, now)
+
+
+@pytest.mark.parametrize(
+    ("kind", "outcome", "loss"),
+    [
+        (ErrorKind.ENDPOINT_FAILED, Outcome.MAY_HAVE_RUN, True),
+        (ErrorKind.ANSWER_TRUNCATED, Outcome.RAN, True),
+        (ErrorKind.ENDPOINT_REFUSED, Outcome.NOT_RUN, False),
+        (ErrorKind.ANSWER_TIMEOUT, Outcome.MAY_HAVE_RUN, False),
+        (ErrorKind.ANSWER_CROSSED, Outcome.MAY_HAVE_RUN, False),
+    ],
+)
+def test_only_broken_connections_count_as_lost_endpoints(kind, outcome, loss):
+    """Guards against slow requests that are taken for ones that crash endpoints."""
+    assert is_loss(Failure(kind, "scripted", outcome)) == loss
+
+
+def test_request_in_flight_at_one_crash_is_sent_to_another_endpoint():
+    """Guards against callers that lose their answer with a crashed endpoint."""
+    assert allowed([A, B], [A]) == [B]
+    assert allowed([A], [A]) == [A]
+
+
+def test_last_sound_endpoint_is_kept_from_a_request_with_two_losses():
+    """Guards against one request that stops a service for all its callers."""
+    assert allowed([A, B, C], [A, B]) == []
+    assert allowed([A, B, C, D], [A, B], avoided=[D]) == []
+    assert allowed([A, B, C, D], [A, B]) == [C, D]
+    assert allowed([A, B, C, D], [A, B], tried=["c"]) == [D]
+
+
+def test_service_of_one_endpoint_is_not_closed_after_two_crashes():
+    restarted = A._replace(started_ms=3)
+    lost = [A, A._replace(started_ms=2)]
+    assert allowed([restarted], lost) == [restarted]
+
+
+def test_request_is_refused_after_three_losses():
+    """Guards against a request that crashes one endpoint after another."""
+    assert allowed([A, B, C, D], [A, B, C]) == []
+    failure = quarantine.refusal(record(A, B, C), 10.0)
+    assert failure.outcome is Outcome.NOT_RUN
+    assert failure.retry_after_s == QUARANTINE_MIN_S - 10.0
+
+
+def test_quarantine_ends_and_is_doubled_after_a_failed_trial():
+    """Guards against a sound request that is refused for good."""
+    assert allowed([A, B, C, D], [A, B, C], now=QUARANTINE_MIN_S) == [D]
+    after_trial = record(A, B, C, D).refused_until()
+    assert after_trial == 2 * QUARANTINE_MIN_S
+    assert quarantine.quarantine_s(100) == QUARANTINE_MAX_S
+
+
+def test_old_losses_do_not_close_the_last_endpoint():
+    """Guards against a request that is refused since two answers broke off once."""
+    assert allowed([A, B], [A, B], now=1.0) == []
+    assert allowed([A, B], [A, B], now=CAUTION_S) == [A, B]
+
+
+def test_losses_at_one_endpoint_count_once():
+    """Guards against an endpoint that breaks off answers and blames requests."""
+    records = LossRecords()
+    for _ in range(LOSSES_MAX):
+        records.add("r", endpoint_key(A), 0.0)
+    assert len(records.get("r").lost) == 1
+    records.discard("r", [endpoint_key(A)])
+    assert records.count() == 0
+
+
+def test_records_expire_and_are_bounded(monkeypatch):
+    """Guards against memory that grows with the requests of an outage."""
+    monkeypatch.setattr(quarantine, "RECORDS_MAX", 2)
+    records = LossRecords()
+    for number in range(5):
+        records.add(f"r{number}", endpoint_key(A), float(number))
+    assert records.count() == 2
+    assert records.expired(QUARANTINE_MAX_S + 3.5) == ["r3"]
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -15,6 +15,7 @@
 from plantainstack.services.discovery import Discovery
 from plantainstack.services.forwarding import Forwarding
 from plantainstack.services.rate_permits import RatePermits
+from plantainstack.services.request_losses import RequestLosses
 from plantainstack.services.reward_calls import RewardCalls
 from plantainstack.services.version_orders import VersionOrders
 from plantainstack.serving import (
@@ -320,6 +321,7 @@
         plugin,
         Discovery,
         RatePermits,
+        RequestLosses,
         Forwarding,
         RewardCalls,
         Batches,
