--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -191,8 +191,17 @@
             ):
                 return found.endpoint
             limited.remove(found.endpoint)
+            self._record_missing_permit(found.endpoint)
         return first.endpoint if first else None
 
+    def _record_missing_permit(self, endpoint: Endpoint) -> None:
+        wait_s = self._plugin.permits.wait_s(endpoint, Priority.CALLER)
+        if self._refusal is None or wait_s < self._refusal.retry_after_s:
+            message = f"no permit for endpoint {endpoint.id}, which names a limit"
+            self._refusal = Failure(
+                ErrorKind.OVERLOADED, message, Outcome.NOT_RUN, wait_s
+            )
+
     def _allowed_endpoints(self, now: float) -> list[Endpoint]:
         """Return the untried endpoints, fewer if others were lost under the request."""
         usable = self._plugin.discovery.usable(self.service)
--- a/plantainstack/services/rate_permits.py
+++ b/plantainstack/services/rate_permits.py
@@ -11,6 +11,7 @@
 from plantainstack.interfaces import Priority
 from plantainstack.plugins import Plugin
 from plantainstack.policy import rate_limits
+from plantainstack.policy.forwarding import RETRY_AFTER_S
 from plantainstack.policy.order_lease import StoreClock
 from plantainstack.policy.rate_limits import RateBucket
 from plantainstack.serving import Endpoint, RowName, StoredRow, Transaction
@@ -98,6 +99,12 @@
             await fetched.wait()
         return self.take(endpoint, priority)
 
+    def wait_s(self, endpoint: Endpoint, priority: Priority) -> float:
+        """Return the seconds until permits are fetched again, at least the default."""
+        fetch = self._fetches.get((endpoint.incarnation(), priority))
+        wait_s = fetch.not_before - self._clock.now() if fetch else 0.0
+        return max(RETRY_AFTER_S, wait_s)
+
     def record_request(self, endpoint: Endpoint, request_id: str) -> None:
         """Record a request that is sent, if the endpoint has named a limit."""
         limit = self._limits.limit(endpoint)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -10,7 +10,7 @@
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.front import gateway as gateway_module
 from plantainstack.front.gateway import Gateway
-from plantainstack.platform import names
+from plantainstack.platform import ingress, names
 from plantainstack.serving import ClientLimits
 from plantainstack.settings.options import Address
 from tests.platform.samples import lot
@@ -66,6 +66,13 @@
         return int(lines[0].split()[1]), pairs, body
 
 
+def test_refusal_says_when_to_come_back():
+    """Guards against clients that return while their request is still refused."""
+    failure = Failure.of(ErrorKind.OVERLOADED, "scripted")
+    headers = ingress._failure_response(failure._replace(retry_after_s=4.2)).headers
+    assert ("Retry-After", "4.2") in headers
+
+
 @contextlib.asynccontextmanager
 async def connected(kernel, server=0):
     address = kernel.plugin("gateway")._servers[server].address
--- a/tests/services/test_rate_permits.py
+++ b/tests/services/test_rate_permits.py
@@ -63,6 +63,9 @@
     refused = [each.unwrap_err() for each in outcomes if each.is_err()]
     assert refused
     assert {failure.outcome for failure in refused} == {Outcome.NOT_RUN}
+    # Callers are told when there will be permits again, not a fixed time.
+    assert len({failure.retry_after_s for failure in refused}) > 1
+    assert min(failure.retry_after_s for failure in refused) > 0.0
 
 
 async def test_callers_are_served_by_endpoints_without_a_limit():
