--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -226,6 +226,8 @@
 
     def _endpoint_call(self, resume_after: int | None = None) -> EndpointCall:
         call = self._call
+        # On a reused connection that breaks, the client sends the request once more.
+        reuse = self._route.repeatable() and not self._losses_of_request().lost
         return EndpointCall(
             call.request_id,
             call.method,
@@ -235,7 +237,7 @@
             call.body,
             call.deadline,
             resume_after,
-            reuse_connection=self._route.repeatable(),
+            reuse_connection=reuse,
         )
 
     def _handle_failure(self, endpoint: Endpoint, failure: Failure) -> None:
--- a/tests/services/test_request_losses.py
+++ b/tests/services/test_request_losses.py
@@ -141,6 +141,16 @@
         await until(lambda: losses_known(kernels, 3))
 
 
+async def test_request_with_a_loss_uses_a_new_connection():
+    """Guards against a request that is sent twice where a reused connection breaks."""
+    platform = new_platform()
+    platform.client.scripts["r1"] = [CRASHED]
+    async with running(platform, "a") as kernels:
+        assert (await send(kernels[0], "r1")).is_ok()
+    reused = [sent.reuse_connection for sent in platform.client.sent_calls]
+    assert reused == [True, False]
+
+
 async def test_request_with_a_loss_is_not_hedged():
     """Guards against a second endpoint that is lost beside the first one."""
     platform = new_platform()
