--- a/plantainstack/policy/forwarding.py
+++ b/plantainstack/policy/forwarding.py
@@ -14,6 +14,8 @@
 HEDGE_SHARE = 0.4
 # A request that an endpoint refuses is sent to the next, up to this many endpoints.
 ATTEMPTS_MAX = 6
+# Lowest status of an endpoint's error.
+ERROR_STATUS = 500
 # A full endpoint finishes a request in about this time.
 RETRY_AFTER_S = 0.25
 
@@ -50,7 +52,7 @@
     An error status of a repeatable request is only a fallback, since another endpoint
     may succeed.
     """
-    return answer.answer.status < 500 or not route.repeatable()
+    return answer.answer.status < ERROR_STATUS or not route.repeatable()
 
 
 def final_failure(failures: list[Failure], ran: int) -> Failure:
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -84,11 +84,10 @@
         """Forward a non-streaming request and return the complete response."""
         started = self.kernel.clock.now()
         run = _PlainRun(self, call, route)
-        answer = None
         try:
             answer = await run.answer()
         finally:
-            await run.settle(answered=answer is not None and answer.is_ok())
+            await run.settle()
         self._record_end(call, route, run, answer, started)
         return answer
 
@@ -101,17 +100,15 @@
         """
         started = self.kernel.clock.now()
         run = _StreamRun(self, call, route)
-        complete = False
         try:
             async for part in run.parts():
                 if part.is_err():
-                    await run.settle(answered=False)
+                    await run.settle()
                 yield part
                 if part.is_err():
                     break
-            complete = part.is_ok()
         finally:
-            await run.settle(answered=complete)
+            await run.settle()
         self._record_end(call, route, run, part, started)
 
     def _record_end(self, call, route, run, answer, started: float) -> None:
@@ -153,14 +150,16 @@
         # Endpoints whose connection broke, until the loss is shared.
         self._lost: list[Endpoint] = []
         self._refusal: Failure | None = None
+        # Whether an endpoint has run the request to its end without an error.
+        self.answered = False
         self.ran = 0
         self.running = 0
 
-    async def settle(self, answered: bool) -> None:
+    async def settle(self) -> None:
         """Clear or share the losses under this request."""
         lost, self._lost = self._lost, []
         await self._plugin.losses.settle(
-            self.digest, self._call.request_id, lost, answered
+            self.digest, self._call.request_id, lost, self.answered
         )
 
     async def _next_endpoint(self) -> Endpoint | None:
@@ -334,6 +333,7 @@
         elif forwarding.is_final(answer, self._route):
             self._balancer.record_latency(endpoint, now - started, now)
             self._answer = answer
+            self.answered = answer.answer.status < forwarding.ERROR_STATUS
         else:
             self._balancer.record_failure(endpoint, now)
             self._fallback_answer = answer
@@ -388,6 +388,7 @@
                 return
             if not self._head_sent:
                 answer = stream.answer
+                self.answered = answer.status < forwarding.ERROR_STATUS
                 yield StreamHead(answer.status, answer.headers, None, stream.load)
                 yield answer.body
                 yield None
@@ -412,4 +413,5 @@
                 return
             self._last_event = event.id
             yield event.raw
+        self.answered = True
         yield None
--- a/tests/services/test_request_losses.py
+++ b/tests/services/test_request_losses.py
@@ -112,6 +112,33 @@
         await until(lambda: not any(each.count() for each in records))
 
 
+async def test_error_answer_does_not_clear_the_losses():
+    """Guards against a faulty endpoint that frees a request which crashes others."""
+    platform = new_platform()
+    platform.client.scripts["r1"] = [CRASHED, CRASHED]
+    platform.client.scripts["r2"] = [500, 500, 500]
+    async with running(platform, "a") as kernels:
+        assert (await send(kernels[0], "r1")).is_err()
+        assert (await send(kernels[0], "r2")).unwrap().answer.status == 500
+        assert losses_known(kernels, 2)
+
+
+async def test_losses_under_streams_are_shared_and_cleared():
+    """Guards against streams that crash endpoints and have no record."""
+    platform = new_platform()
+    stream_route = route(RequestKind.STREAM, endpoints_max=2)
+    platform.client.failing_events = [("r1", 1), ("r1", 1)]
+    async with running(platform, "a", "b") as kernels:
+        records = [kernel.plugin("request_losses").records for kernel in kernels]
+        forwarding = kernels[0].plugin("forwarding")
+        parts = forwarding.stream(call(kernels[0], "r1"), stream_route)
+        assert [part.is_err() async for part in parts][-1]
+        await until(lambda: losses_known(kernels, 2))
+        parts = forwarding.stream(call(kernels[0], "r2"), stream_route)
+        assert [part.is_ok() async for part in parts][-1]
+        await until(lambda: not any(each.count() for each in records))
+
+
 async def test_instance_that_starts_later_knows_the_losses():
     """Guards against a restarted instance that sends the request again."""
     platform = new_platform()
