--- a/plantainstack/services/request_losses.py
+++ b/plantainstack/services/request_losses.py
@@ -36,9 +36,9 @@
 
     def __init__(self, kernel):
         super().__init__(kernel)
-        self.records = LossRecords()
-        self._clock = kernel.clock
         self._rng = random.Random()
+        self.records = LossRecords(self._rng)
+        self._clock = kernel.clock
         self._sharing = 0
         self._tasks = None
 
