--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -185,14 +185,19 @@
         if first is not None and self._balancer.has_room(first, now):
             limited = [end for end in limited if limits.recheck_due(end, now)][:1]
         while (found := self._balancer.choose(limited, now)) is not None:
-            if await self._plugin.permits.acquire(
-                found.endpoint, Priority.CALLER, self._call.deadline
-            ):
+            if await self._get_permit(found.endpoint):
                 return found.endpoint
             limited.remove(found.endpoint)
             self._record_missing_permit(found.endpoint)
         return first.endpoint if first else None
 
+    async def _get_permit(self, endpoint: Endpoint) -> bool:
+        permits = self._plugin.permits
+        if self.running:
+            # A hedge must not delay the answer to the first attempt.
+            return permits.take(endpoint, Priority.CALLER)
+        return await permits.acquire(endpoint, Priority.CALLER, self._call.deadline)
+
     def _record_missing_permit(self, endpoint: Endpoint) -> None:
         wait_s = self._plugin.permits.wait_s(endpoint, Priority.CALLER)
         if self._refusal is None or wait_s < self._refusal.retry_after_s:
--- a/plantainstack/services/rate_permits.py
+++ b/plantainstack/services/rate_permits.py
@@ -170,7 +170,7 @@
         self, endpoint: Endpoint, priority: Priority, fetch: _Fetch
     ) -> float:
         """Fetch permits; return the seconds until the next fetch makes sense."""
-        if not await self._know_store_time(endpoint):
+        if not await self._ensure_bucket_read(endpoint):
             return FETCH_RETRY_S
         for _ in range(FETCH_TRIES):
             limit = self._limits.limit(endpoint)
@@ -200,8 +200,8 @@
                 return 0.0
         return FETCH_RETRY_S
 
-    async def _know_store_time(self, endpoint: Endpoint) -> bool:
-        """Read the bucket if the store's time or the bucket is not known yet."""
+    async def _ensure_bucket_read(self, endpoint: Endpoint) -> bool:
+        """Read the bucket, and with it the store's time, unless it is known."""
         key = endpoint.incarnation()
         if key in self._buckets:
             return True
@@ -245,7 +245,7 @@
 
     async def _store_end(self, endpoint: Endpoint) -> None:
         """Tell the other instances that a limit has ended."""
-        if not await self._know_store_time(endpoint):
+        if not await self._ensure_bucket_read(endpoint):
             return
         for _ in range(FETCH_TRIES):
             found = self._buckets[endpoint.incarnation()]
--- a/tests/services/test_rate_permits.py
+++ b/tests/services/test_rate_permits.py
@@ -4,6 +4,7 @@
 import pytest
 
 from plantainstack.errors import Outcome
+from plantainstack.policy import forwarding as forwarding_policy
 from plantainstack.services.forwarding import ClientCall
 from tests.policy.serving_samples import batch, endpoint, item, scored_item
 from tests.services.store_fleet import (
@@ -77,6 +78,35 @@
     assert all(outcome.is_ok() for outcome in outcomes)
 
 
+async def test_hedge_does_not_wait_for_a_permit():
+    """Guards against an answer that is held back while a permit is fetched."""
+    platform = FakePlatform()
+    platform.client.rate_limits = {"e1": LIMIT, "e2": LIMIT}
+    async with running(platform, "a") as kernels:
+        kernel = kernels[0]
+        forwarding = kernel.plugin("forwarding")
+        for number in range(4):
+            await forwarding.plain(call(kernel, number), SAFE_ROUTE)
+        platform.endpoints["e3"] = endpoint("e3", slots=100)
+        await until(lambda: "e3" in kernel.plugin("discovery").view.known)
+        fetches = []
+
+        async def fetch(*args):
+            fetches.append(args)
+            await anyio.sleep_forever()
+
+        store = kernel.plugin("store").metadata_store
+        store.transact = store.read = fetch
+        platform.client.scripts["r9"] = [slow_answer]
+        assert (await forwarding.plain(call(kernel, 9), SAFE_ROUTE)).is_ok()
+    assert fetches == []
+
+
+async def slow_answer():
+    """Answer after a hedge was due."""
+    await anyio.sleep(forwarding_policy.hedge_delay(SAFE_ROUTE) + 0.05)
+
+
 async def test_limit_that_has_ended_is_not_kept_to():
     """Guards against requests that are refused after the endpoint has recovered."""
     platform = FakePlatform()
