--- a/plantainstack/policy/rate_limits.py
+++ b/plantainstack/policy/rate_limits.py
@@ -1,4 +1,4 @@
-"""Keep to the request rates that endpoints in need accept from all instances together.
+"""Keep to the request rates that endpoints accept from all instances together.
 
 Answers an endpoint that takes fewer requests than its slots allow while others of its
 service may have room. Each instance is told of the limit by itself, so the limit is
