--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -151,8 +151,8 @@
 class FakePlatform:
     """Simulate what the instances share: store, configuration and endpoints."""
 
-    def __init__(self):
-        self.clock = SystemClock()
+    def __init__(self, clock=None):
+        self.clock = clock or SystemClock()
         self.rows = Rows()
         self.config = CONFIG
         self.versions = {}
--- a/tests/services/test_reward_interleavings.py
+++ b/tests/services/test_reward_interleavings.py
@@ -30,10 +30,11 @@
     running,
     until,
 )
+from tests.virtual_time import LoopClock, anyio_backend  # noqa: F401
 
 pytestmark = pytest.mark.anyio
 
-SEEDS = range(24)
+SEEDS = range(48)
 ITEMS = 4
 EVENTS = 3
 LOST = Err(Failure.of(ErrorKind.ANSWER_TRUNCATED, "scripted"))
@@ -95,7 +96,7 @@
 async def play(seed):
     """Play one random scenario and check its results."""
     rng = random.Random(seed)
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     platform.endpoints |= {
         id: endpoint(id, service="app", slots=6, versions={}) for id in ("a1", "a2")
     }
