--- a/tests/services/test_rate_permits.py
+++ b/tests/services/test_rate_permits.py
@@ -15,6 +15,7 @@
     running,
     until,
 )
+from tests.virtual_time import LoopClock, anyio_backend  # noqa: F401
 
 pytestmark = pytest.mark.anyio
 
@@ -51,7 +52,7 @@
 
 async def test_instances_together_keep_to_the_limit_of_an_endpoint():
     """Guards against a limited endpoint that gets its limit from each instance."""
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     platform.client.rate_limits = {"e1": LIMIT, "e2": LIMIT}
     async with running(platform, "a", "b", "c") as kernels:
         started = platform.clock.now()
@@ -71,7 +72,7 @@
 
 async def test_callers_are_served_by_endpoints_without_a_limit():
     """Guards against refused requests while another endpoint has room."""
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     platform.client.rate_limits = {"e1": LIMIT}
     async with running(platform, "a", "b", "c") as kernels:
         outcomes = await send_from_all(kernels)
@@ -80,7 +81,7 @@
 
 async def test_hedge_does_not_wait_for_a_permit():
     """Guards against an answer that is held back while a permit is fetched."""
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     platform.client.rate_limits = {"e1": LIMIT, "e2": LIMIT}
     async with running(platform, "a") as kernels:
         kernel = kernels[0]
@@ -109,7 +110,7 @@
 
 async def test_limit_that_has_ended_is_not_kept_to():
     """Guards against requests that are refused after the endpoint has recovered."""
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     del platform.endpoints["e2"]
     platform.client.rate_limits = {"e1": LIMIT}
     async with running(platform, "a", "b") as kernels:
@@ -125,7 +126,7 @@
 
 async def test_limited_endpoints_are_not_used_while_the_store_is_away():
     """Guards against the whole limit from each instance when none can get a permit."""
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     platform.client.rate_limits = {"e1": LIMIT}
     async with running(platform, "a") as kernels:
         await send_from_all(kernels)
@@ -143,7 +144,7 @@
 
 async def test_items_keep_to_the_limit_of_an_endpoint():
     """Guards against a batch that sends all its items to limited model servers."""
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     platform.client.rate_limits = {"e1": LIMIT, "e2": LIMIT}
     times = record_streams(platform)
     async with running(platform, "a") as kernels:
@@ -170,7 +171,7 @@
 
 async def test_reward_calls_keep_to_the_limit_of_an_endpoint():
     """Guards against the end of a step that overruns a limited endpoint."""
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     platform.endpoints["a1"] = endpoint("a1", service="app", slots=6, versions={})
     platform.client.rate_limits = {"a1": LIMIT}
     async with running(platform, "a") as kernels:
--- a/tests/services/test_request_losses.py
+++ b/tests/services/test_request_losses.py
@@ -10,6 +10,7 @@
 from plantainstack.serving import RequestKind
 from tests.policy.serving_samples import endpoint, route
 from tests.services.store_fleet import SAFE_ROUTE, FakePlatform, running, until
+from tests.virtual_time import LoopClock, anyio_backend  # noqa: F401
 
 pytestmark = pytest.mark.anyio
 
@@ -17,7 +18,7 @@
 
 
 def new_platform(count=6):
-    platform = FakePlatform()
+    platform = FakePlatform(LoopClock())
     platform.endpoints = {f"e{n}": endpoint(f"e{n}") for n in range(count)}
     return platform
 
