--- a/plantainstack/policy/quarantine.py
+++ b/plantainstack/policy/quarantine.py
@@ -4,9 +4,11 @@
 repeats at any instance. A request that was only in flight when an endpoint crashed
 looks the same at first, so the first loss costs it its hedge only. After the second
 one it may not take the last sound endpoint from all other callers, and after the third
-one it is refused for a time, which doubles with each further loss.
+one it is refused for a time, which doubles with each further loss. A frequent request
+is in flight at every crash; it is recognized by its earlier answers.
 """
 
+import math
 import random
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
@@ -28,6 +30,10 @@
 RESTART_S = 3.0
 # Bound on the memory for requests with losses.
 RECORDS_MAX = 10_000
+# A request that was answered this recently is in flight at crashes because it is
+# frequent. Bound on the memory for such requests.
+ANSWERED_S = 30.0
+ANSWERS_MAX = 2_000
 
 # The connection broke while the request may have been running. An endpoint that is
 # only slow or silent is not counted as lost.
@@ -65,6 +71,7 @@
     def __init__(self, rng: random.Random):
         self._random = rng
         self._records: dict[str, LossRecord] = {}
+        self._answered_at: dict[str, float] = {}
 
     def get(self, digest: str) -> LossRecord:
         """Return the record of a request, an empty one if it had no losses."""
@@ -74,8 +81,21 @@
         """Return the number of requests with losses."""
         return len(self._records)
 
+    def record_answer(self, digest: str, now: float) -> None:
+        """Record that an endpoint ran a request to its end."""
+        self._answered_at.pop(digest, None)
+        if len(self._answered_at) >= ANSWERS_MAX:
+            del self._answered_at[next(iter(self._answered_at))]
+        self._answered_at[digest] = now
+
+    def was_answered(self, digest: str, now: float) -> bool:
+        """Return whether a request was answered lately: losses then prove nothing."""
+        return now - self._answered_at.get(digest, -math.inf) < ANSWERED_S
+
     def add(self, digest: str, lost: str, now: float) -> bool:
         """Add a lost endpoint; return whether it is a new one for this request."""
+        if self.was_answered(digest, now):
+            return False
         before = self._records.pop(digest, _NO_LOSSES)
         if lost in before.lost:
             self._records[digest] = before
--- a/plantainstack/services/request_losses.py
+++ b/plantainstack/services/request_losses.py
@@ -26,6 +26,9 @@
 SHARE_TRIES = 120
 SHARING_MAX = 32
 EXPIRY_INTERVAL_S = 60.0
+# All instances that answered a request learn at once of a loss under it. One of them
+# removes the loss, and the others see that within this time.
+REMOVAL_SPREAD_S = 2.0
 
 
 class RequestLosses(Plugin):
@@ -40,6 +43,8 @@
         self.records = LossRecords(self._rng)
         self._clock = kernel.clock
         self._sharing = 0
+        # Losses at other instances under requests that were answered here.
+        self._disproved: dict[str, set[str]] = {}
         self._tasks = None
 
     async def start(self, tasks) -> None:
@@ -82,9 +87,13 @@
         is written for it unless another instance has shared a loss.
         """
         keys = [endpoint_key(each) for each in lost]
+        now = self._clock.now()
         if answered:
+            self.records.record_answer(digest, now)
             if self.records.get(digest).lost:
                 self._clear(digest, keys)
+        elif keys and self.records.was_answered(digest, now):
+            log.event("request.losses_ignored", request_id, digest=digest, losses=keys)
         elif keys:
             await self._share(digest, request_id, keys)
 
@@ -133,12 +142,32 @@
 
     def _apply_rows(self, found: RowsRead, is_snapshot: bool) -> None:
         for row in found.rows:
+            digest, key = row.name.part, row.name.key
             if row.value is None:
-                self.records.discard(row.name.part, [row.name.key])
+                self.records.discard(digest, [key])
+                self._disproved.get(digest, set()).discard(key)
+            elif self.records.was_answered(digest, self._clock.now()):
+                self._disprove(digest, key)
             else:
-                self._add(row.name.part, row.name.key)
+                self._add(digest, key)
         self._update_metrics()
 
+    def _disprove(self, digest: str, key: str) -> None:
+        """Remove a loss under a request that was answered here."""
+        if digest not in self._disproved:
+            self._disproved[digest] = set()
+            self._tasks.start_soon(self._remove_disproved, digest)
+        self._disproved[digest].add(key)
+
+    async def _remove_disproved(self, digest: str) -> None:
+        wait_s = self._rng.uniform(0.0, REMOVAL_SPREAD_S)
+        await self._clock.sleep_until(self._clock.now() + wait_s)
+        keys = self._disproved.pop(digest)
+        if keys:
+            log.event("request.losses_cleared", digest=digest, losses=len(keys))
+            names = tuple(RowName(LOSS_TABLE, digest, key) for key in keys)
+            await self._write(digest, Transaction(removed=names))
+
     def _add(self, digest: str, key: str) -> bool:
         added = self.records.add(digest, key, self._clock.now())
         self._update_metrics()
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -7,6 +7,7 @@
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy import quarantine
 from plantainstack.policy.quarantine import (
+    ANSWERED_S,
     CAUTION_S,
     LOSSES_MAX,
     QUARANTINE_MAX_S,
@@ -111,6 +112,23 @@
     assert records.count() == 0
 
 
+def test_losses_of_a_frequent_request_prove_nothing():
+    """Guards against a sound request that is refused after a whole rack was lost."""
+    records = new_records()
+    records.record_answer("r", 0.0)
+    assert not records.add("r", endpoint_key(A), ANSWERED_S - 0.1)
+    assert records.add("r", endpoint_key(A), ANSWERED_S)
+    assert records.add("other", endpoint_key(A), 0.0)
+
+
+def test_memory_for_answered_requests_is_bounded(monkeypatch):
+    monkeypatch.setattr(quarantine, "ANSWERS_MAX", 2)
+    records = new_records()
+    for digest in ("r0", "r1", "r0", "r2"):
+        records.record_answer(digest, 0.0)
+    assert [records.was_answered(f"r{n}", 1.0) for n in range(3)] == [True, False, True]
+
+
 def test_records_expire_and_are_bounded(monkeypatch):
     """Guards against memory that grows with the requests of an outage."""
     monkeypatch.setattr(quarantine, "RECORDS_MAX", 2)
--- a/tests/services/test_request_losses.py
+++ b/tests/services/test_request_losses.py
@@ -113,6 +113,21 @@
         await until(lambda: not any(each.count() for each in records))
 
 
+@pytest.mark.parametrize("failing", [0, 1])
+async def test_frequent_request_is_served_after_crashes_of_other_causes(failing):
+    """Guards against a sound request that is refused after a whole rack was lost."""
+    platform = new_platform()
+    platform.client.scripts = {id: [CRASHED, CRASHED] for id in ("r2", "r3")}
+    async with running(platform, "a", "b") as kernels:
+        assert (await send(kernels[0], "r1", "/s/frequent")).is_ok()
+        for id in ("r2", "r3"):
+            assert (await send(kernels[failing], id, "/s/frequent")).is_err()
+        for kernel in kernels:
+            await anyio.sleep(request_losses.REMOVAL_SPREAD_S + 0.1)
+            assert (await send(kernel, "r4", "/s/frequent")).is_ok()
+    assert platform.rows.parts("request_losses") == []
+
+
 async def test_error_answer_does_not_clear_the_losses():
     """Guards against a faulty endpoint that frees a request which crashes others."""
     platform = new_platform()
