--- a/tests/services/test_loss_interleavings.py
+++ b/tests/services/test_loss_interleavings.py
@@ -23,7 +23,7 @@
     ScriptedEndpoints,
     running,
 )
-from tests.virtual_time import LoopClock, anyio_backend  # noqa: F401
+from tests.virtual_time import LoopClock, anyio_backend, seed_instances  # noqa: F401
 
 pytestmark = pytest.mark.anyio
 
@@ -194,18 +194,6 @@
         assert self.unserved == [], "sound requests unserved"
 
 
-@pytest.fixture(autouse=True)
-def seed_instances(monkeypatch):
-    """Let instances, which seed their own generators, draw the same in every run."""
-
-    class SeededRandom(random.Random):
-        def __init__(self, seed=0):
-            super().__init__(seed)
-
-    monkeypatch.setattr(random, "Random", SeededRandom)
-    random.seed(0)
-
-
 async def play_all(seeds=SEEDS):
     for seed in seeds:
         await Day(seed).play()
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -1,6 +1,7 @@
 """An event loop whose time advances only when nothing is left to run."""
 
 import asyncio
+import random
 import selectors
 
 import pytest
@@ -64,3 +65,15 @@
 def anyio_backend():
     """Run the tests of a module that imports this on virtual time."""
     return "asyncio", {"loop_factory": VirtualTimeLoop}
+
+
+@pytest.fixture(autouse=True)
+def seed_instances(monkeypatch):
+    """Let instances, which seed their own generators, draw the same in every run."""
+
+    class SeededRandom(random.Random):
+        def __init__(self, seed=0):
+            super().__init__(seed)
+
+    monkeypatch.setattr(random, "Random", SeededRandom)
+    random.seed(0)
