--- a/tests/services/test_limit_interleavings.py
+++ b/tests/services/test_limit_interleavings.py
@@ -16,6 +16,7 @@
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import EndpointAnswer
 from tests.policy.serving_samples import endpoint
+from tests.services.random_days import RandomDay, play_all
 from tests.services.store_fleet import (
     SAFE_ROUTE,
     FakePlatform,
@@ -27,7 +28,6 @@
 pytestmark = pytest.mark.anyio
 
 SEEDS = range(16)
-DAY_S = 24.0
 # Time after which instances keep to a limit, and after which one that was told does.
 CONTACT_S = 3.0
 TOLD_S = 0.5
@@ -94,7 +94,7 @@
         return told_at is not None and told_at + TOLD_S <= at
 
 
-class Day:
+class Day(RandomDay):
     """Play one random day and check what endpoints and callers saw."""
 
     def __init__(self, seed):
@@ -115,9 +115,9 @@
         async with running(self.platform, "a", "b", "c") as self.kernels:
             async with anyio.create_task_group() as day:
                 day.start_soon(self._send_calls)
-                day.start_soon(self._take_store_away)
-                day.start_soon(self._restart_instance)
-                await anyio.sleep(DAY_S)
+                day.start_soon(self._disturb)
+                day.start_soon(self.run_another_instance)
+                await anyio.sleep(self.seconds)
                 day.cancel_scope.cancel()
         self._check()
 
@@ -147,24 +147,10 @@
         if outcome.is_err():
             self.refused.append(outcome.unwrap_err())
 
-    async def _take_store_away(self):
+    async def _disturb(self):
         for _ in range(self.rng.randint(0, 3)):
             await anyio.sleep(self.rng.uniform(1.0, 6.0))
-            kernels = self.rng.sample(self.kernels, self.rng.randint(1, 3))
-            stores = [kernel.plugin("store").metadata_store for kernel in kernels]
-            for store in stores:
-                store.unavailable = True
-            await anyio.sleep(self.rng.uniform(0.5, 4.0))
-            for store in stores:
-                store.unavailable = False
-
-    async def _restart_instance(self):
-        await anyio.sleep(self.rng.uniform(0.0, DAY_S / 2))
-        async with running(self.platform, "d") as (kernel,):
-            self.kernels.append(kernel)
-            await anyio.sleep(self.rng.uniform(1.0, DAY_S / 2))
-            self.kernels.remove(kernel)
-            await anyio.sleep(1.0)
+            await self.take_store_away()
 
     def _check(self):
         client = self.platform.client
@@ -177,21 +163,16 @@
             assert self.refused == [], "refused beside an endpoint without a limit"
 
 
-async def play_all(seeds=SEEDS):
-    for seed in seeds:
-        await Day(seed).play()
-
-
 async def test_instances_together_keep_to_limits_whatever_happens_beside():
     """Guards against an endpoint that gets more than it named in some 4 s."""
-    await play_all()
+    await play_all(Day, SEEDS)
 
 
 async def test_limits_that_are_ignored_are_caught(monkeypatch):
     """Checks the check: a wrong version sends without permits."""
     monkeypatch.setattr(rate_limits.RateLimits, "limit", lambda *args: None)
     with pytest.raises(AssertionError, match="over the limit"):
-        await play_all()
+        await play_all(Day, SEEDS)
 
 
 async def test_limits_that_each_instance_keeps_to_by_itself_are_caught(monkeypatch):
@@ -202,4 +183,4 @@
         lambda bucket, limit, priority, wanted, now: rate_limits.Grant(1, bucket, 0.0),
     )
     with pytest.raises(AssertionError, match="over the limit"):
-        await play_all()
+        await play_all(Day, SEEDS)
--- a/tests/services/test_loss_interleavings.py
+++ b/tests/services/test_loss_interleavings.py
@@ -17,6 +17,7 @@
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import EndpointAnswer
 from tests.policy.serving_samples import endpoint
+from tests.services.random_days import RandomDay, play_all
 from tests.services.store_fleet import (
     SAFE_ROUTE,
     FakePlatform,
@@ -28,7 +29,6 @@
 pytestmark = pytest.mark.anyio
 
 SEEDS = range(16)
-DAY_S = 25.0
 RESTART_S = 3.0
 # Time after which an instance is to act on what happened at another one.
 CONTACT_S = 3.0
@@ -89,7 +89,7 @@
         self._platform.endpoints[id] = restarted
 
 
-class Day:
+class Day(RandomDay):
     """Play one random day and check what endpoints and callers saw."""
 
     def __init__(self, seed):
@@ -106,14 +106,12 @@
             client = CrashingEndpoints(self.platform, self.rng, tasks)
             self.platform.client = client
             async with running(self.platform, "a", "b", "c") as self.kernels:
-                started = self.platform.clock.now()
-                self.end = started + DAY_S
                 async with anyio.create_task_group() as day:
                     day.start_soon(self._repeat_deadly)
                     day.start_soon(self._send_sound)
                     day.start_soon(self._disturb)
-                    day.start_soon(self._restart_instance)
-                    await anyio.sleep(DAY_S)
+                    day.start_soon(self.run_another_instance)
+                    await anyio.sleep(self.seconds)
                     day.cancel_scope.cancel()
             tasks.cancel_scope.cancel()
         self._check()
@@ -152,7 +150,8 @@
             if self.rng.random() < 0.7:
                 await self._lose_rack()
             else:
-                await self._take_store_away()
+                await self.take_store_away()
+                self.last_outage = self.platform.clock.now()
 
     async def _lose_rack(self):
         """Crash endpoints together while many frequent requests are in flight."""
@@ -164,26 +163,6 @@
             for id in self.rng.sample(sorted(self.platform.endpoints), 3):
                 self.platform.client.crash(id)
 
-    async def _take_store_away(self):
-        stores = [
-            kernel.plugin("store").metadata_store
-            for kernel in self.rng.sample(self.kernels, self.rng.randint(1, 3))
-        ]
-        for store in stores:
-            store.unavailable = True
-        await anyio.sleep(self.rng.uniform(0.5, 4.0))
-        for store in stores:
-            store.unavailable = False
-        self.last_outage = self.platform.clock.now()
-
-    async def _restart_instance(self):
-        await anyio.sleep(self.rng.uniform(0.0, DAY_S / 2))
-        async with running(self.platform, "d") as (kernel,):
-            self.kernels.append(kernel)
-            await anyio.sleep(self.rng.uniform(1.0, DAY_S / 2))
-            self.kernels.remove(kernel)
-            await anyio.sleep(1.0)
-
     def _check(self):
         client = self.platform.client
         if len(client.deadly_crashes) >= quarantine.LOSSES_MAX:
@@ -194,25 +173,20 @@
         assert self.unserved == [], "sound requests unserved"
 
 
-async def play_all(seeds=SEEDS):
-    for seed in seeds:
-        await Day(seed).play()
-
-
 async def test_request_that_crashes_endpoints_is_stopped_and_others_are_served():
     """Guards against one request that crashes endpoints, or refuses sound ones."""
-    await play_all()
+    await play_all(Day, SEEDS)
 
 
 async def test_losses_that_nobody_remembers_are_caught(monkeypatch):
     """Checks the check: a wrong version sends the request again without a history."""
     monkeypatch.setattr(quarantine.LossRecords, "add", lambda *args: False)
     with pytest.raises(AssertionError, match="sent after"):
-        await play_all()
+        await play_all(Day, SEEDS)
 
 
 async def test_frequent_requests_that_are_blamed_are_caught(monkeypatch):
     """Checks the check: a wrong version does not tell frequent requests apart."""
     monkeypatch.setattr(quarantine.LossRecords, "was_answered", lambda *args: False)
     with pytest.raises(AssertionError, match="unserved"):
-        await play_all()
+        await play_all(Day, SEEDS)
