Read the software version of an endpoint

The field is decoded into `Endpoint.software`; nothing decides by it yet. The check in test_registration_is_decoded failed before, since the field did not exist.

--- a/plantainstack/platform/records.py
+++ b/plantainstack/platform/records.py
@@ -94,6 +94,8 @@
     state: str
     # Sequence number of the server's writes of this entry; it orders nothing else.
     seq: int
+    # Version of the server's software, not of its weights.
+    version: str = ""
     # Unix time of the server's start in milliseconds.
     born: int = 0
     cold_ms: float = 0.0
@@ -218,6 +220,7 @@
             slots=found.slots,
             leaving=found.state == "draining",
             started_ms=found.born,
+            software=found.version,
             versions={model.name: model.version for model in found.models},
             warm_at=clock.now() + found.cold_ms / 1000 if found.cold_ms else 0.0,
         )
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -95,7 +95,8 @@
 class Endpoint(NamedTuple):
     """Describe a registered endpoint.
 
-    `started_ms` is its start time and identifies the incarnation. `versions` maps
+    `started_ms` is its start time and identifies the incarnation. `software` is the
+    version of its software: texts of different ones cannot be joined. `versions` maps
     each hosted model to the version of its weights. `warm_at` is the time on this
     process's clock at which the endpoint's cold start ends.
     """
@@ -109,6 +110,7 @@
     started_ms: int
     versions: dict[str, int]
     warm_at: float
+    software: str = ""
 
     def incarnation(self) -> tuple[str, int]:
         """Return a key that is unique to this run of the endpoint process."""
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -51,6 +51,7 @@
     ).unwrap()
     assert found.service == "models"
     assert found.versions == {"m0": 4}
+    assert found.software == ENTRY["version"]
     assert found.incarnation() == ("i-1", 1783993482000)
     assert not found.leaving
 
