Log what answers to readers of batches are based on

batch.read now has the source of the answer (memory or store), the number of listed results, the version and age of the row it is based on, the age of the feed's last answer and whether this instance runs the batch. batch.ended and batch.known have the row's version. store.stale_answer names an answer of the store that is older than a version which this instance had already seen when it sent the call.

No logic is changed.

--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -76,6 +76,7 @@
         self._clock = clock
         self._calls = HttpClient(address, clock, CALL_CONNECTIONS)
         self._feeds = HttpClient(address, clock, FEED_CONNECTIONS)
+        self._newest_version = 0
 
     async def aclose(self) -> None:
         """Close idle connections."""
@@ -98,8 +99,12 @@
             "remove": [name._asdict() for name in transaction.removed],
         }
         body = msgspec.json.encode(content)
+        known = self._newest_version
         answer = await self._call("POST", "/api/rows-tx", body, _JSON)
-        return answer.and_then(_transaction_result)
+        found = answer.and_then(_transaction_result)
+        if found.is_ok():
+            self._record_version("transaction", found.unwrap().version, known)
+        return found
 
     async def read(
         self, table: str, part: str, first: str = "", end: str = ""
@@ -112,11 +117,13 @@
                 query["from"] = first
             if end:
                 query["to"] = end
+            known = self._newest_version
             answer = await self._call("GET", f"/api/rows-get?{urlencode(query)}")
             decoded = answer.and_then(lambda reply: _decode(reply, _ROWS))
             if decoded.is_err():
                 return decoded
             page = decoded.unwrap()
+            self._record_version(table, page.ver, known)
             found += [_stored_row(row, table, part) for row in page.rows]
             if not page.has_more or not page.rows:
                 return Ok(RowsRead(tuple(found), page.ver, page.now_ms / 1000))
@@ -136,13 +143,13 @@
         if answer.is_ok() and answer.unwrap().status == HTTPStatus.GONE:
             return Ok(HistoryLost())
         checked = _check_answer(answer)
-        return checked.and_then(lambda reply: _decode(reply, _ROWS)).map(
-            lambda page: RowsRead(
-                tuple(_stored_row(row, table, row.part) for row in page.rows),
-                page.ver,
-                page.now_ms / 1000,
-            )
-        )
+        decoded = checked.and_then(lambda reply: _decode(reply, _ROWS))
+        if decoded.is_err():
+            return decoded
+        page = decoded.unwrap()
+        self._newest_version = max(self._newest_version, page.ver)
+        rows = tuple(_stored_row(row, table, row.part) for row in page.rows)
+        return Ok(RowsRead(rows, page.ver, page.now_ms / 1000))
 
     async def table_rows(self, table: str) -> Result[RowsRead, Failure]:
         """Return all rows of a table, with a cursor from before the first read."""
@@ -213,6 +220,12 @@
             return await self.read(table, "")
         return await self.rows_changed(table, cursor, wait_s)
 
+    def _record_version(self, source: str, version: int, known: int) -> None:
+        """Log an answer from before a version that was known when the call was sent."""
+        if version < known:
+            log.event("store.stale_answer", source=source, version=version, known=known)
+        self._newest_version = max(self._newest_version, version)
+
     async def _parts(self, table: str) -> Result[list[str], Failure]:
         parts: list[str] = []
         while True:
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -1,6 +1,7 @@
 """Plug-in that accepts batches, serves their results and assigns their owners."""
 
 import random
+from enum import StrEnum
 from typing import NamedTuple
 
 import anyio
@@ -50,11 +51,19 @@
 STATE_READ_TIMEOUT_S = 0.7
 
 
+class ReadSource(StrEnum):
+    """State what an answer to a reader is based on."""
+
+    MEMORY = "memory"
+    STORE = "store"
+
+
 class ResultPage(NamedTuple):
     """Hold some results of a batch and the total number of its items."""
 
     total: int
     results: list[ItemResult]
+    source: ReadSource
 
 
 class Batches(Plugin):
@@ -173,7 +182,7 @@
         started = self.kernel.clock.now()
         entry = self._entries.get(batch.id)
         if entry is not None:
-            log.event("batch.known", batch.id)
+            log.event("batch.known", batch.id, version=entry.row.version)
             return Ok(None)
         if self._feed.lost_for(self.kernel.clock.now()) > STORE_OUTAGE_MAX_S:
             log.event("batch.refused", batch.id, reason="the store does not answer")
@@ -257,16 +266,28 @@
         started = self.kernel.clock.now()
         found = await self._read(batch_id, after, wait_s)
         page = found.ok()
+        entry = self._entries.get(batch_id)
+        now = self.kernel.clock.now()
         log.event(
             "batch.read",
             batch_id,
             after=after,
             results=len(page.results) if page else None,
-            seconds=round(self.kernel.clock.now() - started, 3),
+            source=page.source.value if page else None,
+            listed=entry.row.state.listed if entry else None,
+            version=entry.row.version if entry else None,
+            row_age_s=round(now - entry.seen_at, 3) if entry else None,
+            feed_age_s=self._feed_age_s(now),
+            running=entry is not None and entry.is_running(),
+            seconds=round(now - started, 3),
             reason=found.unwrap_err().message if found.is_err() else "",
         )
         return found
 
+    def _feed_age_s(self, now: float) -> float | None:
+        answered_at = self._feed.answered_at
+        return None if answered_at is None else round(now - answered_at, 3)
+
     async def _read(
         self, batch_id: str, after: int, wait_s: float
     ) -> Result[ResultPage, Failure]:
@@ -286,7 +307,7 @@
         ):
             await self._wait(entry, left)
         if after >= entry.row.state.listed:
-            return Ok(ResultPage(state.total, []))
+            return Ok(ResultPage(state.total, [], ReadSource.MEMORY))
         return await self._read_page(entry, batch_id, after)
 
     async def _wait(self, entry: BatchEntry, seconds: float) -> None:
@@ -327,7 +348,7 @@
         row = outcome.unwrap()
         if row is None:
             return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
-        log.event("batch.ended", batch_id, listed=row.state.listed)
+        log.event("batch.ended", batch_id, listed=row.state.listed, version=row.version)
         self._apply_row(batch_id, row)
         return Ok(None)
 
@@ -355,16 +376,18 @@
         self, entry: BatchEntry, batch_id: str, after: int
     ) -> Result[ResultPage, Failure]:
         count = min(PAGE_RESULTS, max(1, entry.row.state.listed - after))
+        source = ReadSource.MEMORY
         if any(after + number not in entry.results for number in range(count)):
             found = await self._batch_store.results(batch_id, after, count)
             if found.is_err():
                 message = found.unwrap_err().message
                 return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
             self._cache.add_results(entry, after, found.unwrap())
+            source = ReadSource.STORE
         page = []
         while len(page) < count and after + len(page) in entry.results:
             page.append(entry.results[after + len(page)])
-        return Ok(ResultPage(entry.row.state.total, page))
+        return Ok(ResultPage(entry.row.state.total, page, source))
 
     async def _load_batch(
         self, entry: BatchEntry, batch_id: str
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -165,3 +165,21 @@
                 tasks.start_soon(insert, number)
         assert len((await store.read("t", "p")).unwrap().rows) == 40
         await store.aclose()
+
+
+async def test_answer_from_before_a_known_version_is_logged(monkeypatch):
+    """Guards against stale answers that leave no trace."""
+    events = []
+    monkeypatch.setattr(
+        store_module.log, "event", lambda name, *_, **fields: events.append(name)
+    )
+    standin = MetadataStoreStandin()
+    async with serving(standin) as address:
+        store = PlatformStore(address, SystemClock())
+        (await store.transact(INSERT)).unwrap()
+        (await store.read("t", "p")).unwrap()
+        assert "store.stale_answer" not in events
+        standin.rows.version -= 1
+        (await store.read("t", "p")).unwrap()
+        assert "store.stale_answer" in events
+        await store.aclose()
