Deny a result or a batch only after the store has confirmed it

A reader got 200 with no results for a position that another instance had already shown.

Cause: an instance took its copy of the state row for the present state. The copy is old while the feed lags, is silent but not yet known as lost, or starts again after the store has dropped its history; at an owner that was replaced, or whose write was carried out but not answered; and at the end of a wait.

Memory now answers only with what cannot change: a listed result, and the state of a batch that is complete or has ended. "Nothing here yet" and "no such batch" need a read of the state row that began after the request came, at the end of its wait. If it shows more results, these are returned; if the store does not answer within 0.7 s, or answers from a state before the known one, the reader gets 503 and asks another instance. Readers of one batch at one instance share a read that began after all of them came.

Reads move to services/batch_reads.py.

--- /dev/null
+++ b/plantainstack/services/batch_reads.py
@@ -0,0 +1,207 @@
+"""Answer readers of batches."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from plantainstack import log
+from plantainstack.clock import Clock
+from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.services.batch_cache import BatchCache, BatchEntry
+from plantainstack.services.batch_store import BatchStore, StateRow
+from plantainstack.services.feeds import FeedReader
+from plantainstack.services.shared_calls import SharedCalls
+from plantainstack.serving import Batch, ItemResult
+
+PAGE_RESULTS = 64
+# Timeout for confirming a state; after it, the read fails and the reader can try
+# another instance. A working store responds within 0.3 s.
+STATE_READ_TIMEOUT_S = 0.7
+
+
+class ReadSource(StrEnum):
+    """State what an answer to a reader is based on."""
+
+    MEMORY = "memory"
+    STORE = "store"
+
+
+class ResultPage(NamedTuple):
+    """Hold some results of a batch and the total number of its items."""
+
+    total: int
+    results: list[ItemResult]
+    source: ReadSource
+
+
+class BatchReads:
+    """Answer reads of results and of request bodies at any instance.
+
+    What this instance remembers of a batch may be out of date, also while its feed
+    works and while it runs the batch. Memory therefore answers only with what cannot
+    change: a listed result, and the state of a batch that is complete or has ended.
+    That something does not exist is answered once the store has confirmed it after
+    the request came.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        tasks: TaskGroup,
+        batch_store: BatchStore,
+        cache: BatchCache,
+        feed: FeedReader,
+        apply_row: Callable[[str, StateRow], BatchEntry],
+    ):
+        self._clock = clock
+        self._batch_store = batch_store
+        self._cache = cache
+        self._feed = feed
+        self._apply_row = apply_row
+        self._present = SharedCalls(tasks, self._read_present, STATE_READ_TIMEOUT_S)
+        self.waiting = 0
+
+    async def results(
+        self, batch_id: str, after: int, wait_s: float
+    ) -> Result[ResultPage, Failure]:
+        """Return results from the position `after` on.
+
+        Waits up to `wait_s` for the first of them.
+        """
+        started = self._clock.now()
+        found = await self._results(batch_id, after, wait_s)
+        page = found.ok()
+        entry = self._cache.entries.get(batch_id)
+        now = self._clock.now()
+        log.event(
+            "batch.read",
+            batch_id,
+            after=after,
+            results=len(page.results) if page else None,
+            source=page.source.value if page else None,
+            listed=entry.row.state.listed if entry else None,
+            version=entry.row.version if entry else None,
+            row_age_s=round(now - entry.seen_at, 3) if entry else None,
+            feed_age_s=self._feed_age_s(now),
+            running=entry is not None and entry.is_running(),
+            seconds=round(now - started, 3),
+            reason=found.unwrap_err().message if found.is_err() else "",
+        )
+        return found
+
+    async def item_body(self, batch_id: str, item_id: str) -> Result[bytes, Failure]:
+        """Return the request body of an item, unless its batch has ended."""
+        entry = self._cache.entries.get(batch_id)
+        if entry is None:
+            found = await self._confirm(batch_id)
+            if found.is_err():
+                return found
+            entry = found.unwrap()
+        if entry.row.state.ended:
+            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch has ended"))
+        loaded = await self.load_batch(entry, batch_id)
+        if loaded.is_err():
+            return Err(loaded.unwrap_err()._replace(outcome=Outcome.NOT_RUN))
+        for item in loaded.unwrap().items:
+            if item.id == item_id:
+                return Ok(item.body)
+        return Err(
+            Failure.of(ErrorKind.NOT_FOUND, "the batch has no item with this id")
+        )
+
+    async def load_batch(
+        self, entry: BatchEntry, batch_id: str
+    ) -> Result[Batch, Failure]:
+        """Return a batch with its items, from the store if it is not cached."""
+        if entry.batch is not None:
+            return Ok(entry.batch)
+        found = await self._batch_store.batch(batch_id)
+        if found.is_ok():
+            entry.batch = found.unwrap()
+        return found
+
+    async def _results(
+        self, batch_id: str, after: int, wait_s: float
+    ) -> Result[ResultPage, Failure]:
+        wait_until = self._clock.now() + wait_s
+        source = ReadSource.MEMORY
+        entry = self._cache.entries.get(batch_id)
+        if entry is None:
+            found = await self._confirm(batch_id)
+            if found.is_err():
+                return found
+            entry = found.unwrap()
+            source = ReadSource.STORE
+        await self._wait_for_results(entry, after, wait_until)
+        is_open = not entry.row.state.is_final()
+        if after >= entry.row.state.listed and is_open and source is ReadSource.MEMORY:
+            found = await self._confirm(batch_id)
+            if found.is_err():
+                return found
+            entry = found.unwrap()
+            source = ReadSource.STORE
+        if after >= entry.row.state.listed:
+            return Ok(ResultPage(entry.row.state.total, [], source))
+        return await self._read_page(entry, batch_id, after)
+
+    async def _wait_for_results(
+        self, entry: BatchEntry, after: int, wait_until: float
+    ) -> None:
+        self.waiting += 1
+        try:
+            while (
+                after >= entry.row.state.listed
+                and not entry.row.state.is_final()
+                and (left := wait_until - self._clock.now()) > 0
+            ):
+                await entry.changed.wait(left)
+        finally:
+            self.waiting -= 1
+
+    async def _read_page(
+        self, entry: BatchEntry, batch_id: str, after: int
+    ) -> Result[ResultPage, Failure]:
+        count = min(PAGE_RESULTS, entry.row.state.listed - after)
+        source = ReadSource.MEMORY
+        failure = None
+        if any(after + number not in entry.results for number in range(count)):
+            found = await self._batch_store.results(batch_id, after, count)
+            if found.is_ok():
+                self._cache.add_results(entry, after, found.unwrap())
+                source = ReadSource.STORE
+            else:
+                failure = found.unwrap_err()
+        page = []
+        while len(page) < count and after + len(page) in entry.results:
+            page.append(entry.results[after + len(page)])
+        if failure is not None and not page:
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, failure.message))
+        return Ok(ResultPage(entry.row.state.total, page, source))
+
+    async def _confirm(self, batch_id: str) -> Result[BatchEntry, Failure]:
+        """Return a batch in the state that the store had after this call began."""
+        found = None
+        with anyio.move_on_after(STATE_READ_TIMEOUT_S):
+            found = await self._present.call(batch_id)
+        if found is None or found.is_err():
+            reason = found.unwrap_err().message if found else "no answer in time"
+            log.event("batch.not_confirmed", batch_id, reason=reason)
+            message = "the store does not answer"
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
+        row = found.unwrap()
+        if row is None:
+            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
+        return Ok(self._apply_row(batch_id, row))
+
+    async def _read_present(self, batch_id: str) -> Result[StateRow | None, Failure]:
+        entry = self._cache.entries.get(batch_id)
+        version = entry.row.version if entry else 0
+        return await self._batch_store.state(batch_id, version)
+
+    def _feed_age_s(self, now: float) -> float | None:
+        answered_at = self._feed.answered_at
+        return None if answered_at is None else round(now - answered_at, 3)
--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -21,6 +21,7 @@
     ItemResult,
     MetadataStore,
     RowName,
+    RowsRead,
     StoredRow,
     Transaction,
     TransactionResult,
@@ -63,6 +64,10 @@
     nonce: str
     paces: dict[str, float] = {}
 
+    def is_final(self) -> bool:
+        """Return whether no further result can be listed."""
+        return self.ended or self.listed >= self.total
+
 
 class StateRow(NamedTuple):
     """Hold the state of a batch and the version of the row `state`."""
@@ -192,9 +197,14 @@
             found = Ok(outcome.current)
         return found
 
-    async def state(self, batch_id: str) -> Result[StateRow | None, Failure]:
-        """Read the state of a batch; return None if it does not exist."""
-        found = await self._store.read(STATE_TABLE, batch_id)
+    async def state(
+        self, batch_id: str, known_version: int = 0
+    ) -> Result[StateRow | None, Failure]:
+        """Read the state of a batch; return None if it does not exist.
+
+        Fails if the store answers from a state before `known_version`.
+        """
+        found = await self._read(STATE_TABLE, batch_id, known_version)
         return found.map(lambda rows: state_row(rows.rows[0]) if rows.rows else None)
 
     async def batch(self, batch_id: str) -> Result[Batch, Failure]:
@@ -260,6 +270,20 @@
         outcome = await self._store.transact(transaction)
         return outcome.map(lambda _: None)
 
+    async def _read(
+        self,
+        table: str,
+        batch_id: str,
+        known_version: int,
+        first: str = "",
+        end: str = "",
+    ) -> Result[RowsRead, Failure]:
+        found = await self._store.read(table, batch_id, first, end)
+        if found.is_ok() and found.unwrap().cursor < known_version:
+            message = "the store answered from an older state than the known one"
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
+        return found
+
     async def _write(
         self, batch_id: str, version: int, state: BatchState, puts
     ) -> Result[StateRow | StateConflict, Failure]:
@@ -299,14 +323,19 @@
 def _written(done: TransactionResult, state: BatchState) -> StateRow | StateConflict:
     if done.applied:
         return StateRow(state, done.version)
-    rows = [row for row in done.conflicts if row.value is not None]
-    current = state_row(rows[0]) if rows else None
+    current = _current_state(done)
     if current is not None and current.state.nonce == state.nonce:
         # An earlier attempt of this write was applied, but its response was lost.
         return current
     return StateConflict(current)
 
 
+def _current_state(done: TransactionResult) -> StateRow | None:
+    """Return the state in the answer to a rejected transaction."""
+    rows = [row for row in done.conflicts if row.value is not None]
+    return state_row(rows[0]) if rows else None
+
+
 def _state_name(batch_id: str) -> RowName:
     return RowName(STATE_TABLE, batch_id, STATE_KEY)
 
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -1,18 +1,17 @@
 """Plug-in that accepts batches, serves their results and assigns their owners."""
 
 import random
-from enum import StrEnum
-from typing import NamedTuple
 
 import anyio
 from result import Err, Ok, Result
 
 from plantainstack import log
-from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.plugins import Plugin
 from plantainstack.policy import batch_owners, batch_scheduling
 from plantainstack.policy.batch_owners import StepOwner
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
+from plantainstack.services.batch_reads import BatchReads, ResultPage
 from plantainstack.services.batch_results import APPEND_ITEMS
 from plantainstack.services.batch_runs import BatchRun, batch_route
 from plantainstack.services.batch_store import (
@@ -41,29 +40,10 @@
 # Maximum random delay before a takeover, so that the instances that detect the same
 # ownerless batch do not all write at once.
 TAKE_OVER_JITTER_S = 0.3
-PAGE_RESULTS = 64
 # Part of the shutdown grace period reserved for the writes that release batches; a
 # slow store responds within 0.3 s.
 RELEASE_MARGIN_S = 1.5
 DRAIN_CHECK_S = 0.05
-# Timeout for looking up an unknown or possibly outdated state; after it, the read fails
-# and the reader can try another instance. A working store responds within 0.3 s.
-STATE_READ_TIMEOUT_S = 0.7
-
-
-class ReadSource(StrEnum):
-    """State what an answer to a reader is based on."""
-
-    MEMORY = "memory"
-    STORE = "store"
-
-
-class ResultPage(NamedTuple):
-    """Hold some results of a batch and the total number of its items."""
-
-    total: int
-    results: list[ItemResult]
-    source: ReadSource
 
 
 class Batches(Plugin):
@@ -83,7 +63,6 @@
         # confirmed them, so until then they do not count as orphaned.
         self._accepting: set[str] = set()
         self._full_read_due = anyio.Event()
-        self._waiting_readers = 0
         self._next_step_until = 0.0
 
     async def start(self, tasks) -> None:
@@ -108,12 +87,20 @@
             self._feed_pause_s,
             self._handle_feed_regained,
         )
+        self._reads = BatchReads(
+            self.kernel.clock,
+            tasks,
+            self._batch_store,
+            self._cache,
+            self._feed,
+            self._apply_row,
+        )
         tasks.start_soon(self._read_feed)
         tasks.start_soon(self._read_full_table)
         tasks.start_soon(self._supervise)
 
     def _feed_pause_s(self) -> float:
-        if self._waiting_readers:
+        if self._reads.waiting:
             return READ_PAUSE_S
         next_step_expected = self.kernel.clock.now() < self._next_step_until
         return NEXT_STEP_PAUSE_S if next_step_expected else FEED_PAUSE_S
@@ -263,77 +250,11 @@
 
         Waits up to `wait_s` for the first of them.
         """
-        started = self.kernel.clock.now()
-        found = await self._read(batch_id, after, wait_s)
-        page = found.ok()
-        entry = self._entries.get(batch_id)
-        now = self.kernel.clock.now()
-        log.event(
-            "batch.read",
-            batch_id,
-            after=after,
-            results=len(page.results) if page else None,
-            source=page.source.value if page else None,
-            listed=entry.row.state.listed if entry else None,
-            version=entry.row.version if entry else None,
-            row_age_s=round(now - entry.seen_at, 3) if entry else None,
-            feed_age_s=self._feed_age_s(now),
-            running=entry is not None and entry.is_running(),
-            seconds=round(now - started, 3),
-            reason=found.unwrap_err().message if found.is_err() else "",
-        )
-        return found
-
-    def _feed_age_s(self, now: float) -> float | None:
-        answered_at = self._feed.answered_at
-        return None if answered_at is None else round(now - answered_at, 3)
-
-    async def _read(
-        self, batch_id: str, after: int, wait_s: float
-    ) -> Result[ResultPage, Failure]:
-        cached = self._entries.get(batch_id)
-        if cached is not None and after in cached.results:
-            return await self._read_page(cached, batch_id, after)
-        found = await self._find_entry(batch_id)
-        if found.is_err():
-            return found
-        entry = found.unwrap()
-        state = entry.row.state
-        wait_until = self.kernel.clock.now() + wait_s
-        while (
-            after >= entry.row.state.listed < state.total
-            and not entry.row.state.ended
-            and (left := wait_until - self.kernel.clock.now()) > 0
-        ):
-            await self._wait(entry, left)
-        if after >= entry.row.state.listed:
-            return Ok(ResultPage(state.total, [], ReadSource.MEMORY))
-        return await self._read_page(entry, batch_id, after)
-
-    async def _wait(self, entry: BatchEntry, seconds: float) -> None:
-        self._waiting_readers += 1
-        try:
-            await entry.changed.wait(seconds)
-        finally:
-            self._waiting_readers -= 1
+        return await self._reads.results(batch_id, after, wait_s)
 
     async def item_body(self, batch_id: str, item_id: str) -> Result[bytes, Failure]:
         """Return the request body of an item, unless its batch has ended."""
-        found = await self._find_entry(batch_id)
-        if found.is_err():
-            return found
-        entry = found.unwrap()
-        if entry.row.state.ended:
-            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch has ended"))
-        loaded = await self._load_batch(entry, batch_id)
-        if loaded.is_err():
-            return Err(loaded.unwrap_err()._replace(outcome=Outcome.NOT_RUN))
-        for item in loaded.unwrap().items:
-            if item.id == item_id:
-                return Ok(item.body)
-        return Err(
-            Failure.of(ErrorKind.NOT_FOUND, "the batch has no item with this id")
-        )
+        return await self._reads.item_body(batch_id, item_id)
 
     async def end(self, batch_id: str) -> Result[None, Failure]:
         """End a batch; its listed results can still be read."""
@@ -352,53 +273,6 @@
         self._apply_row(batch_id, row)
         return Ok(None)
 
-    async def _find_entry(self, batch_id: str) -> Result[BatchEntry, Failure]:
-        """Return a batch, reading its state from the store if necessary.
-
-        The store is read if the batch is unknown or its state may be out of date.
-        """
-        entry = self._entries.get(batch_id)
-        running = entry is not None and entry.is_running()
-        if entry is not None and (running or self._feed.lost_at is None):
-            return Ok(entry)
-        found = None
-        with anyio.move_on_after(STATE_READ_TIMEOUT_S):
-            found = await self._batch_store.state(batch_id)
-        if found is None or found.is_err():
-            message = "the store does not answer"
-            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
-        row = found.unwrap()
-        if row is None:
-            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
-        return Ok(self._apply_row(batch_id, row))
-
-    async def _read_page(
-        self, entry: BatchEntry, batch_id: str, after: int
-    ) -> Result[ResultPage, Failure]:
-        count = min(PAGE_RESULTS, max(1, entry.row.state.listed - after))
-        source = ReadSource.MEMORY
-        if any(after + number not in entry.results for number in range(count)):
-            found = await self._batch_store.results(batch_id, after, count)
-            if found.is_err():
-                message = found.unwrap_err().message
-                return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
-            self._cache.add_results(entry, after, found.unwrap())
-            source = ReadSource.STORE
-        page = []
-        while len(page) < count and after + len(page) in entry.results:
-            page.append(entry.results[after + len(page)])
-        return Ok(ResultPage(entry.row.state.total, page, source))
-
-    async def _load_batch(
-        self, entry: BatchEntry, batch_id: str
-    ) -> Result[Batch, Failure]:
-        if entry.batch is not None:
-            return Ok(entry.batch)
-        found = await self._batch_store.batch(batch_id)
-        if found.is_ok():
-            entry.batch = found.unwrap()
-        return found
-
     def _apply_rows(self, found: RowsRead, is_snapshot: bool) -> None:
         changed: dict[str, BatchEntry] = {}
         for row in found.rows:
@@ -550,7 +424,7 @@
     async def _read_progress(self, entry: BatchEntry, batch_id: str) -> list[Result]:
         """Read a batch, its listed results and its texts at the same time."""
         reads = (
-            lambda: self._load_batch(entry, batch_id),
+            lambda: self._reads.load_batch(entry, batch_id),
             lambda: self._batch_store.results(batch_id, 0, entry.row.state.listed),
             lambda: self._batch_store.partials(batch_id),
         )
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -1,6 +1,7 @@
 """Test instances on a shared in-memory metadata store, with scripted endpoints."""
 
 import contextlib
+import copy
 from types import SimpleNamespace
 
 import anyio
@@ -67,14 +68,21 @@
 
     A fault is `down` (refused), `lost` (applied, but the response is lost) or
     `dropped` (not applied, with no response either). `unavailable` refuses all calls.
+    `feed_fault` makes feeds `silent` (answers without changes), `lagging` (changes
+    come FEED_LAG_S late) or `unanswered`. Plain reads are answered from `answer_from`.
     """
 
+    FEED_LAG_S = 5.0
+
     def __init__(self, rows: Rows, clock):
         self.rows = rows
+        self.answer_from = rows
         self.clock = clock
         self.faults = []
+        self.feed_fault = None
         self.unavailable = False
         self.calls = 0
+        self.reads = 0
         self.objects = {}
 
     async def transact(self, transaction):
@@ -107,13 +115,31 @@
         await anyio.lowlevel.checkpoint()
         if self.unavailable:
             return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, "scripted"))
-        found = self.rows.range(table, part, first, end)
+        self.reads += 1
+        found = self.answer_from.range(table, part, first, end)
         rows = tuple(StoredRow(RowName(*n), r.value, r.version) for n, r in found)
-        return Ok(RowsRead(rows, self.rows.version, self.clock.now()))
+        return Ok(RowsRead(rows, self.answer_from.version, self.clock.now()))
+
+    def copied_rows(self):
+        """Return a copy of the rows, which later transactions do not change."""
+        copied = copy.copy(self.rows)
+        copied._rows = dict(self.rows._rows)
+        return copied
+
+    def answer_reads_from_now(self):
+        """Answer plain reads from the present state, however it changes later."""
+        self.answer_from = self.copied_rows()
 
     async def rows_changed(self, table, cursor, wait_s):
         if self.unavailable:
             return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, "scripted"))
+        if self.feed_fault == "unanswered":
+            await anyio.sleep_forever()
+        if self.feed_fault == "silent":
+            await anyio.sleep(wait_s)
+            return Ok(RowsRead((), cursor, self.clock.now()))
+        if self.feed_fault == "lagging":
+            await anyio.sleep(self.FEED_LAG_S)
         with anyio.move_on_after(wait_s):
             while self.rows.changed_since(table, cursor) == []:
                 await self.rows.changed.wait()
@@ -128,9 +154,9 @@
         if self.unavailable:
             return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, "scripted"))
         rows = []
-        for part in self.rows.parts(table):
+        for part in self.answer_from.parts(table):
             rows += (await self.read(table, part)).unwrap().rows
-        return Ok(RowsRead(tuple(rows), self.rows.version, self.clock.now()))
+        return Ok(RowsRead(tuple(rows), self.answer_from.version, self.clock.now()))
 
     async def put_object(self, name, data):
         self.objects.setdefault(name, data)
