Do not take a read of results that lacks listed ones for complete

Cause: the number of results that the state row lists was not compared with the rows that a read returned. An answer from an older state of the store gave an empty page to a reader, and let a successor run and list items again that were listed already. Rows were also numbered by their order in the answer, not by their keys.

A read of results now fails unless it returns exactly the positions that the state row lists, and unless the answer is from the version of that row or later; so does a read of stored texts. Readers get cached results or 503, and a successor tries again.

On the code before, both tests fail: test_listed_result_missing_from_a_stale_read_is_not_answered_as_absent gets an empty page, test_successor_does_not_list_items_again_that_a_stale_read_lacks finds an item listed again (five results of four items).

--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -165,11 +165,14 @@
     async def _read_page(
         self, entry: BatchEntry, batch_id: str, after: int
     ) -> Result[ResultPage, Failure]:
+        """Return listed results; at least one, since a listed result must exist."""
         count = min(PAGE_RESULTS, entry.row.state.listed - after)
         source = ReadSource.MEMORY
         failure = None
         if any(after + number not in entry.results for number in range(count)):
-            found = await self._batch_store.results(batch_id, after, count)
+            found = await self._batch_store.results(
+                batch_id, after, count, entry.row.version
+            )
             if found.is_ok():
                 self._cache.add_results(entry, after, found.unwrap())
                 source = ReadSource.STORE
@@ -178,9 +181,10 @@
         page = []
         while len(page) < count and after + len(page) in entry.results:
             page.append(entry.results[after + len(page)])
-        if failure is not None and not page:
-            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, failure.message))
-        return Ok(ResultPage(entry.row.state.total, page, source))
+        if page:
+            return Ok(ResultPage(entry.row.state.total, page, source))
+        message = failure.message if failure else "the store lacks a listed result"
+        return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
 
     async def _confirm(self, batch_id: str) -> Result[BatchEntry, Failure]:
         """Return a batch in the state that the store had after this call began."""
--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -225,17 +225,37 @@
             return Err(Failure.of(ErrorKind.INTERNAL, message))
 
     async def results(
-        self, batch_id: str, first: int, count: int
+        self, batch_id: str, first: int, count: int, known_version: int
     ) -> Result[list[ItemResult], Failure]:
-        """Read up to `count` listed results, starting at position `first`."""
-        found = await self._store.read(
-            RESULT_TABLE, batch_id, _position(first), _position(first + count)
+        """Read `count` listed results, starting at position `first`.
+
+        `known_version` is the version of the state that lists them. Fails if the
+        store answers from an earlier state or lacks one of them.
+        """
+        found = await self._read(
+            RESULT_TABLE,
+            batch_id,
+            known_version,
+            _position(first),
+            _position(first + count),
         )
-        return found.map(lambda rows: [_RESULT.decode(row.value) for row in rows.rows])
+        if found.is_err():
+            return found
+        rows = found.unwrap().rows
+        expected = [_position(first + number) for number in range(count)]
+        if [row.name.key for row in rows] != expected:
+            message = f"the store returned {len(rows)} of {count} listed results"
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
+        return Ok([_RESULT.decode(row.value) for row in rows])
+
+    async def partials(
+        self, batch_id: str, known_version: int
+    ) -> Result[dict[str, PartialText], Failure]:
+        """Read the stored partial texts, by item id.
 
-    async def partials(self, batch_id: str) -> Result[dict[str, PartialText], Failure]:
-        """Read the stored partial texts, by item id."""
-        found = await self._store.read(PARTIAL_TABLE, batch_id)
+        Fails if the store answers from a state before `known_version`.
+        """
+        found = await self._read(PARTIAL_TABLE, batch_id, known_version)
         if found.is_err():
             return found
         pieces: dict[str, list[PartialText]] = {}
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -425,8 +425,10 @@
         """Read a batch, its listed results and its texts at the same time."""
         reads = (
             lambda: self._reads.load_batch(entry, batch_id),
-            lambda: self._batch_store.results(batch_id, 0, entry.row.state.listed),
-            lambda: self._batch_store.partials(batch_id),
+            lambda: self._batch_store.results(
+                batch_id, 0, entry.row.state.listed, entry.row.version
+            ),
+            lambda: self._batch_store.partials(batch_id, entry.row.version),
         )
         found: list[Result] = [None] * len(reads)
 
--- a/tests/services/test_batch_reads.py
+++ b/tests/services/test_batch_reads.py
@@ -104,6 +104,18 @@
         assert answers_with_results(found) or is_unavailable(found)
 
 
+async def test_listed_result_missing_from_a_stale_read_is_not_answered_as_absent():
+    """Guards against an empty page from a store that answers with an older state."""
+    every_item = [f"i{n}" for n in range(4)]
+    async with open_batch(every_item) as (_, owner, reader, stores, gates):
+        stores[1].answer_reads_from_now()
+        for gate in gates[1:]:
+            gate.set()
+        assert len(await all_results(owner, "b1", 3)) == 3
+        await until(lambda: reader._entries["b1"].row.state.listed == 3)
+        assert is_unavailable(await reader.results("b1", 2, 0.0))
+
+
 async def test_batch_accepted_elsewhere_is_found_while_the_feed_is_silent():
     """Guards against 404 for a batch that this instance has not heard of."""
     platform = FakePlatform(LoopClock())
@@ -189,3 +201,22 @@
             await anyio.lowlevel.checkpoint()
             leaving.cancel()
         assert found[0].unwrap().results == []
+
+
+async def test_successor_does_not_list_items_again_that_a_stale_read_lacks():
+    """Guards against an item at two positions after a change of the owner."""
+    platform = FakePlatform(LoopClock())
+    gate = platform.client.blocked_events[("i0", 1)] = anyio.Event()
+    async with running(platform, "b") as kernels:
+        successor = kernels[0].plugin("batches")
+        store = kernels[0].plugin("store").metadata_store
+        async with running(platform, "a") as owners:
+            owner = owners[0].plugin("batches")
+            assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
+            store.answer_reads_from_now()
+            assert len(await all_results(owner, "b1", 3)) == 3
+        gate.set()
+        await anyio.sleep(10.0)
+        store.answer_from = store.rows
+        found = await all_results(successor, "b1", 4)
+        assert sorted(result.item_id for result in found) == ["i0", "i1", "i2", "i3"]
