Answer 503 when the store lacks what this instance knows of a batch

Cause: ending a batch took the absence of its state row for the truth, though the instance had a version of that row, and an answer without items was decoded as one with damaged items. Both fail now as unavailable, so that the caller asks another instance.

--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -180,9 +180,14 @@
         state = row.state._replace(owner=owner, term=row.state.term + 1, nonce=_nonce())
         return await self._write(batch_id, row.version, state, [])
 
-    async def end(self, batch_id: str) -> Result[StateRow | None, Failure]:
-        """Mark a batch as ended; return None if it does not exist."""
-        found = await self.state(batch_id)
+    async def end(
+        self, batch_id: str, known_version: int = 0
+    ) -> Result[StateRow | None, Failure]:
+        """Mark a batch as ended; return None if it does not exist.
+
+        Fails if the store answers from a state before `known_version`.
+        """
+        found = await self.state(batch_id, known_version)
         while found.is_ok():
             row = found.unwrap()
             if row is None or row.state.ended:
@@ -208,7 +213,7 @@
         return found.map(lambda rows: state_row(rows.rows[0]) if rows.rows else None)
 
     async def batch(self, batch_id: str) -> Result[Batch, Failure]:
-        """Read a batch with all of its items."""
+        """Read a batch that exists, with all of its items."""
         found = await self._store.read(ITEM_TABLE, batch_id)
         if found.is_err():
             return found
@@ -218,6 +223,9 @@
             if stored.is_err():
                 return stored
             data = stored.unwrap() or b""
+        if not data:
+            message = f"the store returned no items of batch {batch_id}"
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
         try:
             return Ok(_BATCH.decode(zlib.decompress(data)))
         except (zlib.error, msgspec.MsgspecError) as exc:
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -261,7 +261,8 @@
         known = self._entries.get(batch_id)
         if known is not None and known.row.state.ended:
             return Ok(None)
-        outcome = await self._batch_store.end(batch_id)
+        known_version = known.row.version if known else 0
+        outcome = await self._batch_store.end(batch_id, known_version)
         if outcome.is_err():
             failure = outcome.unwrap_err()
             log.event("batch.end_failed", batch_id, reason=failure.message)
--- a/tests/services/test_batch_reads.py
+++ b/tests/services/test_batch_reads.py
@@ -220,3 +220,17 @@
         store.answer_from = store.rows
         found = await all_results(successor, "b1", 4)
         assert sorted(result.item_id for result in found) == ["i0", "i1", "i2", "i3"]
+
+
+@pytest.mark.parametrize("call", ["item_body", "end"])
+async def test_known_batch_is_not_denied_because_of_a_stale_read(call):
+    """Guards against 404 or 500 for a batch of which this instance knows."""
+    platform = FakePlatform(LoopClock())
+    platform.client.blocked_events[("i0", 1)] = anyio.Event()
+    async with running(platform, "a", "b") as kernels:
+        owner, reader = (kernel.plugin("batches") for kernel in kernels)
+        kernels[1].plugin("store").metadata_store.answer_reads_from_now()
+        assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
+        await until(lambda: "b1" in reader._entries)
+        arguments = {"item_body": ("i0",), "end": ()}[call]
+        assert is_unavailable(await getattr(reader, call)("b1", *arguments))
