Refuse reads of the store that precede what it has shown before

The store promises linearizable answers, so an answer with an older version than one that an earlier answer had is none about the present state. The client now fails such a read. Versions grow with every write of any table, so an instance whose feeds work notices an old answer within a fraction of a second. The cursor of a read of several pages is now that of the first page.

On the code before, test_read_from_before_a_known_version_fails gets the old rows.

--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -103,7 +103,7 @@
         answer = await self._call("POST", "/api/rows-tx", body, _JSON)
         found = answer.and_then(_transaction_result)
         if found.is_ok():
-            self._record_version("transaction", found.unwrap().version, known)
+            self._is_stale("transaction", found.unwrap().version, known)
         return found
 
     async def read(
@@ -111,6 +111,7 @@
     ) -> Result[RowsRead, Failure]:
         """Return the rows of a part whose keys lie in [first, end)."""
         found: list[StoredRow] = []
+        cursor = None
         while True:
             query = {"table": table, "part": part}
             if first:
@@ -123,10 +124,13 @@
             if decoded.is_err():
                 return decoded
             page = decoded.unwrap()
-            self._record_version(table, page.ver, known)
+            if self._is_stale(table, page.ver, known):
+                message = "the store answered from an older state than before"
+                return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
+            cursor = page.ver if cursor is None else cursor
             found += [_stored_row(row, table, part) for row in page.rows]
             if not page.has_more or not page.rows:
-                return Ok(RowsRead(tuple(found), page.ver, page.now_ms / 1000))
+                return Ok(RowsRead(tuple(found), cursor, page.now_ms / 1000))
             first = page.rows[-1].key + "\0"
 
     async def rows_changed(
@@ -220,11 +224,15 @@
             return await self.read(table, "")
         return await self.rows_changed(table, cursor, wait_s)
 
-    def _record_version(self, source: str, version: int, known: int) -> None:
-        """Log an answer from before a version that was known when the call was sent."""
+    def _is_stale(self, source: str, version: int, known: int) -> bool:
+        """Return whether an answer precedes a version that was known before the call.
+
+        Such answers are not linearizable; they say nothing about the present state.
+        """
+        self._newest_version = max(self._newest_version, version)
         if version < known:
             log.event("store.stale_answer", source=source, version=version, known=known)
-        self._newest_version = max(self._newest_version, version)
+        return version < known
 
     async def _parts(self, table: str) -> Result[list[str], Failure]:
         parts: list[str] = []
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -167,8 +167,8 @@
         await store.aclose()
 
 
-async def test_answer_from_before_a_known_version_is_logged(monkeypatch):
-    """Guards against stale answers that leave no trace."""
+async def test_read_from_before_a_known_version_fails(monkeypatch):
+    """Guards against a stale answer that is taken for the present state."""
     events = []
     monkeypatch.setattr(
         store_module.log, "event", lambda name, *_, **fields: events.append(name)
@@ -177,9 +177,10 @@
     async with serving(standin) as address:
         store = PlatformStore(address, SystemClock())
         (await store.transact(INSERT)).unwrap()
-        (await store.read("t", "p")).unwrap()
+        assert (await store.read("t", "p")).is_ok()
         assert "store.stale_answer" not in events
         standin.rows.version -= 1
-        (await store.read("t", "p")).unwrap()
+        failure = (await store.read("t", "p")).unwrap_err()
+        assert failure.outcome is Outcome.NOT_RUN
         assert "store.stale_answer" in events
         await store.aclose()
