Do not run a batch whose state has changed since it was taken over

What callers could see: items of an ended batch that reach endpoints (UNASKED), or two owners of one batch, of which one writes under the other's row, so that an item is listed twice (TWICE).

Cause: between becoming the owner and starting the run, an instance reads the results and texts, or waits for the answer to its write; a slow store makes this seconds. The run then started from the newest state row, also if that said that the batch had ended or belonged to another owner by now, with the results as of before.

A run now starts, and a batch without a route is now abandoned, from the very row that made the instance the owner; if the row has changed since, it does not start (batch.not_started). A write under that row fails at the store if anything changed.

On the code before, these fail: test_batch_that_ended_during_a_takeover_is_not_run (an item is sent), test_batch_with_a_newer_owner_after_a_takeover_is_not_run (the former owner runs it), test_batch_that_ended_before_its_acceptance_was_confirmed_is_not_run (4 items sent).

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -228,7 +228,7 @@
         if not stored_here or self._draining or entry.run is not None:
             return Ok(None)
         if owner == self._instance_id:
-            self._start_run(entry, batch, route, [], {})
+            self._start_run(entry, row, batch, route, [], {})
         elif owner:
             self._tasks.start_soon(self._ensure_handover, batch.id, entry, row.version)
         return Ok(None)
@@ -311,7 +311,13 @@
     def _handle_feed_regained(self) -> None:
         self._healthy_since = self.kernel.clock.now()
 
-    def _start_run(self, entry, batch, route, listed, partials) -> None:
+    def _start_run(self, entry, row, batch, route, listed, partials) -> None:
+        """Run a batch from the state in which this instance became its owner."""
+        if entry.row.version != row.version:
+            # It has ended or has another owner, so `listed` may lack results.
+            log.event("batch.not_started", batch.id, owner=entry.row.state.owner)
+            return
+
         def on_state(row: StateRow, results: list[ItemResult]) -> None:
             first = row.state.listed - len(results)
             self._cache.add_results(entry, first, results)
@@ -322,7 +328,7 @@
             self._batch_store,
             batch,
             route,
-            entry.row,
+            row,
             listed,
             partials,
             on_state,
@@ -392,22 +398,26 @@
             )
             if outcome.is_err() or not isinstance(outcome.unwrap(), StateRow):
                 return
+            row = outcome.unwrap()
             before = entry.row.state.owner
-            self._apply_row(batch_id, outcome.unwrap())
+            self._apply_row(batch_id, row)
             log.event(
                 "batch.taken_over",
                 batch_id,
                 owner_before=before,
-                term=entry.row.state.term,
-                listed=entry.row.state.listed,
+                term=row.state.term,
+                listed=row.state.listed,
             )
-            await self._resume(batch_id, entry)
+            await self._resume(batch_id, entry, row)
         finally:
             entry.pending = False
 
-    async def _resume(self, batch_id: str, entry: BatchEntry) -> None:
-        """Continue a batch that was taken over, from its stored results and texts."""
-        loaded, listed, partials = await self._read_progress(entry, batch_id)
+    async def _resume(self, batch_id: str, entry: BatchEntry, row: StateRow) -> None:
+        """Continue a batch that was taken over, from its stored results and texts.
+
+        `row` is the state that the takeover has written.
+        """
+        loaded, listed, partials = await self._read_progress(entry, row, batch_id)
         for outcome in (loaded, listed, partials):
             if outcome.is_err():
                 reason = outcome.unwrap_err().message
@@ -416,20 +426,22 @@
         self._cache.add_results(entry, 0, listed.unwrap())
         route = batch_route(self._discovery.serving, loaded.unwrap())
         if route is None:
-            await self._abandon(batch_id, entry, loaded.unwrap(), listed.unwrap())
+            await self._abandon(batch_id, row, loaded.unwrap(), listed.unwrap())
             return
         self._start_run(
-            entry, loaded.unwrap(), route, listed.unwrap(), partials.unwrap()
+            entry, row, loaded.unwrap(), route, listed.unwrap(), partials.unwrap()
         )
 
-    async def _read_progress(self, entry: BatchEntry, batch_id: str) -> list[Result]:
+    async def _read_progress(
+        self, entry: BatchEntry, row: StateRow, batch_id: str
+    ) -> list[Result]:
         """Read a batch, its listed results and its texts at the same time."""
         reads = (
             lambda: self._reads.load_batch(entry, batch_id),
             lambda: self._batch_store.results(
-                batch_id, 0, entry.row.state.listed, entry.row.version
+                batch_id, 0, row.state.listed, row.version
             ),
-            lambda: self._batch_store.partials(batch_id, entry.row.version),
+            lambda: self._batch_store.partials(batch_id, row.version),
         )
         found: list[Result] = [None] * len(reads)
 
@@ -442,10 +454,10 @@
         return found
 
     async def _abandon(
-        self, batch_id: str, entry: BatchEntry, batch: Batch, listed: list[ItemResult]
+        self, batch_id: str, row: StateRow, batch: Batch, listed: list[ItemResult]
     ) -> None:
         """List the unfinished items as abandoned, since the batch has no route."""
-        log.event("batch.route_gone", batch_id, route=entry.row.state.route)
+        log.event("batch.route_gone", batch_id, route=row.state.route)
         done = {result.item_id for result in listed}
         rest = [
             ItemResult(item.id, ItemState.ABANDONED, "", ())
@@ -454,10 +466,11 @@
         ]
         while rest:
             chunk, rest = rest[:APPEND_ITEMS], rest[APPEND_ITEMS:]
-            outcome = await self._batch_store.append(batch_id, entry.row, chunk)
+            outcome = await self._batch_store.append(batch_id, row, chunk)
             if outcome.is_err() or not isinstance(outcome.unwrap(), StateRow):
                 return
-            self._apply_row(batch_id, outcome.unwrap())
+            row = outcome.unwrap()
+            self._apply_row(batch_id, row)
 
     async def _remove(self, batch_id: str, entry: BatchEntry) -> None:
         await self._batch_store.remove(batch_id, entry.row)
--- a/tests/services/test_batch_reads.py
+++ b/tests/services/test_batch_reads.py
@@ -6,6 +6,7 @@
 import pytest
 
 from plantainstack.errors import ErrorKind
+from plantainstack.services import batch_store
 from tests.policy.serving_samples import batch, item
 from tests.services.store_fleet import (
     BATCH_ROUTE,
@@ -234,3 +235,82 @@
         await until(lambda: "b1" in reader._entries)
         arguments = {"item_body": ("i0",), "end": ()}[call]
         assert is_unavailable(await getattr(reader, call)("b1", *arguments))
+
+
+@contextlib.asynccontextmanager
+async def delayed_successor(monkeypatch):
+    """Run `b` and `c` after the loss of an owner, of which `c` does not take over.
+
+    `b` takes over, but its read of the results waits.
+    """
+    platform = FakePlatform(LoopClock())
+    gate = platform.client.blocked_events[("i0", 1)] = anyio.Event()
+    read_gate = anyio.Event()
+    async with running(platform, "b", "c") as kernels:
+        successor, other = (kernel.plugin("batches") for kernel in kernels)
+        store = kernels[0].plugin("store").metadata_store
+        async with running(platform, "a") as owners:
+            owner = owners[0].plugin("batches")
+            assert (await owner.submit(four_items(), BATCH_ROUTE)).is_ok()
+            assert len(await all_results(owner, "b1", 3)) == 3
+        read = store.read
+
+        async def read_late(table, *arguments):
+            if table == batch_store.RESULT_TABLE:
+                await read_gate.wait()
+            return await read(table, *arguments)
+
+        monkeypatch.setattr(store, "read", read_late)
+        monkeypatch.setattr(other, "_draining", True)
+        await until(lambda: "b1" in successor._entries)
+        await until(lambda: successor._entries["b1"].row.state.owner == "b")
+        yield platform, successor, other, read_gate, gate
+
+
+async def test_batch_that_ended_during_a_takeover_is_not_run(monkeypatch):
+    """Guards against items of an ended batch that are sent to endpoints."""
+    async with delayed_successor(monkeypatch) as (platform, successor, other, gate, _):
+        opened_streams = len(platform.client.opened_streams)
+        assert (await other.end("b1")).is_ok()
+        await until(lambda: successor._entries["b1"].row.state.ended)
+        gate.set()
+        await anyio.sleep(3.0)
+        assert len(platform.client.opened_streams) == opened_streams
+
+
+async def test_batch_with_a_newer_owner_after_a_takeover_is_not_run(monkeypatch):
+    """Guards against two owners of which one writes under the other's row."""
+    async with delayed_successor(monkeypatch) as found:
+        _, successor, other, gate, item_gate = found
+        monkeypatch.setattr(other, "_draining", False)
+        await until(lambda: other._entries["b1"].is_running())
+        await until(lambda: successor._entries["b1"].row.state.owner == "c")
+        gate.set()
+        await anyio.sleep(0.1)
+        assert not successor._entries["b1"].is_running()
+        item_gate.set()
+        assert len(await all_results(other, "b1", 4)) == 4
+
+
+async def test_batch_that_ended_before_its_acceptance_was_confirmed_is_not_run(
+    monkeypatch,
+):
+    """Guards against items of a batch that was ended while its write was unanswered."""
+    platform = FakePlatform(LoopClock())
+    async with running(platform, "a", "b") as kernels:
+        first, second = (kernel.plugin("batches") for kernel in kernels)
+        store = kernels[0].plugin("store").metadata_store
+        transact = store.transact
+
+        async def answer_late(transaction):
+            found = await transact(transaction)
+            await anyio.sleep(1.0)
+            return found
+
+        monkeypatch.setattr(store, "transact", answer_late)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(first.submit, four_items(), BATCH_ROUTE)
+            await until(lambda: "b1" in second._entries)
+            assert (await second.end("b1")).is_ok()
+        await anyio.sleep(3.0)
+        assert platform.client.opened_streams == []
