Keep a batch that can still get results, however old it is

What callers could see: 404 for a batch that is still open (LOST), if its items take longer than the retention period of 150 s, for example with owners that change again and again.

Only batches that are complete or have ended are removed now. On the code before, test_open_batch_is_kept_however_old_it_is gets 404.

--- a/plantainstack/policy/batch_scheduling.py
+++ b/plantainstack/policy/batch_scheduling.py
@@ -63,14 +63,14 @@
     return now - max(seen_at, feed_healthy_since) > OWNER_TIMEOUT_S
 
 
-def removal_due(owner: str, instance: str, age_s: float) -> bool:
+def removal_due(owner: str, instance: str, age_s: float, *, is_final: bool) -> bool:
     """Return whether an instance should remove a batch of this age.
 
-    The last owner removes it. Other instances do so only after twice the retention
-    period, in case the owner has gone; otherwise all of them would remove the same
-    rows at the same time.
+    A batch that can still get results is kept. The last owner removes the others.
+    Other instances do so only after twice the retention period, in case the owner has
+    gone; otherwise all of them would remove the same rows at the same time.
     """
-    return age_s > (RETENTION_S if owner == instance else 2 * RETENTION_S)
+    return is_final and age_s > (RETENTION_S if owner == instance else 2 * RETENTION_S)
 
 
 def _longest(group: list[Item]) -> int:
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -353,7 +353,10 @@
                 if self._orphaned(batch_id, entry):
                     self._start_take_over(batch_id, entry)
                 elif not entry.pending and batch_scheduling.removal_due(
-                    entry.row.state.owner, self._instance_id, now - entry.known_since
+                    entry.row.state.owner,
+                    self._instance_id,
+                    now - entry.known_since,
+                    is_final=entry.row.state.is_final(),
                 ):
                     entry.pending = True
                     self._tasks.start_soon(self._remove, batch_id, entry)
--- a/tests/policy/test_batch_scheduling.py
+++ b/tests/policy/test_batch_scheduling.py
@@ -70,7 +70,8 @@
 )
 def test_old_batches_are_removed_by_their_last_owner(owner, age_s, due):
     """Guards against rows that all instances remove, or that none removes."""
-    assert removal_due(owner, "me", age_s) is due
+    assert removal_due(owner, "me", age_s, is_final=True) is due
+    assert not removal_due(owner, "me", age_s, is_final=False)
 
 
 def test_batches_are_kept_while_readers_may_return():
--- a/tests/services/test_batch_reads.py
+++ b/tests/services/test_batch_reads.py
@@ -6,6 +6,7 @@
 import pytest
 
 from plantainstack.errors import ErrorKind
+from plantainstack.policy import batch_scheduling
 from plantainstack.services import batch_store
 from tests.policy.serving_samples import batch, item
 from tests.services.store_fleet import (
@@ -314,3 +315,14 @@
             assert (await second.end("b1")).is_ok()
         await anyio.sleep(3.0)
         assert platform.client.opened_streams == []
+
+
+async def test_open_batch_is_kept_however_old_it_is(monkeypatch):
+    """Guards against results that are removed while a batch still runs."""
+    async with open_batch() as (_, owner, reader, _stores, gates):
+        assert len(await all_results(owner, "b1", 3)) == 3
+        monkeypatch.setattr(batch_scheduling, "RETENTION_S", 0.0)
+        await anyio.sleep(3.0)
+        gates[0].set()
+        for batches in (owner, reader):
+            assert answers_with_results(await batches.results("b1", 0, 0.0))
