Try the removal of an expired batch again after a failure

An instance forgot a batch also if the store had refused to remove it, wholly or in part, and said nothing of it. Its rows then remained until another instance removed them after twice the retention period, or for good.

The failure is logged (batch.not_removed), and the next check tries again. On the code before, test_batch_whose_removal_failed_is_removed_later times out.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -476,5 +476,10 @@
             self._apply_row(batch_id, row)
 
     async def _remove(self, batch_id: str, entry: BatchEntry) -> None:
-        await self._batch_store.remove(batch_id, entry.row)
+        outcome = await self._batch_store.remove(batch_id, entry.row)
+        if outcome.is_err():
+            reason = outcome.unwrap_err().message
+            log.event("batch.not_removed", batch_id, reason=reason)
+            entry.pending = False
+            return
         self._cache.remove(batch_id)
--- a/tests/services/test_batch_reads.py
+++ b/tests/services/test_batch_reads.py
@@ -8,6 +8,7 @@
 from plantainstack.errors import ErrorKind
 from plantainstack.policy import batch_scheduling
 from plantainstack.services import batch_store
+from plantainstack.services import batches as batches_module
 from tests.policy.serving_samples import batch, item
 from tests.services.store_fleet import (
     BATCH_ROUTE,
@@ -326,3 +327,15 @@
         gates[0].set()
         for batches in (owner, reader):
             assert answers_with_results(await batches.results("b1", 0, 0.0))
+
+
+async def test_batch_whose_removal_failed_is_removed_later(monkeypatch):
+    """Guards against a batch that is forgotten while its rows remain in part."""
+    async with open_batch() as (platform, owner, other, stores, gates):
+        gates[0].set()
+        assert len(await all_results(owner, "b1", 4)) == 4
+        monkeypatch.setattr(other, "_draining", True)
+        stores[0].faults = ["down"] * 3
+        monkeypatch.setattr(batches_module, "SUPERVISE_INTERVAL_S", 0.1)
+        monkeypatch.setattr(batch_scheduling, "RETENTION_S", 0.0)
+        await until(lambda: not platform.rows.parts(batch_store.STATE_TABLE))
