Fail only the read of a batch whose stored state cannot be decoded

The read that confirms a state runs in a task of the instance, so an odd row of the table of batches would end the process (before, the request alone). The read now fails as unavailable. The feed of batches still decodes rows without such a guard.

Without the change, test_state_that_cannot_be_decoded_fails_the_read_alone ends with a ValidationError.

--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -210,7 +210,13 @@
         Fails if the store answers from a state before `known_version`.
         """
         found = await self._read(STATE_TABLE, batch_id, known_version)
-        return found.map(lambda rows: state_row(rows.rows[0]) if rows.rows else None)
+        try:
+            return found.map(
+                lambda read: state_row(read.rows[0]) if read.rows else None
+            )
+        except msgspec.MsgspecError as exc:
+            message = f"cannot decode the stored state of batch {batch_id}: {exc}"
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
 
     async def batch(self, batch_id: str) -> Result[Batch, Failure]:
         """Read a batch that exists, with all of its items."""
--- a/tests/services/test_batch_reads.py
+++ b/tests/services/test_batch_reads.py
@@ -339,3 +339,14 @@
         monkeypatch.setattr(batches_module, "SUPERVISE_INTERVAL_S", 0.1)
         monkeypatch.setattr(batch_scheduling, "RETENTION_S", 0.0)
         await until(lambda: not platform.rows.parts(batch_store.STATE_TABLE))
+
+
+async def test_state_that_cannot_be_decoded_fails_the_read_alone():
+    """Guards against a process that ends when a reader names an odd row."""
+    async with open_batch() as (platform, _owner, reader, stores, _gates):
+        for store in stores:
+            store.feed_fault = "silent"
+        await anyio.sleep(1.0)
+        platform.rows.transact({}, {("batches", "b9", "state"): b"odd"})
+        assert is_unavailable(await reader.results("b9", 0, 0.0))
+        assert answers_with_results(await reader.results("b1", 0, 0.0))
