--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -71,6 +71,12 @@
     "Endpoints that have named this instance a limit on their request rate.",
     registry=REGISTRY,
 )
+BATCH_CONFIRMATIONS = Counter(
+    "plantainstack_batch_confirmations",
+    "Reads of a batch's state that confirm an absence, by end (ok or an error kind).",
+    ["end"],
+    registry=REGISTRY,
+)
 LIMITED_REQUESTS = Counter(
     "plantainstack_limited_requests",
     "Requests sent to endpoints that have named a limit, by service.",
--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
-from plantainstack import log
+from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
@@ -204,7 +204,10 @@
     async def _read_present(self, batch_id: str) -> Result[StateRow | None, Failure]:
         entry = self._cache.entries.get(batch_id)
         version = entry.row.version if entry else 0
-        return await self._batch_store.state(batch_id, version)
+        found = await self._batch_store.state(batch_id, version)
+        end = found.unwrap_err().kind.value if found.is_err() else "ok"
+        metrics.BATCH_CONFIRMATIONS.labels(end).inc()
+        return found
 
     def _feed_age_s(self, now: float) -> float | None:
         answered_at = self._feed.answered_at
--- a/tests/services/test_read_interleavings.py
+++ b/tests/services/test_read_interleavings.py
@@ -173,6 +173,10 @@
             shown.wrong.append("a result that was shown is denied")
 
 
+@pytest.mark.proof("exactly-once", "killed")
+@pytest.mark.proof("exactly-once", "frozen")
+@pytest.mark.proof("exactly-once", "store-down")
+@pytest.mark.proof("exactly-once", "answer-lost")
 async def test_what_one_instance_has_shown_no_other_denies():
     """Guards against results and batches that are missing at some instance."""
     await play_all(Day, SEEDS)
