--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -14,11 +14,13 @@
 from plantainstack.platform import names, records
 from plantainstack.policy.forwarding import RETRY_AFTER_S
 from plantainstack.services.forwarding import ClientCall
-from plantainstack.serving import RequestKind, Route
+from plantainstack.serving import RequestKind, Route, TakeUp
 
 # Longest time for which a request for results may wait; the platform specifies 1 s.
 WAIT_MAX_S = 1.5
 RESULTS_MAX_BYTES = 900_000
+# Longest event id that a client may name.
+EVENT_ID_DIGITS = 18
 # Statuses that tell the client that the request was not and will not be executed.
 _NOT_EXECUTED_STATUSES = (
     HTTPStatus.SERVICE_UNAVAILABLE,
@@ -239,8 +241,17 @@
             kept,
             self._body,
             self._arrived_at + seconds,
+            self._take_up(),
         )
 
+    def _take_up(self) -> TakeUp | None:
+        text = names.header(self._headers, names.LAST_EVENT_ID)
+        if text is None:
+            return None
+        readable = text.isascii() and text.isdigit() and len(text) <= EVENT_ID_DIGITS
+        stream_id = names.header(self._headers, names.RESUMES) or ""
+        return TakeUp(int(text) if readable else None, stream_id)
+
     def _log_refusal(self, failure: Failure) -> None:
         log.event(
             "request.refused",
--- a/plantainstack/platform/names.py
+++ b/plantainstack/platform/names.py
@@ -12,6 +12,8 @@
 LENGTH_HINT = "Plantainstack-Length-Hint"
 WAIT_MS = "Plantainstack-Wait-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
+# Request id of the attempt that brought a client the first event of its stream.
+RESUMES = "Resumes"
 
 READY_PATH = "/api/ready"
 LOTS_PATH = "/api/lots/"
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -22,6 +22,7 @@
     OpenStream,
     Route,
     StreamHead,
+    TakeUp,
     rate_limit_of,
 )
 
@@ -40,6 +41,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     deadline: float
+    take_up: TakeUp | None = None
 
     def digest(self) -> str:
         """Return a hash of what the client asks for."""
@@ -99,6 +101,14 @@
         If the request fails, the failure is the last value.
         """
         started = self.kernel.clock.now()
+        if call.take_up is not None:
+            log.event(
+                "stream.take_up",
+                call.request_id,
+                route=route.name,
+                stream=call.take_up.stream_id[:200],
+                after=call.take_up.after,
+            )
         run = _StreamRun(self, call, route)
         try:
             async for part in run.parts():
@@ -405,6 +415,7 @@
         if not self._head_sent:
             self._head_sent = True
             yield stream.head
+        first = True
         async for outcome in stream.events():
             if outcome.is_err():
                 self._handle_failure(endpoint, outcome.unwrap_err())
@@ -416,7 +427,20 @@
                     endpoint, Failure.of(ErrorKind.ANSWER_CROSSED, message)
                 )
                 return
+            if first:
+                first = False
+                self._log_source(endpoint)
             self._last_event = event.id
             yield event.raw
         self.answered = True
         yield None
+
+    def _log_source(self, endpoint: Endpoint) -> None:
+        log.event(
+            "stream.source",
+            self._call.request_id,
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            software=endpoint.software,
+            after=self._last_event,
+        )
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -379,6 +379,18 @@
     rate_limit: float | None = None
 
 
+class TakeUp(NamedTuple):
+    """Say where a client wants to go on in a stream that it has read in part.
+
+    `after` is the id of the last event that it read, None if it was unreadable.
+    `stream_id` is the request id of the attempt that brought its first event, empty if
+    it named none.
+    """
+
+    after: int | None
+    stream_id: str
+
+
 class OpenStream(ABC):
     """Read the events of a stream opened at an endpoint."""
 
