--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -11,9 +11,10 @@
 from plantainstack.front import gateway as gateway_module
 from plantainstack.front.gateway import Gateway
 from plantainstack.platform import ingress, names
-from plantainstack.serving import ClientLimits
+from plantainstack.serving import ClientLimits, RequestKind
 from plantainstack.settings.options import Address
 from tests.platform.samples import lot
+from tests.policy.serving_samples import route
 from tests.services.store_fleet import CONFIG, FakePlatform, new_kernel, until
 
 pytestmark = pytest.mark.anyio
@@ -334,3 +335,20 @@
     outcomes = {id: callers.statuses.get(id) for id in passed_on}
     assert len(outcomes) >= 20
     assert {id: status for id, status in outcomes.items() if status != 200} == {}
+
+
+async def test_client_that_takes_up_a_stream_gets_no_event_again():
+    """Guards against a take-up that begins at the first event."""
+    platform = FakePlatform()
+    stream_route = route(RequestKind.STREAM, name="r-stream", prefix="/t/")
+    platform.config = CONFIG._replace(routes=(*CONFIG.routes, stream_route))
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        await conn.request(
+            "POST",
+            "/t/x",
+            Plantainstack_Request_Id="r2",
+            Last_Event_Id="2",
+            Resumes="r1",
+        )
+    resumed = [after for _, _, after in platform.client.opened_streams]
+    assert resumed == [2]
