Resume a stream only at the software version that began it

Callers got one answer with events of two software versions: an instance resumed a broken stream at any endpoint of the service. After the first event was passed on, only endpoints of its version are candidates; without one the connection is broken off at once, which a client can see, where a joined text shows nothing. Before the first event, any version may answer. A stream whose events have no ids is no longer resumed either, since it would begin again.

--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -188,7 +188,7 @@
         """Choose an endpoint, one with a limit only if a permit is to be had."""
         limits = self._plugin.discovery.rate_limits
         now = self._clock.now()
-        allowed = self._allowed_endpoints(now)
+        allowed = [end for end in self._allowed_endpoints(now) if self._fits(end)]
         unlimited = [end for end in allowed if limits.limit(end) is None]
         limited = [end for end in allowed if limits.limit(end) is not None]
         first = self._balancer.choose(unlimited, now)
@@ -201,6 +201,10 @@
             self._record_missing_permit(found.endpoint)
         return first.endpoint if first else None
 
+    def _fits(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint can continue what the client has received."""
+        return True
+
     async def _get_permit(self, endpoint: Endpoint) -> bool:
         permits = self._plugin.permits
         if self.running:
@@ -366,6 +370,8 @@
     def __init__(self, plugin: Forwarding, call: ClientCall, route: Route):
         super().__init__(plugin, call, route)
         self._last_event: int | None = None
+        # Software version whose events the client has received.
+        self._software: str | None = None
         self._head_sent = False
 
     async def parts(self) -> AsyncIterator[Result[StreamHead | bytes, Failure]]:
@@ -384,8 +390,21 @@
                         yield Ok(part)
             finally:
                 self._balancer.request_ended(endpoint)
+        if self._software is not None:
+            log.event(
+                "stream.not_resumed",
+                self._call.request_id,
+                service=self.service,
+                software=self._software,
+                after=self._last_event,
+            )
         yield Err(self._failure())
 
+    def _fits(self, endpoint: Endpoint) -> bool:
+        if self._software is None:
+            return True
+        return self._last_event is not None and endpoint.software == self._software
+
     def _record_rate_limit(self, endpoint: Endpoint, opened, started: float) -> None:
         if opened.is_ok():
             limit = rate_limit_of(opened.unwrap())
@@ -430,6 +449,7 @@
             if first:
                 first = False
                 self._log_source(endpoint)
+                self._software = endpoint.software
             self._last_event = event.id
             yield event.raw
         self.answered = True
--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -42,3 +42,26 @@
         parts = await read(kernel, call(kernel))
     assert parts[-1].is_err()
     assert len(platform.client.opened_streams) == 1
+
+
+async def test_broken_stream_is_resumed_at_its_software_version():
+    """Guards against a stream that ends although its version is in service."""
+    platform = platform_with(e1="V", e2="W", e3="V", e4="W")
+    platform.client.failing_events = [("r1", 2)]
+    async with running(platform, "a") as (kernel,):
+        parts = await read(kernel, call(kernel))
+    assert parts[-1].is_ok()
+    first, second = platform.client.opened_streams
+    found = [platform.endpoints[opened[1]].software for opened in (first, second)]
+    assert found[0] == found[1]
+    assert second[2] == 1
+
+
+async def test_stream_that_broke_before_its_first_event_goes_to_any_version():
+    """Guards against refusing a stream of which the client has received nothing."""
+    platform = platform_with(e1="V", e2="W")
+    platform.client.failing_events = [("r1", 1)]
+    async with running(platform, "a") as (kernel,):
+        parts = await read(kernel, call(kernel))
+    assert parts[-1].is_ok()
+    assert [after for _, _, after in platform.client.opened_streams] == [None, None]
