Take up clients' streams at the software version that began them

A client that named the last event it had read got event 1 again, from an endpoint of any software version: Last-Event-Id was dropped, and nothing that outlives an instance said which version began a stream. Class of the fault: a decision about state that only the process that began it could know.

A stream begins at an origin (service and software version). Each route has a base origin, a row that is changed by compare-and-set; streams that begin there need no record, all others have one that is stored, in groups, before their first event is passed on. Records are only added, with a number for each attempt, so that a write that takes effect late changes nothing. The base is closed when its version has left, and replaced only after every stream without a record has ended, and every instance has ceased to trust an older row. A take-up is answered from the memory of what the instance passed on or from linearizable reads of the store, and goes on with Last-Event-Id at that origin; it is refused as not run, with Retry-After, while the origin cannot be known or has no endpoint. While the store is lost, new streams begin at the base origin only.

Beside this, a request under which an endpoint was lost avoided that endpoint as long as others of the service were sound, also those of other versions at which it cannot go on; endpoints that cannot go on are now left out before that choice.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -66,6 +66,18 @@
     "Requests under which endpoints were lost, as known to this instance.",
     registry=REGISTRY,
 )
+STREAM_RECORDS = Counter(
+    "plantainstack_stream_records",
+    "Records of the software version that began a stream, as stored.",
+    registry=REGISTRY,
+)
+STREAM_TAKE_UPS = Counter(
+    "plantainstack_stream_take_ups",
+    "Streams that clients took up, by route and by the source of the version that"
+    " began them (memory, record, base), or refused.",
+    ["route", "source"],
+    registry=REGISTRY,
+)
 LIMITED_ENDPOINTS = Gauge(
     "plantainstack_limited_endpoints",
     "Endpoints that have named this instance a limit on their request rate.",
--- a/plantainstack/platform/names.py
+++ b/plantainstack/platform/names.py
@@ -41,7 +41,7 @@
 # Headers that this service sets on requests to endpoints; values sent by clients are
 # dropped.
 OWN_HEADERS = frozenset(
-    name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID)
+    name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, RESUMES)
 )
 
 
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -33,6 +33,7 @@
     "plantainstack.services.discovery",
     "plantainstack.services.rate_permits",
     "plantainstack.services.request_losses",
+    "plantainstack.services.stream_versions",
     "plantainstack.services.forwarding",
     "plantainstack.services.reward_calls",
     "plantainstack.services.batches",
--- a/plantainstack/policy/quarantine.py
+++ b/plantainstack/policy/quarantine.py
@@ -146,8 +146,8 @@
 ) -> list[Endpoint]:
     """Return the untried endpoints of a service that a request may be sent to.
 
-    `tried` holds the ids of endpoints that it was sent to, and `avoided` those that
-    failed other requests.
+    `tried` holds the ids of endpoints that it was sent to or that cannot go on with
+    it, and `avoided` those that failed other requests.
     """
     untried = [end for end in usable if end.id not in tried]
     if now < record.refused_until:
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -103,10 +103,18 @@
             return "no configuration has been read yet"
         if not self._endpoints_read:
             return "the endpoints have not been read yet"
-        if self._operator_feed.lost_for(self.kernel.clock.now()) > STORE_OUTAGE_MAX_S:
+        if self.store_is_lost():
             return "the store does not answer"
         return None
 
+    def store_is_lost(self) -> bool:
+        """Return whether the store has not answered for longer than a failed call."""
+        if self._operator_feed is None:
+            return True
+        return (
+            self._operator_feed.lost_for(self.kernel.clock.now()) > STORE_OUTAGE_MAX_S
+        )
+
     def usable(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that can be given new requests."""
         return self.view.usable(service)
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -15,6 +15,9 @@
 from plantainstack.policy import forwarding, quarantine, route_table
 from plantainstack.policy.forwarding import AttemptCounts
 from plantainstack.policy.quarantine import LossRecord
+from plantainstack.policy.stream_versions import Origin
+from plantainstack.services.stream_records import RETRY_AFTER_S as TAKE_UP_RETRY_S
+from plantainstack.services.stream_records import StreamRecord
 from plantainstack.serving import (
     Endpoint,
     EndpointAnswer,
@@ -55,7 +58,13 @@
     """Forward requests, with retries and hedging where the route allows them."""
 
     name = "forwarding"
-    requires = ("discovery", "rate_permits", "request_losses", "store")
+    requires = (
+        "discovery",
+        "rate_permits",
+        "request_losses",
+        "store",
+        "stream_versions",
+    )
 
     def __init__(self, kernel):
         super().__init__(kernel)
@@ -66,6 +75,7 @@
         self.discovery = self.kernel.plugin("discovery")
         self.permits = self.kernel.plugin("rate_permits")
         self.losses = self.kernel.plugin("request_losses")
+        self.versions = self.kernel.plugin("stream_versions")
         self.endpoints = self.kernel.plugin("store").endpoint_client
 
     def route(self, host: str, path: str) -> Result[Route, Failure]:
@@ -188,7 +198,7 @@
         """Choose an endpoint, one with a limit only if a permit is to be had."""
         limits = self._plugin.discovery.rate_limits
         now = self._clock.now()
-        allowed = [end for end in self._allowed_endpoints(now) if self._fits(end)]
+        allowed = self._allowed_endpoints(now)
         unlimited = [end for end in allowed if limits.limit(end) is None]
         limited = [end for end in allowed if limits.limit(end) is not None]
         first = self._balancer.choose(unlimited, now)
@@ -223,12 +233,13 @@
     def _allowed_endpoints(self, now: float) -> list[Endpoint]:
         """Return the untried endpoints, fewer if others were lost under the request."""
         usable = self._plugin.discovery.usable(self.service)
-        untried = [end for end in usable if end.id not in self.tried]
+        excluded = {end.id for end in usable if not self._fits(end)}.union(self.tried)
+        untried = [end for end in usable if end.id not in excluded]
         record = self._losses_of_request()
         if not record.lost:
             return untried
         avoided = [end for end in usable if self._balancer.is_avoided(end, now)]
-        allowed = quarantine.allowed_endpoints(usable, self.tried, record, avoided, now)
+        allowed = quarantine.allowed_endpoints(usable, excluded, record, avoided, now)
         if untried and not allowed:
             self._refusal = quarantine.refusal(record, now)
         return allowed
@@ -370,16 +381,26 @@
     def __init__(self, plugin: Forwarding, call: ClientCall, route: Route):
         super().__init__(plugin, call, route)
         self._last_event: int | None = None
-        # Software version whose events the client has received.
-        self._software: str | None = None
+        self._versions = plugin.versions
+        # Where the events that the client has received come from.
+        self._origin: Origin | None = None
+        # The last record of the stream, and that of the running attempt if it has one.
+        self._record: StreamRecord | None = None
+        self._awaited: StreamRecord | None = None
         self._head_sent = False
 
     async def parts(self) -> AsyncIterator[Result[StreamHead | bytes, Failure]]:
         """Yield the response head, then complete events."""
+        if self._route.resumable:
+            refused = await self._find_start()
+            if refused is not None:
+                yield Err(refused)
+                return
         while (endpoint := await self._next_endpoint()) is not None:
             self.ran += 1
             started = self._clock.now()
             self._balancer.request_started(endpoint)
+            self._begin(endpoint)
             try:
                 call = self._endpoint_call(self._last_event)
                 async with self._plugin.endpoints.stream(endpoint, call) as opened:
@@ -390,20 +411,76 @@
                         yield Ok(part)
             finally:
                 self._balancer.request_ended(endpoint)
-        if self._software is not None:
+        if self._origin is not None:
             log.event(
                 "stream.not_resumed",
                 self._call.request_id,
-                service=self.service,
-                software=self._software,
+                service=self._origin.service,
+                software=self._origin.software,
                 after=self._last_event,
             )
         yield Err(self._failure())
 
+    async def _find_start(self) -> Failure | None:
+        """Find out where to go on, and at which origin; return why not."""
+        take_up = self._call.take_up
+        if take_up is None:
+            self.service = (
+                self._versions.service_without_store(self._route) or self.service
+            )
+            return None
+        found = await self._versions.find_origin(
+            self._route, take_up, self._call.request_id, self._call.deadline
+        )
+        if found.is_err():
+            return found.unwrap_err()
+        self._origin = found.unwrap()
+        self.service = self._origin.service
+        self._last_event = take_up.after
+        return None
+
+    def _begin(self, endpoint: Endpoint) -> None:
+        """Start to store where the stream begins, if it needs a record."""
+        self._awaited = None
+        if self._origin is None and self._route.resumable:
+            self._awaited = self._versions.begin(
+                self._route, self._call.request_id, _origin(endpoint), self._record
+            )
+            self._record = self._awaited or self._record
+
     def _fits(self, endpoint: Endpoint) -> bool:
-        if self._software is None:
+        origin = _origin(endpoint)
+        if self._origin is not None:
+            return self._last_event is not None and origin == self._origin
+        if not self._route.resumable:
             return True
-        return self._last_event is not None and endpoint.software == self._software
+        return self._versions.may_begin(self._route, origin, self._record)
+
+    def _failure(self) -> Failure:
+        if self.ran or self.failures or self._refusal or self._origin is None:
+            return super()._failure()
+        software = self._origin.software
+        message = f"no endpoint of software version {software!r} is in service"
+        return Failure(ErrorKind.NO_ENDPOINT, message, Outcome.NOT_RUN, TAKE_UP_RETRY_S)
+
+    async def _may_pass_on(self, endpoint: Endpoint) -> bool:
+        """Return whether the client may get the first event of an attempt."""
+        if self._origin is None:
+            record = self._awaited
+            if record is not None and not await self._versions.records.is_stored(
+                record, self._call.deadline
+            ):
+                message = "the version that began the stream could not be stored"
+                self.failures.append(
+                    Failure(ErrorKind.STORE_UNAVAILABLE, message, Outcome.MAY_HAVE_RUN)
+                )
+                log.event("stream.begun_in_vain", self._call.request_id, reason=message)
+                return False
+            self._origin = _origin(endpoint)
+            if self._route.resumable:
+                self._versions.remember(self._call.request_id, self._origin)
+        self._log_source(endpoint)
+        return True
 
     def _record_rate_limit(self, endpoint: Endpoint, opened, started: float) -> None:
         if opened.is_ok():
@@ -448,8 +525,8 @@
                 return
             if first:
                 first = False
-                self._log_source(endpoint)
-                self._software = endpoint.software
+                if not await self._may_pass_on(endpoint):
+                    return
             self._last_event = event.id
             yield event.raw
         self.answered = True
@@ -462,5 +539,10 @@
             endpoint=endpoint.id,
             service=endpoint.service,
             software=endpoint.software,
+            recorded=self._awaited is not None,
             after=self._last_event,
         )
+
+
+def _origin(endpoint: Endpoint) -> Origin:
+    return Origin(endpoint.service, endpoint.software)
--- /dev/null
+++ b/plantainstack/services/stream_versions.py
@@ -0,0 +1,322 @@
+"""Plug-in that knows which software version began a client's stream."""
+
+import random
+from collections import Counter, OrderedDict
+from typing import NamedTuple
+
+import anyio
+import msgspec
+from result import Ok, Result
+
+from plantainstack import log, metrics
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.plugins import Plugin
+from plantainstack.policy import stream_versions
+from plantainstack.policy.stream_versions import (
+    STREAM_LIFE_S,
+    BaseOrigin,
+    KnownBase,
+    Origin,
+)
+from plantainstack.services.stream_records import (
+    StreamRecord,
+    StreamRecords,
+    decode_row,
+    refused,
+    unknown_origin,
+)
+from plantainstack.serving import (
+    RequestKind,
+    Route,
+    RowName,
+    StoredRow,
+    TakeUp,
+    Transaction,
+)
+
+BASE_TABLE = "stream_bases"
+# Time after a failed write for which the store counts as lost.
+STORE_LOST_S = 1.0
+# Maximum time of looking up the origin of a stream.
+LOOKUP_WAIT_S = 1.5
+TICK_S = 0.5
+REFRESH_S = 30.0
+FORGET_INTERVAL_S = 10.0
+# Streams whose origin an instance keeps in memory.
+STREAMS_MAX = 20_000
+
+_BASE = msgspec.msgpack.Decoder(BaseOrigin)
+
+
+class _Remembered(NamedTuple):
+    origin: Origin
+    at: float
+
+
+class _BaseRow:
+    """Hold the row of a route's base, and since when it has been minor or closed."""
+
+    def __init__(self, known: KnownBase, version: int, now: float):
+        self.known = known
+        self.version = version
+        self.closed_at = now
+        self.minor_at: float | None = None
+
+
+class StreamVersions(Plugin):
+    """Keep the origin of streams on routes whose streams may be resumed."""
+
+    name = "stream_versions"
+    requires = ("discovery", "store")
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self._clock = kernel.clock
+        self._rng = random.Random()
+        self._bases: dict[str, _BaseRow] = {}
+        self._bases_read_at = float("-inf")
+        self._used = False
+        self._streams: OrderedDict[str, _Remembered] = OrderedDict()
+
+    async def start(self, tasks) -> None:
+        """Start to follow the bases and to remove old records."""
+        self._discovery = self.kernel.plugin("discovery")
+        self._store = self.kernel.plugin("store").metadata_store
+        self.records = StreamRecords(self._store, self._clock, tasks, self._rng)
+        tasks.start_soon(self._follow_bases)
+        tasks.start_soon(self._forget)
+        tasks.start_soon(self.records.run_expiry)
+        tasks.start_soon(self.records.run_sweep, lambda: bool(self._resumable_routes()))
+
+    def may_begin(
+        self, route: Route, origin: Origin, earlier: StreamRecord | None
+    ) -> bool:
+        """Return whether a stream may begin at an origin.
+
+        `earlier` is the last record of the same request, if it has one.
+        """
+        if not self._needs_record(route, origin, earlier):
+            return True
+        if earlier is not None and earlier.stored and earlier.origin == origin:
+            return True
+        return not self._store_is_lost()
+
+    def service_without_store(self, route: Route) -> str | None:
+        """Return the only service at which streams may begin while the store is lost.
+
+        None stands for any, and for no such service.
+        """
+        row = self._bases.get(route.name)
+        return row.known.base.origin.service if row and self._store_is_lost() else None
+
+    def begin(
+        self,
+        route: Route,
+        request_id: str,
+        origin: Origin,
+        earlier: StreamRecord | None,
+    ) -> StreamRecord | None:
+        """Start to store the record of a stream; return None if it needs none."""
+        self._used = True
+        if not self._needs_record(route, origin, earlier):
+            return None
+        if earlier is not None and earlier.origin == origin and not earlier.given_up:
+            return earlier
+        return self.records.write(request_id, origin, earlier)
+
+    def remember(self, stream_id: str, origin: Origin) -> None:
+        """Keep the origin of a stream that this instance passes on."""
+        if stream_id:
+            self._streams[stream_id] = _Remembered(origin, self._clock.now())
+            self._streams.move_to_end(stream_id)
+            if len(self._streams) > STREAMS_MAX:
+                self._streams.popitem(last=False)
+
+    async def find_origin(
+        self, route: Route, take_up: TakeUp, request_id: str, deadline: float
+    ) -> Result[Origin, Failure]:
+        """Return the origin of a stream that a client takes up."""
+        found: Result[tuple[Origin, str], Failure] = unknown_origin(
+            "the store did not answer in time"
+        )
+        if take_up.after is None:
+            found = refused(ErrorKind.BAD_REQUEST, "the last event id is unreadable")
+        else:
+            wait_s = min(LOOKUP_WAIT_S, deadline - self._clock.now())
+            with anyio.move_on_after(max(0.0, wait_s)):
+                found = await self._look_up(route, take_up.stream_id)
+        services = {weighted.service for weighted in route.weighted_services}
+        if found.is_ok() and found.unwrap()[0].service not in services:
+            origin, _source = found.unwrap()
+            found = unknown_origin(
+                f"the route no longer leads to service {origin.service}"
+            )
+        if found.is_err():
+            reason = found.unwrap_err().message
+            metrics.STREAM_TAKE_UPS.labels(route.name, "refused").inc()
+            log.event(
+                "stream.take_up_refused", request_id, route=route.name, reason=reason
+            )
+            return found
+        origin, source = found.unwrap()
+        metrics.STREAM_TAKE_UPS.labels(route.name, source).inc()
+        log.event(
+            "stream.origin_found",
+            request_id,
+            stream=take_up.stream_id[:200],
+            service=origin.service,
+            software=origin.software,
+            source=source,
+        )
+        self.remember(take_up.stream_id, origin)
+        return Ok(origin)
+
+    def _needs_record(
+        self, route: Route, origin: Origin, earlier: StreamRecord | None
+    ) -> bool:
+        if earlier is not None and earlier.may_exist:
+            return True
+        row = self._bases.get(route.name)
+        now = self._clock.now()
+        return row is None or not row.known.begins_without_record(origin, now)
+
+    def _store_is_lost(self) -> bool:
+        if self.records.failed_for_s() < STORE_LOST_S:
+            return True
+        return self._discovery.store_is_lost()
+
+    async def _look_up(
+        self, route: Route, stream_id: str
+    ) -> Result[tuple[Origin, str], Failure]:
+        """Return the origin of a stream, and where it is known from."""
+        if stream_id in self._streams:
+            return Ok((self._streams[stream_id].origin, "memory"))
+        # The record is read before the base: a base that has changed since then has
+        # no stream without a record left.
+        if stream_id:
+            found = await self.records.read(stream_id)
+        else:
+            found = await self.records.read_absence()
+        if found.is_err():
+            return found
+        if found.unwrap() is not None:
+            return Ok((found.unwrap(), "record"))
+        if not await self._read_bases():
+            return unknown_origin("the store does not answer")
+        if route.name not in self._bases:
+            await self._update_base(route)
+        row = self._bases.get(route.name)
+        if row is None:
+            return unknown_origin("the route has no base version yet")
+        if not stream_id and row.known.base.closed:
+            return unknown_origin("the client names no stream, and the version changes")
+        return Ok((row.known.base.origin, "base"))
+
+    async def _follow_bases(self) -> None:
+        while True:
+            routes = self._resumable_routes()
+            if routes:
+                await self._refresh(routes)
+                for route in routes:
+                    await self._update_base(route)
+            wait_s = TICK_S * self._rng.uniform(0.7, 1.3)
+            await self._clock.sleep_until(self._clock.now() + wait_s)
+
+    def _resumable_routes(self) -> list[Route]:
+        cfg = self._discovery.serving
+        return [
+            route
+            for route in (cfg.routes if cfg else ())
+            if route.kind is RequestKind.STREAM and route.resumable
+        ]
+
+    async def _refresh(self, routes: list[Route]) -> None:
+        age_s = self._clock.now() - self._bases_read_at
+        missing = any(route.name not in self._bases for route in routes)
+        if missing or (self._used and age_s >= REFRESH_S):
+            self._used = False
+            await self._read_bases()
+
+    async def _read_bases(self) -> bool:
+        sent_at = self._clock.now()
+        outcome = await self._store.read(BASE_TABLE, "")
+        if outcome.is_err():
+            log.event("stream.bases_unknown", reason=outcome.unwrap_err().message)
+            return False
+        self._bases_read_at = sent_at
+        for row in outcome.unwrap().rows:
+            self._apply_base(row, sent_at)
+        return True
+
+    def _apply_base(self, row: StoredRow, read_at: float) -> None:
+        if row.value is None:
+            return
+        decoded = decode_row(_BASE, row)
+        if decoded.is_err():
+            return
+        known = KnownBase(decoded.unwrap(), read_at)
+        current = self._bases.get(row.name.key)
+        if current is not None and row.version < current.version:
+            return
+        if current is not None and row.version == current.version:
+            if read_at > current.known.read_at:
+                current.known = known
+            return
+        self._bases[row.name.key] = _BaseRow(known, row.version, self._clock.now())
+        log.event(
+            "stream.base_changed",
+            route=row.name.key,
+            service=known.base.origin.service,
+            software=known.base.origin.software,
+            closed=known.base.closed,
+        )
+
+    async def _update_base(self, route: Route) -> None:
+        """Write the base of a route if it is missing or has to change."""
+        counts = Counter(
+            Origin(endpoint.service, endpoint.software)
+            for weighted in route.weighted_services
+            for endpoint in self._discovery.usable(weighted.service)
+        )
+        row = self._bases.get(route.name)
+        now = self._clock.now()
+        wanted = None
+        if row is None:
+            wanted = stream_versions.next_base(None, counts, 0.0, 0.0)
+        else:
+            if not stream_versions.is_minor(row.known.base, counts):
+                row.minor_at = None
+            elif row.minor_at is None:
+                # Spread, so that one instance mostly writes for all.
+                row.minor_at = now + self._rng.uniform(0.0, TICK_S * 10)
+            minor_for_s = now - row.minor_at if row.minor_at is not None else 0.0
+            wanted = stream_versions.next_base(
+                row.known.base, counts, minor_for_s, now - row.closed_at
+            )
+        if wanted is not None:
+            await self._write_base(route, wanted, row.version if row else 0)
+
+    async def _write_base(self, route: Route, base: BaseOrigin, version: int) -> None:
+        name = RowName(BASE_TABLE, "", route.name)
+        sent_at = self._clock.now()
+        value = msgspec.msgpack.encode(base)
+        outcome = await self._store.transact(
+            Transaction(expected=((name, version),), puts=((name, value),))
+        )
+        if outcome.is_err():
+            reason = outcome.unwrap_err().message
+            log.event("stream.base_not_stored", route=route.name, reason=reason)
+            return
+        done = outcome.unwrap()
+        if done.applied:
+            self._apply_base(StoredRow(name, value, done.version), sent_at)
+        for found in done.conflicts:
+            self._apply_base(found, sent_at)
+
+    async def _forget(self) -> None:
+        """Forget streams that are over."""
+        while True:
+            await self._clock.sleep_until(self._clock.now() + FORGET_INTERVAL_S)
+            horizon = self._clock.now() - STREAM_LIFE_S
+            while self._streams and next(iter(self._streams.values())).at < horizon:
+                self._streams.popitem(last=False)
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -18,6 +18,7 @@
 from plantainstack.services.rate_permits import RatePermits
 from plantainstack.services.request_losses import RequestLosses
 from plantainstack.services.reward_calls import RewardCalls
+from plantainstack.services.stream_versions import StreamVersions
 from plantainstack.services.version_orders import VersionOrders
 from plantainstack.serving import (
     ClientLimits,
@@ -348,6 +349,7 @@
         Discovery,
         RatePermits,
         RequestLosses,
+        StreamVersions,
         Forwarding,
         RewardCalls,
         Batches,
