--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -337,11 +337,16 @@
     assert {id: status for id, status in outcomes.items() if status != 200} == {}
 
 
+def stream_platform(**options):
+    platform = FakePlatform()
+    found = route(RequestKind.STREAM, name="r-stream", prefix="/t/", **options)
+    platform.config = CONFIG._replace(routes=(*CONFIG.routes, found))
+    return platform
+
+
 async def test_client_that_takes_up_a_stream_gets_no_event_again():
     """Guards against a take-up that begins at the first event."""
-    platform = FakePlatform()
-    stream_route = route(RequestKind.STREAM, name="r-stream", prefix="/t/")
-    platform.config = CONFIG._replace(routes=(*CONFIG.routes, stream_route))
+    platform = stream_platform()
     async with gateway(platform) as kernel, connected(kernel) as conn:
         await conn.request(
             "POST",
@@ -352,3 +357,41 @@
         )
     resumed = [after for _, _, after in platform.client.opened_streams]
     assert resumed == [2]
+
+
+async def test_refused_take_up_says_that_it_did_not_run_and_when_to_come_back():
+    """Guards against a 404, or a text that begins again, when a version has left."""
+    platform = stream_platform()
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        await until(lambda: platform.rows.parts("stream_bases"))
+        platform.endpoints = {
+            id: found._replace(software="W") for id, found in platform.endpoints.items()
+        }
+        view = kernel.plugin("discovery").view
+        await until(lambda: view.known == platform.endpoints)
+        status, headers, _ = await conn.request(
+            "POST", "/t/x", Last_Event_Id="2", Resumes="r1"
+        )
+    assert status == 503
+    assert float(headers["retry-after"]) > 0.0
+    assert platform.client.opened_streams == []
+
+
+@pytest.mark.parametrize("text", ["x", "-1", "\u00b2", "9" * 5000])
+async def test_take_up_after_an_unreadable_event_gets_400(text):
+    """Guards against a stream that begins again, and against an exception."""
+    platform = stream_platform()
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        status, _, _ = await conn.request(
+            "POST", "/t/x", Last_Event_Id=text, Resumes="r1"
+        )
+    assert status == 400
+    assert platform.client.opened_streams == []
+
+
+async def test_take_up_on_a_route_without_resumption_is_a_new_stream():
+    """Guards against event ids that are skipped where streams cannot be resumed."""
+    platform = stream_platform(resumable=False)
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        await conn.request("POST", "/t/x", Last_Event_Id="2", Resumes="r1")
+    assert [after for _, _, after in platform.client.opened_streams] == [None]
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -113,6 +113,17 @@
     assert 0 < int(left.split(": ")[1]) <= 5000
 
 
+async def test_take_up_headers_of_a_client_are_not_passed_on():
+    """Guards against an endpoint that goes on where another stream was taken up."""
+    headers = (("last-event-id", "9"), ("resumes", "r0"))
+    script = Script(answer())
+    async with serving(script) as (client, target):
+        await client.call(target, call(headers=headers))
+    [request] = script.requests
+    assert "last-event-id" not in request.lower()
+    assert "resumes" not in request.lower()
+
+
 @pytest.mark.parametrize(
     ("step", "kind"),
     [
