--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -121,6 +121,7 @@
     assert [after for _, _, after in platform.client.opened_streams] == [None, None]
 
 
+@pytest.mark.proof("whole-answer", "killed")
 @pytest.mark.parametrize("software", ["V", "W"])
 async def test_stream_goes_on_at_its_version_after_all_instances_were_killed(software):
     """Guards against a text joined from two versions, or begun again."""
@@ -151,6 +152,7 @@
     assert opened(platform) == []
 
 
+@pytest.mark.proof("whole-answer", "store-down")
 async def test_take_up_is_refused_while_the_store_cannot_tell_its_version():
     """Guards against guessing the version of a stream while the store is away."""
     platform = platform_with(e1="V", e2="V")
@@ -207,6 +209,7 @@
     assert platform.client.opened_streams == []
 
 
+@pytest.mark.proof("whole-answer", "answer-lost")
 @pytest.mark.parametrize("fault", ["lost", "dropped", "down"])
 async def test_first_event_waits_until_the_version_is_stored(fault):
     """Guards against an event that a client has and whose version nobody knows."""
@@ -225,6 +228,7 @@
         assert parts[-1].is_ok()
 
 
+@pytest.mark.proof("not-run", "store-down")
 async def test_stream_whose_version_was_not_stored_claims_no_not_run():
     """Guards against a promise that an endpoint did not run the request."""
     platform = platform_with(e1="V", e2="V")
@@ -271,6 +275,7 @@
         assert (await records.read("r1")).unwrap() == origins[1]
 
 
+@pytest.mark.proof("whole-answer", "list-lag")
 async def test_instance_that_has_not_heard_of_a_release_joins_no_text():
     """Guards against a take-up at the only version that an instance knows."""
     platform = platform_with(e1="V", e2="V", e3="W")
