--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -13,7 +13,7 @@
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
 from plantainstack.services.batch_reads import BatchReads, ResultPage
 from plantainstack.services.batch_results import APPEND_ITEMS
-from plantainstack.services.batch_runs import BatchRun, batch_route
+from plantainstack.services.batch_runs import BatchRun
 from plantainstack.services.batch_store import (
     STATE_TABLE,
     BatchStore,
@@ -22,6 +22,7 @@
 )
 from plantainstack.services.discovery import STORE_OUTAGE_MAX_S
 from plantainstack.services.feeds import FeedReader, recent_rows
+from plantainstack.services.item_placement import batch_route
 from plantainstack.serving import Batch, ItemResult, ItemState, Route, RowsRead
 
 # Pause between reads of the feed, so that one read returns several state changes.
--- /dev/null
+++ b/plantainstack/services/item_migration.py
@@ -0,0 +1,128 @@
+"""Migrate the streams of a batch's items between endpoints."""
+
+from collections.abc import Callable
+
+import anyio
+
+from plantainstack import log
+from plantainstack.interfaces import Priority
+from plantainstack.policy.item_runs import ItemRun
+from plantainstack.policy.stream_migration import (
+    LoopLag,
+    MigrationCandidate,
+    StreamProgress,
+    estimate_remaining_events,
+    is_stalled,
+    migration_gain,
+    select_migrations,
+)
+from plantainstack.services.item_placement import LOAD_MAX, ItemPlacement
+from plantainstack.serving import Endpoint
+
+STREAM_CHECK_INTERVAL_S = 0.1
+
+
+class Attempt:
+    """Track one attempt to run an item: its endpoint and the progress of its stream."""
+
+    def __init__(self, run: ItemRun, endpoint: Endpoint, now: float):
+        self.run = run
+        self.endpoint = endpoint
+        self.scope = anyio.CancelScope()
+        self.started_at = now
+        self.last_event_at: float | None = None
+
+    def progress(self, tokens_per_event: float | None) -> StreamProgress:
+        """Return the progress of the stream with an estimate of the events left."""
+        hint = self.run.item.length_hint
+        left = estimate_remaining_events(self.run.events(), hint, tokens_per_event)
+        return StreamProgress(self.started_at, self.last_event_at, left)
+
+
+class ItemMigration:
+    """Migrate stalled and slow streams of one batch to other endpoints.
+
+    `attempts` holds the running attempts by item id. `tokens_per_event` returns the
+    estimate of the ended items, None without any.
+    """
+
+    def __init__(
+        self,
+        kernel,
+        placement: ItemPlacement,
+        attempts: dict[str, Attempt],
+        tokens_per_event: Callable[[], float | None],
+    ):
+        self._clock = kernel.clock
+        self._discovery = kernel.plugin("discovery")
+        self._placement = placement
+        self._attempts = attempts
+        self._tokens_per_event = tokens_per_event
+
+    async def run(self) -> None:
+        """Check the streams periodically until cancelled."""
+        lag = LoopLag()
+        while True:
+            planned = self._clock.now() + STREAM_CHECK_INTERVAL_S
+            await self._clock.sleep_until(planned)
+            now = self._clock.now()
+            lag.record(planned, now)
+            self._discovery.need_recent_endpoints()
+            self._placement.apply_current_route()
+            recent = self._placement.recent_endpoints()
+            best_latency = self._discovery.balancer.best_latency(recent, now)
+            usable = self._open_endpoints(recent, now)
+            for attempt in list(self._attempts.values()):
+                progress = attempt.progress(self._tokens_per_event())
+                if is_stalled(progress, best_latency, now, lag.seconds):
+                    self._migrate_stalled(attempt, usable, now)
+            self._migrate_slow(usable, now)
+
+    def _open_endpoints(self, endpoints: list[Endpoint], now: float) -> list[Endpoint]:
+        """Return the endpoints to which a stream may be moved without a new permit."""
+        limits = self._discovery.rate_limits
+        return [end for end in endpoints if limits.may_send(end, Priority.ROLLOUT, now)]
+
+    def _migrate_stalled(self, attempt: Attempt, usable, now) -> None:
+        balancer = self._discovery.balancer
+        exclude = frozenset((attempt.endpoint.id,))
+        selection = balancer.choose(usable, now, exclude, LOAD_MAX)
+        if selection is None or balancer.is_avoided(selection.endpoint, now):
+            return
+        balancer.record_refusal(attempt.endpoint, now)
+        self._migrate(attempt, None, now)
+
+    def _migrate_slow(self, usable: list[Endpoint], now: float) -> None:
+        balancer = self._discovery.balancer
+        faster = balancer.fastest_available(usable, now, LOAD_MAX)
+        if faster is None:
+            return
+        target_latency = balancer.latency(faster, now)
+        slow: list[MigrationCandidate] = []
+        for item_id, attempt in self._attempts.items():
+            current_latency = balancer.latency(attempt.endpoint, now)
+            progress = attempt.progress(self._tokens_per_event())
+            gain = migration_gain(progress, current_latency, target_latency, now)
+            if gain > 0.0 and not attempt.scope.cancel_called:
+                slow.append(
+                    MigrationCandidate(item_id, gain, current_latency / target_latency)
+                )
+        for item_id in select_migrations(slow):
+            self._migrate(self._attempts[item_id], faster, now)
+
+    def _migrate(self, attempt: Attempt, to: Endpoint | None, now) -> None:
+        balancer = self._discovery.balancer
+        last_activity_at = attempt.last_event_at or attempt.started_at
+        log.event(
+            "item.moved",
+            attempt.run.item.id,
+            batch=self._placement.batch.id,
+            endpoint=attempt.endpoint.id,
+            events=attempt.run.events(),
+            silent_s=round(now - last_activity_at, 3),
+            pace_s=balancer.latency(attempt.endpoint, now),
+            to=to.id if to else None,
+            pace_there_s=balancer.latency(to, now) if to else None,
+        )
+        self._placement.move_group(attempt.run.item.group, attempt.endpoint, to)
+        attempt.scope.cancel()
--- /dev/null
+++ b/plantainstack/services/item_placement.py
@@ -0,0 +1,157 @@
+"""Choose endpoints for the items of a batch."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from plantainstack import log
+from plantainstack.interfaces import Priority
+from plantainstack.policy import route_table
+from plantainstack.serving import (
+    Batch,
+    Endpoint,
+    Item,
+    RequestKind,
+    Route,
+    ServingConfig,
+)
+
+# Maximum wait for a free slot before the endpoints are checked again. Slots that other
+# instances free are not signalled to this one.
+SLOT_RETRY_S = 0.05
+# Interval of trial requests while no endpoint is known to have recent weights. Loading
+# weights takes about 1 s, and each request sent too early costs a connection.
+PROBE_INTERVAL_S = 0.4
+# Number of requests per slot above which an endpoint queues them.
+LOAD_MAX = 1.0
+
+
+def batch_route(cfg: ServingConfig, batch: Batch) -> Route | None:
+    """Return the current route of a batch, or None if it no longer has one."""
+    found = route_table.match(cfg, batch.host, batch.path)
+    if found is None or found.kind is not RequestKind.BATCH:
+        return None
+    return found
+
+
+class ItemPlacement:
+    """Reserve slots for the items of one batch, under the route in force.
+
+    `long_items` holds the ids of items that are likely to be long. `on_route_gone` is
+    called when the batch no longer has a route. `deadline` is the time after which no
+    item is sent, in monotonic seconds.
+    """
+
+    def __init__(
+        self, kernel, batch: Batch, route: Route, on_route_gone: Callable[[], None]
+    ):
+        self.batch = batch
+        self.route = route
+        self.long_items: set[str] = set()
+        self._clock = kernel.clock
+        self.deadline = self._clock.now() + route.queue_limit_s
+        self._discovery = kernel.plugin("discovery")
+        self._permits = kernel.plugin("rate_permits")
+        self._on_route_gone = on_route_gone
+        self._next_probe_at = 0.0
+        self._rng = random.Random(batch.id)
+        self._slot_freed = anyio.Event()
+        self._group_endpoints: dict[str, str] = {}
+
+    async def reserve(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
+        """Reserve a slot, at the endpoint of the item's group if that has one free.
+
+        `exclude` applies to the first choice only. Returns None if no slot was found
+        within the route's queue limit.
+        """
+        while self._clock.now() <= self.deadline:
+            endpoint = self._choose(item, exclude)
+            exclude = frozenset()
+            if endpoint is not None:
+                self._permits.take(endpoint, Priority.ROLLOUT)
+                self._discovery.balancer.request_started(endpoint)
+                return endpoint
+            with anyio.move_on_after(SLOT_RETRY_S):
+                await self._slot_freed.wait()
+        return None
+
+    def release(self, endpoint: Endpoint) -> None:
+        """Free a reserved slot."""
+        self._discovery.balancer.request_ended(endpoint)
+        event, self._slot_freed = self._slot_freed, anyio.Event()
+        event.set()
+
+    def recent_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints whose weights are recent enough for the batch."""
+        return [
+            end for end in self._usable_endpoints() if self._has_recent_weights(end)
+        ]
+
+    def move_group(self, group: str, endpoint: Endpoint, to: Endpoint | None) -> None:
+        """Place further items of all groups elsewhere, those of `group` at `to`."""
+        self._group_endpoints = {
+            group: id
+            for group, id in self._group_endpoints.items()
+            if id != endpoint.id
+        }
+        if to is not None:
+            self._group_endpoints[group] = to.id
+
+    def apply_current_route(self) -> None:
+        """Apply the current route; without one, no more items are sent."""
+        found = batch_route(self._discovery.serving, self.batch)
+        if found is not None:
+            self.route = found
+            return
+        log.event("batch.route_gone", self.batch.id, route=self.route.name)
+        self.deadline = 0.0
+        self._on_route_gone()
+
+    def _choose(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
+        balancer = self._discovery.balancer
+        now = self._clock.now()
+        self.apply_current_route()
+        usable = self._permits.open_endpoints(self._candidates(), Priority.ROLLOUT)
+        if item.id in self.long_items:
+            fast = [end for end in usable if end.id not in exclude]
+            selection = balancer.choose_fastest(fast, now, LOAD_MAX)
+            if selection is not None:
+                return selection.endpoint
+        preferred = self._group_endpoints.get(item.group)
+        for endpoint in usable:
+            if (
+                endpoint.id == preferred
+                and endpoint.id not in exclude
+                and not balancer.is_avoided(endpoint, now)
+                and balancer.load(endpoint, now) < LOAD_MAX
+            ):
+                return endpoint
+        selection = balancer.choose(usable, now, exclude, LOAD_MAX)
+        if selection is None:
+            return None
+        self._group_endpoints[item.group] = selection.endpoint.id
+        return selection.endpoint
+
+    def _candidates(self) -> list[Endpoint]:
+        """Return the endpoints that an item may be sent to.
+
+        Registrations show new weights up to 2 s late. If none is recent enough, one
+        item per PROBE_INTERVAL_S is sent anyway: the response states the version that
+        the endpoint really has.
+        """
+        recent = self.recent_endpoints()
+        now = self._clock.now()
+        if recent or now < self._next_probe_at:
+            return recent
+        self._next_probe_at = now + PROBE_INTERVAL_S
+        return self._usable_endpoints()
+
+    def _usable_endpoints(self) -> list[Endpoint]:
+        service = route_table.pick_service(self.route, self._rng)
+        return self._discovery.usable(service)
+
+    def _has_recent_weights(self, endpoint: Endpoint) -> bool:
+        version = endpoint.versions.get(self.batch.model, 0)
+        reported = self._discovery.reported_version(endpoint, self.batch.model)
+        return max(version, reported) >= self.batch.min_version
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -9,7 +9,7 @@
 from plantainstack.policy.item_runs import PartialText
 from plantainstack.services import batch_results, batch_store
 from plantainstack.services import batches as batches_module
-from plantainstack.services.batch_runs import BatchRun
+from plantainstack.services.item_placement import ItemPlacement
 from plantainstack.serving import (
     ItemState,
     RowName,
@@ -407,14 +407,12 @@
         assert (await batches.submit(four, BATCH_ROUTE)).is_ok()
         found = await all_results(batches, "b1", 4)
         assert all(result.versions == (2,) for result in found)
-        run = BatchRun(
-            kernels[0], None, four, BATCH_ROUTE, None, [], {}, lambda *_: None
-        )
-        run.batch = four._replace(min_version=9)
+        nine = four._replace(min_version=9)
+        placement = ItemPlacement(kernels[0], nine, BATCH_ROUTE, lambda: None)
         for _ in range(50):
-            assert run._endpoints_with_recent_weights() == []
-        assert len(run._candidates()) == 2
-        assert run._candidates() == []
+            assert placement.recent_endpoints() == []
+        assert len(placement._candidates()) == 2
+        assert placement._candidates() == []
 
 
 async def test_latencies_measured_by_an_owner_reach_other_instances(monkeypatch):
