Let the text of an item go on only at the software version that began it

Cause: an attempt to resume took any endpoint of the route's service, and the stored text of an unfinished item names its weight versions only, so a next owner did the same. Endpoints do not check the version.

An item's text now has the software version of its first event, with the service, since services number their versions independently. It is stored as a last field of PartialText, left out for endpoints that name no version. The next stream is placed at an endpoint of this version only. If none of them has a free slot, the text waits for as long as writing its events again takes, and at once begins anew, as a new generation, once no endpoint of the version is listed as serving. Stored text without the field is of unknown version: it goes on if all known endpoints share one version, else it begins anew. A piece of other or unknown software is not joined to a labelled text, which an owner of an older build may have added. Restored texts wait for a slot beside the other items and no longer before them.

item.ended and the lines of attempts name the software version; item.text_discarded and plantainstack_discarded_texts_total count the texts that begin anew.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -95,6 +95,12 @@
     ["service"],
     registry=REGISTRY,
 )
+DISCARDED_TEXTS = Counter(
+    "plantainstack_discarded_texts",
+    "Texts of items that were begun anew, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 REWARD_CALLS = Counter(
     "plantainstack_reward_calls",
     "Attempts at reward calls, by service and end.",
--- a/plantainstack/policy/item_runs.py
+++ b/plantainstack/policy/item_runs.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from plantainstack.policy.reward_calls import RewardAttempts
+from plantainstack.policy.software_versions import SoftwareVersion
 from plantainstack.serving import Batch, Item, ItemResult, ItemState, StreamEvent
 
 # Status 422 means that the item can never be completed.
@@ -19,6 +20,7 @@
     STALE = "stale"
     UNLABELLED = "unlabelled"
     OUT_OF_ORDER = "out_of_order"
+    OTHER_SOFTWARE = "other_software"
 
 
 class PartialText(NamedTuple):
@@ -28,6 +30,8 @@
     higher `generation`. `versions` are the weight versions of the text up to the end
     of this piece. `complete` is set if the text ends with this piece, so that only its
     score is missing, and `reward_errors` counts the error answers to its reward call.
+    `software` wrote the text; it is None, and unknown, if an older build stored the
+    text or if the endpoints name no software version.
     """
 
     generation: int
@@ -38,6 +42,7 @@
     failures: int
     complete: bool = False
     reward_errors: int = 0
+    software: SoftwareVersion | None = None
 
     def progress(self) -> "ItemProgress":
         """Return the progress of the item at the end of this piece."""
@@ -63,14 +68,17 @@
 def join_pieces(pieces: Iterable[PartialText]) -> PartialText | None:
     """Join the pieces of the newest generation up to the first gap.
 
-    Returns None if the first piece is missing.
+    The text also ends before a piece of other or unknown software, which an owner of
+    an older build may have added. Returns None if the first piece is missing.
     """
     ordered = sorted(pieces, key=lambda piece: (piece.generation, piece.first))
     joined: PartialText | None = None
     for piece in ordered:
         if joined is None or piece.generation > joined.generation:
             joined = piece if piece.first == 0 else None
-        elif piece.first == len(joined.texts):
+        elif piece.first == len(joined.texts) and (
+            joined.software in (None, piece.software)
+        ):
             joined = piece._replace(first=0, texts=joined.texts + piece.texts)
     return joined
 
@@ -86,11 +94,14 @@
         self.generation = 0
         self._clear()
 
-    def _restart(self) -> None:
+    def discard_text(self) -> None:
+        """Begin the text anew."""
         self.generation += 1
         self._clear()
 
     def _clear(self) -> None:
+        self.software: SoftwareVersion | None = None
+        self._stream_software: SoftwareVersion | None = None
         self._texts: list[str] = []
         self._versions: list[int] = []
         self._stream_version: int | None = None
@@ -117,6 +128,7 @@
             self.failures,
             self.text_complete,
             self.reward_attempts.errors,
+            self.software if self.software and self.software.version else None,
         )
 
     def restore(self, found: PartialText) -> None:
@@ -128,12 +140,15 @@
             self._texts = list(found.texts)
             self._versions = list(found.versions)
             self._stream_version = found.versions[-1]
+            self.software = found.software
             self.last_event = found.last_event
             self.text_complete = found.complete
             self.reward_attempts = RewardAttempts(found.reward_errors)
 
-    def begin_stream(self, version: int | None) -> StreamCheck:
-        """Check a new stream by the version of its first event.
+    def begin_stream(
+        self, version: int | None, software: SoftwareVersion | None = None
+    ) -> StreamCheck:
+        """Check a new stream by the weight version of its first event and its software.
 
         Where a single version is required, a stream of another version than the text
         so far discards that text, and the caller requests the item from its start.
@@ -142,10 +157,13 @@
             return StreamCheck.UNLABELLED
         if version < self._min_version:
             return StreamCheck.STALE
+        if self._texts and software != self.software:
+            return StreamCheck.OTHER_SOFTWARE
         if self._single_version and self._versions and version != self._versions[-1]:
-            self._restart()
+            self.discard_text()
             return StreamCheck.STALE
         self._stream_version = version
+        self._stream_software = software
         return StreamCheck.KEEP
 
     def append_event(self, event: StreamEvent) -> StreamCheck:
@@ -159,9 +177,10 @@
         if version < self._min_version:
             return StreamCheck.STALE
         if self._single_version and self._versions and version != self._versions[-1]:
-            self._restart()
+            self.discard_text()
             return StreamCheck.STALE
         self._stream_version = version
+        self.software = self._stream_software
         self.last_event = event.id
         self._texts.append(event.data)
         if version not in self._versions:
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -10,6 +10,7 @@
 from plantainstack.policy.item_runs import ItemRun, PartialText, StreamCheck
 from plantainstack.policy.load_balancing import EVENT_WEIGHT
 from plantainstack.policy.reward_calls import GroupProgress
+from plantainstack.policy.software_versions import software_of
 from plantainstack.services.batch_results import ResultWriter
 from plantainstack.services.batch_store import BatchStore, StateRow
 from plantainstack.services.item_migration import Attempt, ItemMigration
@@ -122,9 +123,13 @@
             run = ItemRun(item, self.batch, self._placement.route.single_version)
             if item.id in self._partials:
                 run.restore(self._partials[item.id])
+                self._placement.settle_software(run)
             endpoint = None
-            if not run.text_complete:
-                endpoint = await self._placement.reserve(item, frozenset())
+            # An item with text may wait for its software version; the others do not
+            # wait behind it.
+            if not run.events():
+                since = self._clock.now()
+                endpoint = await self._placement.reserve(run, frozenset(), since)
             self._writer.begin(run)
             tasks.start_soon(self._run_item, run, endpoint)
 
@@ -151,6 +156,7 @@
             state=result.state.value,
             events=run.events(),
             versions=result.versions,
+            software=run.software.version if run.software else None,
             length_hint=run.item.length_hint,
             endpoints=tried,
             waited_s=round(started - self._started_at, 3),
@@ -167,6 +173,9 @@
         if run.text_complete:
             return run.completed()
         result = None
+        since = self._clock.now()
+        if endpoint is None and run.events():
+            endpoint = await self._placement.reserve(run, frozenset(), since)
         while result is None:
             if endpoint is None:
                 return run.abandoned()
@@ -180,8 +189,9 @@
                 self._attempts.pop(run.item.id, None)
                 self._placement.release(endpoint)
             if result is None:
+                since = attempt.last_event_at or since
                 tried_last = frozenset((endpoint.id,))
-                endpoint = await self._placement.reserve(run.item, tried_last)
+                endpoint = await self._placement.reserve(run, tried_last, since)
         self._ended_tokens += run.item.length_hint
         self._ended_events += run.events()
         return result
@@ -244,7 +254,7 @@
         endpoint = attempt.endpoint
         balancer = self._discovery.balancer
         balancer.record_load_report(endpoint, stream.head.load, self._clock.now())
-        check = run.begin_stream(stream.head.version)
+        check = run.begin_stream(stream.head.version, software_of(endpoint))
         if stream.head.version is not None:
             self._discovery.record_version(
                 endpoint, self.batch.model, stream.head.version
@@ -301,6 +311,7 @@
             run.item.id,
             batch=self.batch.id,
             endpoint=endpoint.id,
+            software=endpoint.software,
             status=status,
             not_run=found.not_run,
         )
@@ -323,6 +334,7 @@
             run.item.id,
             batch=self.batch.id,
             endpoint=endpoint.id,
+            software=endpoint.software,
             events=run.events(),
             kind=failure.kind.value,
             reason=failure.message,
@@ -337,6 +349,7 @@
             run.item.id,
             batch=self.batch.id,
             endpoint=endpoint.id,
+            software=endpoint.software,
             events=run.events(),
             min_version=self.batch.min_version,
             reason=check.value,
--- a/plantainstack/services/item_placement.py
+++ b/plantainstack/services/item_placement.py
@@ -5,9 +5,11 @@
 
 import anyio
 
-from plantainstack import log
+from plantainstack import log, metrics
 from plantainstack.interfaces import Priority
-from plantainstack.policy import route_table
+from plantainstack.policy import route_table, software_versions
+from plantainstack.policy.item_runs import ItemRun
+from plantainstack.policy.software_versions import SoftwareVersion, software_of
 from plantainstack.serving import (
     Batch,
     Endpoint,
@@ -59,14 +61,18 @@
         self._slot_freed = anyio.Event()
         self._group_endpoints: dict[str, str] = {}
 
-    async def reserve(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
+    async def reserve(
+        self, run: ItemRun, exclude: frozenset[str], since: float
+    ) -> Endpoint | None:
         """Reserve a slot, at the endpoint of the item's group if that has one free.
 
-        `exclude` applies to the first choice only. Returns None if no slot was found
-        within the route's queue limit.
+        A text that is given up for a slot at another software version is discarded;
+        `since` is the time of its last event, or of the start of its wait. `exclude`
+        applies to the first choice only. Returns None if no slot was found within the
+        route's queue limit.
         """
-        while self._clock.now() <= self.deadline:
-            endpoint = self._choose(item, exclude)
+        while (now := self._clock.now()) <= self.deadline:
+            endpoint = self._choose(run, exclude, now - since)
             exclude = frozenset()
             if endpoint is not None:
                 self._permits.take(endpoint, Priority.ROLLOUT)
@@ -108,11 +114,75 @@
         self.deadline = 0.0
         self._on_route_gone()
 
-    def _choose(self, item: Item, exclude: frozenset[str]) -> Endpoint | None:
+    def settle_software(self, run: ItemRun) -> None:
+        """Label stored text of unknown software, or discard it.
+
+        The text can go on only if all known endpoints share one version.
+        """
+        if run.text_complete or run.software is not None or not run.events():
+            return
+        known = self._discovery.view.known.values()
+        services = self._services()
+        run.software = software_versions.only_version(
+            end for end in known if end.service in services
+        )
+        if run.software is None:
+            self.discard_text(run, "unknown_version")
+
+    def discard_text(self, run: ItemRun, reason: str, waited_s: float = 0.0) -> None:
+        """Let an item begin anew, since its text cannot go on."""
+        software = run.software
+        log.event(
+            "item.text_discarded",
+            run.item.id,
+            batch=self.batch.id,
+            service=software.service if software else None,
+            software=software.version if software else None,
+            events=run.events(),
+            waited_s=round(waited_s, 3),
+            reason=reason,
+        )
+        metrics.DISCARDED_TEXTS.labels(reason).inc()
+        run.discard_text()
+
+    def serving_endpoints(self, software: SoftwareVersion) -> list[Endpoint]:
+        """Return the endpoints of a software version that the route allows."""
+        if software.service not in self._services():
+            return []
+        usable = self._discovery.usable(software.service)
+        return [end for end in usable if software_of(end) == software]
+
+    def _choose(
+        self, run: ItemRun, exclude: frozenset[str], waited_s: float
+    ) -> Endpoint | None:
+        self.apply_current_route()
+        if run.software is None:
+            return self._choose_from(self._candidates(), run.item, exclude)
         balancer = self._discovery.balancer
         now = self._clock.now()
-        self.apply_current_route()
-        usable = self._permits.open_endpoints(self._candidates(), Priority.ROLLOUT)
+        serving = self.serving_endpoints(run.software)
+        same = self._choose_from(self._with_trials(serving), run.item, exclude)
+        if same is not None and not balancer.is_avoided(same, now):
+            return same
+        latency_s = balancer.best_latency(serving, now)
+        if not software_versions.begins_anew(
+            run.events(), latency_s, waited_s, bool(serving)
+        ):
+            return same
+        other = self._choose_from(self._candidates(), run.item, exclude)
+        if other is None or (same is not None and balancer.is_avoided(other, now)):
+            return same
+        if software_of(other) != run.software:
+            reason = "version_busy" if serving else "version_gone"
+            self.discard_text(run, reason, waited_s)
+        return other
+
+    def _choose_from(
+        self, endpoints: list[Endpoint], item: Item, exclude: frozenset[str]
+    ) -> Endpoint | None:
+        balancer = self._discovery.balancer
+        now = self._clock.now()
+        usable = self._permits.open_endpoints(endpoints, Priority.ROLLOUT)
         if item.id in self.long_items:
             fast = [end for end in usable if end.id not in exclude]
             selection = balancer.choose_fastest(fast, now, LOAD_MAX)
@@ -134,18 +204,25 @@
         return selection.endpoint
 
     def _candidates(self) -> list[Endpoint]:
-        """Return the endpoints that an item may be sent to.
+        """Return the endpoints that an item without text may be sent to."""
+        return self._with_trials(self._usable_endpoints())
+
+    def _with_trials(self, usable: list[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints that have recent weights, or may have them by now.
 
         Registrations show new weights up to 2 s late. If none is recent enough, one
         item per PROBE_INTERVAL_S is sent anyway: the response states the version that
         the endpoint really has.
         """
-        recent = self.recent_endpoints()
+        recent = [end for end in usable if self._has_recent_weights(end)]
         now = self._clock.now()
-        if recent or now < self._next_probe_at:
+        if recent or not usable or now < self._next_probe_at:
             return recent
         self._next_probe_at = now + PROBE_INTERVAL_S
-        return self._usable_endpoints()
+        return usable
+
+    def _services(self) -> set[str]:
+        return {weighted.service for weighted in self.route.weighted_services}
 
     def _usable_endpoints(self) -> list[Endpoint]:
         service = route_table.pick_service(self.route, self._rng)
--- a/tests/policy/test_item_runs.py
+++ b/tests/policy/test_item_runs.py
@@ -5,12 +5,17 @@
 from plantainstack.policy.item_runs import (
     ItemProgress,
     ItemRun,
+    PartialText,
     StreamCheck,
     join_pieces,
 )
+from plantainstack.policy.software_versions import SoftwareVersion
 from plantainstack.serving import ItemState
 from tests.policy.serving_samples import batch, event, item
 
+OLD = SoftwareVersion("models", "1.0")
+NEW = SoftwareVersion("models", "1.1")
+
 
 def make_run(min_version=3, single_version=False):
     return ItemRun(item(), batch(min_version=min_version), single_version)
@@ -146,3 +151,64 @@
     before.begin_stream(4)
     before.append_event(event(1, "anew"))
     assert join_pieces([first, second, before.partial()]).texts == ("anew",)
+
+
+def test_stream_of_other_software_is_not_joined():
+    """Guards against a text joined from two software versions."""
+    run = make_run()
+    run.begin_stream(3, OLD)
+    run.append_event(event(1))
+    assert run.begin_stream(3, NEW) is StreamCheck.OTHER_SOFTWARE
+    assert run.begin_stream(3, OLD) is StreamCheck.KEEP
+    run.discard_text()
+    assert run.begin_stream(3, NEW) is StreamCheck.KEEP
+    run.append_event(event(1))
+    assert (run.software, run.events()) == (NEW, 1)
+
+
+def test_stream_without_events_does_not_bind_the_text():
+    """Guards against an item that waits for a version that wrote nothing of it."""
+    run = make_run()
+    run.begin_stream(3, OLD)
+    assert run.software is None
+    assert run.begin_stream(3, NEW) is StreamCheck.KEEP
+
+
+def test_stored_text_keeps_its_software_version():
+    """Guards against an owner that continues the text of another version."""
+    before = make_run()
+    before.begin_stream(3, OLD)
+    before.append_event(event(1))
+    after = make_run()
+    after.restore(before.partial())
+    assert after.software == OLD
+    assert after.begin_stream(3, NEW) is StreamCheck.OTHER_SOFTWARE
+
+
+def test_text_of_endpoints_that_name_no_version_is_stored_without_one():
+    """Guards against rows that older builds reject although nothing needs them."""
+    run = make_run()
+    run.begin_stream(3, SoftwareVersion("models", ""))
+    run.append_event(event(1))
+    assert run.partial().software is None
+
+
+@pytest.mark.parametrize(
+    ("labels", "joined"),
+    [
+        ([OLD, OLD, OLD], 3),
+        ([None, None, NEW], 3),
+        ([OLD, None, OLD], 1),
+        ([OLD, NEW, NEW], 1),
+        ([None, NEW, None], 2),
+    ],
+)
+def test_pieces_of_other_or_unknown_software_are_not_joined(labels, joined):
+    """Guards against text that an owner of an older build went on with elsewhere."""
+    pieces = [
+        PartialText(0, number, (f"text {number}",), (3,), number + 1, 0, software=label)
+        for number, label in enumerate(labels)
+    ]
+    text = join_pieces(pieces)
+    assert len(text.texts) == joined
+    assert text.software == labels[joined - 1]
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -214,6 +214,8 @@
         self._id = request_id
         self._endpoint = endpoint_id
         self._first = (call.resume_after or 0) + 1
+        found = platform.endpoints.get(endpoint_id)
+        self._software = found.software if found else ""
 
     async def events(self):
         client = self._platform.client
@@ -226,7 +228,8 @@
                 message = "the connection was reset"
                 yield Err(Failure.of(ErrorKind.ANSWER_TRUNCATED, message))
                 return
-            yield Ok(event(number))
+            written_by = f" of {self._software}" if self._software else ""
+            yield Ok(event(number, f"text {number}{written_by}"))
             await anyio.lowlevel.checkpoint()
 
 
@@ -235,7 +238,8 @@
 
     A stream has `events_per_stream` events. `blocked_events` maps an item id and
     event number to an event that must be set first; `failing_events` lists those
-    before which the connection is reset, once each. `statuses` sets other response
+    before which the connection is reset, once each. The text of an event names the
+    software version of the endpoint, if it has one. `statuses` sets other response
     statuses by item or endpoint id. `scripts` lists the outcomes of the next calls with
     a request id: a status, a failure, or an event that must be set before a success.
     `rate_limits` holds the limits that endpoints name in their answers.
