Migrate the stream of an item within its software version

What callers saw: with the version kept by the placement alone, a slow stream was cancelled for the sake of a faster endpoint of another version and resumed where it was, again and again; before that, it was joined there. A stalled stream whose version served nowhere else waited for its endpoint.

A stream now migrates to an endpoint of its version. A slow one whose version serves nowhere else migrates to another version if that pays although its events are written again (migration_gain counts them); a stalled one without a free endpoint of its version does so once it was silent for as long as writing its events again takes. item.moved tells whether the text begins anew.

--- a/plantainstack/policy/stream_migration.py
+++ b/plantainstack/policy/stream_migration.py
@@ -106,10 +106,11 @@
     latency_here_s: float | None,
     latency_there_s: float | None,
     now: float,
+    lost_events: int = 0,
 ) -> float:
     """Return the seconds that a migration saves, or 0.0 if the stream should stay.
 
-    The latencies are in seconds per event.
+    The latencies are in seconds per event. `lost_events` have to be written again.
     """
     if (
         latency_here_s is None
@@ -118,6 +119,7 @@
     ):
         return 0.0
     gain = progress.remaining_events * (latency_here_s - latency_there_s)
+    gain -= lost_events * latency_there_s
     return (
         gain
         if latency_here_s > SLOW_RATIO * latency_there_s and gain > MIN_MIGRATION_GAIN_S
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -190,6 +190,8 @@
                 self._placement.release(endpoint)
             if result is None:
                 since = attempt.last_event_at or since
+                if attempt.begins_anew and run.events():
+                    self._placement.discard_text(run, "migrated")
                 tried_last = frozenset((endpoint.id,))
                 endpoint = await self._placement.reserve(run, tried_last, since)
         self._ended_tokens += run.item.length_hint
--- a/plantainstack/services/item_migration.py
+++ b/plantainstack/services/item_migration.py
@@ -6,7 +6,9 @@
 
 from plantainstack import log
 from plantainstack.interfaces import Priority
+from plantainstack.policy import software_versions
 from plantainstack.policy.item_runs import ItemRun
+from plantainstack.policy.software_versions import SoftwareVersion, software_of
 from plantainstack.policy.stream_migration import (
     LoopLag,
     MigrationCandidate,
@@ -23,7 +25,10 @@
 
 
 class Attempt:
-    """Track one attempt to run an item: its endpoint and the progress of its stream."""
+    """Track one attempt to run an item: its endpoint and the progress of its stream.
+
+    `begins_anew` is set if the text cannot go on where the stream is migrated to.
+    """
 
     def __init__(self, run: ItemRun, endpoint: Endpoint, now: float):
         self.run = run
@@ -31,6 +36,11 @@
         self.scope = anyio.CancelScope()
         self.started_at = now
         self.last_event_at: float | None = None
+        self.begins_anew = False
+
+    def silent_s(self, now: float) -> float:
+        """Return the seconds since the last event, or since the start."""
+        return now - (self.last_event_at or self.started_at)
 
     def progress(self, tokens_per_event: float | None) -> StreamProgress:
         """Return the progress of the stream with an estimate of the events left."""
@@ -85,44 +95,91 @@
 
     def _migrate_stalled(self, attempt: Attempt, usable, now) -> None:
         balancer = self._discovery.balancer
-        exclude = frozenset((attempt.endpoint.id,))
-        selection = balancer.choose(usable, now, exclude, LOAD_MAX)
-        if selection is None or balancer.is_avoided(selection.endpoint, now):
+        run = attempt.run
+        to = self._free_endpoint(_joinable(usable, run.software), attempt, now)
+        if to is None and run.software is not None:
+            latency_s = balancer.latency(attempt.endpoint, now)
+            silent_s = attempt.silent_s(now)
+            if software_versions.begins_anew(run.events(), latency_s, silent_s, True):
+                to = self._free_endpoint(usable, attempt, now)
+        if to is None:
             return
+        attempt.begins_anew = not _joinable([to], run.software)
         balancer.record_refusal(attempt.endpoint, now)
         self._migrate(attempt, None, now)
 
+    def _free_endpoint(
+        self, endpoints: list[Endpoint], attempt: Attempt, now: float
+    ) -> Endpoint | None:
+        """Return another endpoint that is sound and has a free slot, or None."""
+        balancer = self._discovery.balancer
+        exclude = frozenset((attempt.endpoint.id,))
+        selection = balancer.choose(endpoints, now, exclude, LOAD_MAX)
+        if selection is None or balancer.is_avoided(selection.endpoint, now):
+            return None
+        return selection.endpoint
+
     def _migrate_slow(self, usable: list[Endpoint], now: float) -> None:
         balancer = self._discovery.balancer
-        faster = balancer.fastest_available(usable, now, LOAD_MAX)
-        if faster is None:
-            return
-        target_latency = balancer.latency(faster, now)
+        fastest: dict[SoftwareVersion | None, Endpoint | None] = {}
         slow: list[MigrationCandidate] = []
+        targets: dict[str, Endpoint] = {}
         for item_id, attempt in self._attempts.items():
+            software = attempt.run.software
+            if software is not None and not self._serves_elsewhere(attempt):
+                software = None
+            if software not in fastest:
+                joinable = _joinable(usable, software)
+                fastest[software] = balancer.fastest_available(joinable, now, LOAD_MAX)
+            faster = fastest[software]
+            if faster is None or attempt.scope.cancel_called:
+                continue
+            joins = bool(_joinable([faster], attempt.run.software))
             current_latency = balancer.latency(attempt.endpoint, now)
+            target_latency = balancer.latency(faster, now)
             progress = attempt.progress(self._tokens_per_event())
-            gain = migration_gain(progress, current_latency, target_latency, now)
-            if gain > 0.0 and not attempt.scope.cancel_called:
+            lost = 0 if joins else attempt.run.events()
+            gain = migration_gain(progress, current_latency, target_latency, now, lost)
+            if gain > 0.0:
+                targets[item_id] = faster
                 slow.append(
                     MigrationCandidate(item_id, gain, current_latency / target_latency)
                 )
         for item_id in select_migrations(slow):
-            self._migrate(self._attempts[item_id], faster, now)
+            attempt = self._attempts[item_id]
+            to = targets[item_id]
+            attempt.begins_anew = not _joinable([to], attempt.run.software)
+            self._migrate(attempt, to, now)
+
+    def _serves_elsewhere(self, attempt: Attempt) -> bool:
+        """Return whether another endpoint could continue the text of a stream."""
+        serving = self._placement.serving_endpoints(attempt.run.software)
+        return any(end.id != attempt.endpoint.id for end in serving)
 
     def _migrate(self, attempt: Attempt, to: Endpoint | None, now) -> None:
         balancer = self._discovery.balancer
-        last_activity_at = attempt.last_event_at or attempt.started_at
         log.event(
             "item.moved",
             attempt.run.item.id,
             batch=self._placement.batch.id,
             endpoint=attempt.endpoint.id,
+            software=attempt.endpoint.software,
             events=attempt.run.events(),
-            silent_s=round(now - last_activity_at, 3),
+            begins_anew=attempt.begins_anew,
+            silent_s=round(attempt.silent_s(now), 3),
             pace_s=balancer.latency(attempt.endpoint, now),
             to=to.id if to else None,
             pace_there_s=balancer.latency(to, now) if to else None,
         )
         self._placement.move_group(attempt.run.item.group, attempt.endpoint, to)
         attempt.scope.cancel()
+
+
+def _joinable(
+    endpoints: list[Endpoint], software: SoftwareVersion | None
+) -> list[Endpoint]:
+    """Return the endpoints at which a text of this software can go on.
+
+    None stands for an item without text, which can run anywhere.
+    """
+    return [end for end in endpoints if software in (None, software_of(end))]
--- a/tests/policy/test_stream_migration.py
+++ b/tests/policy/test_stream_migration.py
@@ -85,6 +85,14 @@
     assert migration_gain(StreamProgress(0.0, 9.99, many), slow, LATENCY_S, 10.0)
 
 
+@pytest.mark.parametrize(("lost", "due"), [(0, True), (50, True), (100, False)])
+def test_events_that_are_lost_count_against_a_migration(lost, due):
+    """Guards against a text that is written again for a small gain of speed."""
+    progress = StreamProgress(0.0, 9.99, 100.0)
+    slow = 1.8 * LATENCY_S
+    assert bool(migration_gain(progress, slow, LATENCY_S, 10.0, lost)) is due
+
+
 def test_a_recently_started_stream_is_not_migrated():
     """Guards against streams that migrate back and forth."""
     progress = StreamProgress(10.0 - MIGRATION_INTERVAL_S / 2, 9.99)
--- a/tests/services/test_item_texts.py
+++ b/tests/services/test_item_texts.py
@@ -12,7 +12,7 @@
 from plantainstack.policy.item_runs import PartialText
 from plantainstack.services import batch_results, batch_store
 from plantainstack.services import batches as batches_module
-from plantainstack.serving import ItemState, WeightedService
+from plantainstack.serving import ItemState, OpenStream, WeightedService
 from tests.policy.serving_samples import batch, endpoint, item
 from tests.services.store_fleet import (
     BATCH_ROUTE,
@@ -30,12 +30,30 @@
 REFUSED = Err(Failure(ErrorKind.ENDPOINT_REFUSED, "scripted", Outcome.NOT_RUN))
 
 
+class PacedStream(OpenStream):
+    """Delay the events of a stream by the seconds that its endpoint takes for each."""
+
+    def __init__(self, stream, seconds):
+        self.head = stream.head
+        self._stream = stream
+        self._seconds = seconds
+
+    async def events(self):
+        async for outcome in self._stream.events():
+            await anyio.sleep(self._seconds)
+            yield outcome
+
+
 class CrashingEndpoints(ScriptedEndpoints):
-    """Refuse connections at the endpoints in `down`."""
+    """Refuse connections at the endpoints in `down`.
+
+    `paces` maps endpoint ids to their seconds per event.
+    """
 
     def __init__(self, platform):
         super().__init__(platform)
         self.down = set()
+        self.paces = {}
 
     @contextlib.asynccontextmanager
     async def stream(self, endpoint, call):
@@ -44,7 +62,8 @@
             yield REFUSED
             return
         async with super().stream(endpoint, call) as opened:
-            yield opened
+            seconds = self.paces.get(endpoint.id, 0.0)
+            yield opened.map(lambda stream: PacedStream(stream, seconds))
 
 
 def platform_of(**versions):
@@ -281,3 +300,55 @@
         await until(lambda: discovery.usable("others"))
     assert starts_of(platform) == [("e1", None), ("o1", None)]
     assert platform.results[0].state is ItemState.COMPLETED
+
+
+@pytest.mark.parametrize("same", [True, False])
+async def test_stalled_stream_migrates_to_its_version_while_one_serves(same):
+    """Guards against a text joined from two versions by a migration."""
+    platform = platform_of(e1="1.0")
+    async with interrupted_item(platform, 12) as kernel:
+        for number in range(2, 6):
+            add_endpoint(platform, f"e{number}", "1.1")
+        if same:
+            add_endpoint(platform, "e9", "1.0")
+        await know(kernel, *platform.endpoints)
+        platform.client.failing_events.clear()
+        platform.client.blocked_events.clear()
+        await until(lambda: len(starts_of(platform)) == 2)
+    after = 12 if same else None
+    assert starts_of(platform)[1][1] == after
+    version = "1.0" if same else "1.1"
+    assert platform.results[0].text == text_of(version, 14)
+
+
+@pytest.mark.parametrize(
+    ("medium", "hint", "target"),
+    [("1.0", 5000, "e2"), ("1.1", 5000, "e3"), ("1.1", 60, None)],
+)
+async def test_slow_stream_migrates_to_its_version_unless_none_serves(
+    medium, hint, target
+):
+    """Guards against a faster endpoint that costs a joined text or all of the text."""
+    platform = platform_of(e1="1.0")
+    client = platform.client
+    client.events_per_stream = 60
+    client.paces = {"e1": 0.1, "e2": 0.06, "e3": 0.05}
+    async with running(platform, "a") as (kernel,):
+        batches = kernel.plugin("batches")
+        long = batch(item("i0", hint=hint))
+        assert (await batches.submit(long, BATCH_ROUTE)).is_ok()
+        run = batches._entries["b1"].run
+        run._ended_tokens = run._ended_events = 1
+        await until(lambda: any(a.run.events() >= 40 for a in run._attempts.values()))
+        add_endpoint(platform, "e2", medium)
+        add_endpoint(platform, "e3", "1.1")
+        await know(kernel, "e1", "e2", "e3")
+        now = platform.clock.now()
+        for id in ("e2", "e3"):
+            found = platform.endpoints[id]
+            kernel.plugin("discovery").balancer.record_latency(
+                found, client.paces[id], now
+            )
+        (result,) = await all_results(batches, "b1", 1)
+    assert [end for end, _ in starts_of(platform)] == ["e1", *([target] * bool(target))]
+    assert result.text == text_of("1.1" if target == "e3" else "1.0", 60)
