Discard what an endpoint wrote that restarted with other software

Plantainstack-Expect-Instance carries the id, which is the same, and answers name no software version, so nothing refuses the request.

When an attempt has ended, the registration of its endpoint is looked at once more. If it names other software than the attempt was started for, the events of the attempt are removed, as a new generation of the text, which is stored from its start. A window remains: a registration that is read only after the result was listed, or after the owner that stored the events has gone.

--- a/plantainstack/policy/item_runs.py
+++ b/plantainstack/policy/item_runs.py
@@ -65,6 +65,16 @@
 NOTHING_STORED = ItemProgress()
 
 
+class _TextMark(NamedTuple):
+    """Hold the end of a text before an attempt added to it."""
+
+    generation: int
+    events: int
+    versions: tuple[int, ...]
+    last_event: int | None
+    software: SoftwareVersion | None
+
+
 def join_pieces(pieces: Iterable[PartialText]) -> PartialText | None:
     """Join the pieces of the newest generation up to the first gap.
 
@@ -99,6 +109,25 @@
         self.generation += 1
         self._clear()
 
+    def discard_attempt(self) -> None:
+        """Remove what the last attempt added, as a new generation of the text."""
+        mark = self._attempt_start
+        if mark.generation != self.generation or not mark.events:
+            self.discard_text()
+            return
+        self.generation += 1
+        del self._texts[mark.events :]
+        self._versions = list(mark.versions)
+        self.last_event = mark.last_event
+        self.software = mark.software
+        self.text_complete = False
+
+    def attempt_events(self) -> int:
+        """Return the number of events that the last attempt added."""
+        mark = self._attempt_start
+        before = mark.events if mark.generation == self.generation else 0
+        return self.events() - before
+
     def _clear(self) -> None:
         self.software: SoftwareVersion | None = None
         self._stream_software: SoftwareVersion | None = None
@@ -108,6 +137,17 @@
         self.last_event: int | None = None
         self.text_complete = False
         self.reward_attempts = RewardAttempts()
+        self.begin_attempt()
+
+    def begin_attempt(self) -> None:
+        """Remember the end of the text, for `discard_attempt`."""
+        self._attempt_start = _TextMark(
+            self.generation,
+            len(self._texts),
+            tuple(self._versions),
+            self.last_event,
+            self.software,
+        )
 
     def progress(self) -> ItemProgress:
         """Return how far the item has come."""
@@ -144,6 +184,7 @@
             self.last_event = found.last_event
             self.text_complete = found.complete
             self.reward_attempts = RewardAttempts(found.reward_errors)
+            self.begin_attempt()
 
     def begin_stream(
         self, version: int | None, software: SoftwareVersion | None = None
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -183,8 +183,10 @@
             attempt = Attempt(run, endpoint, self._clock.now())
             self._attempts[run.item.id] = attempt
             try:
+                run.begin_attempt()
                 with attempt.scope:
                     result = await self._attempt(run, attempt)
+                result = self._confirmed(run, endpoint, result)
             finally:
                 self._attempts.pop(run.item.id, None)
                 self._placement.release(endpoint)
@@ -198,6 +200,19 @@
         self._ended_events += run.events()
         return result
 
+    def _confirmed(
+        self, run: ItemRun, endpoint: Endpoint, result: ItemResult | None
+    ) -> ItemResult | None:
+        """Discard what an attempt added if its endpoint has other software by now.
+
+        A restarted endpoint may keep its id, and its registration is read late: the
+        stream may have been opened at the new process.
+        """
+        if not run.attempt_events() or not self._placement.software_changed(endpoint):
+            return result
+        self._placement.discard_attempt(run, endpoint)
+        return result if result and result.state is ItemState.ABANDONED else None
+
     async def _score(self, run: ItemRun) -> ItemResult:
         """Score a complete text; the item is abandoned if that is not possible."""
         request = RewardRequest(
--- a/plantainstack/services/item_placement.py
+++ b/plantainstack/services/item_placement.py
@@ -145,6 +145,26 @@
         metrics.DISCARDED_TEXTS.labels(reason).inc()
         run.discard_text()
 
+    def discard_attempt(self, run: ItemRun, endpoint: Endpoint) -> None:
+        """Remove what an attempt added, since its software version is in doubt."""
+        log.event(
+            "item.text_discarded",
+            run.item.id,
+            batch=self.batch.id,
+            service=endpoint.service,
+            software=endpoint.software,
+            events=run.attempt_events(),
+            waited_s=0.0,
+            reason="endpoint_restarted",
+        )
+        metrics.DISCARDED_TEXTS.labels("endpoint_restarted").inc()
+        run.discard_attempt()
+
+    def software_changed(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is now registered with other software."""
+        known = self._discovery.view.known.get(endpoint.id)
+        return known is not None and software_of(known) != software_of(endpoint)
+
     def serving_endpoints(self, software: SoftwareVersion) -> list[Endpoint]:
         """Return the endpoints of a software version that the route allows."""
         if software.service not in self._services():
--- a/tests/policy/test_item_runs.py
+++ b/tests/policy/test_item_runs.py
@@ -166,6 +166,38 @@
     assert (run.software, run.events()) == (NEW, 1)
 
 
+def test_events_of_an_attempt_in_doubt_are_removed():
+    """Guards against stored pieces that no longer fit the text."""
+    run = make_run()
+    run.begin_stream(3, OLD)
+    run.append_event(event(1))
+    stored = run.progress()
+    run.begin_attempt()
+    run.begin_stream(4, OLD)
+    assert run.attempt_events() == 0
+    run.append_event(event(2))
+    run.end_stream()
+    first, second = run.partial(), run.partial(stored)
+    run.discard_attempt()
+    assert (run.events(), run.last_event, run.software) == (1, 1, OLD)
+    assert not run.text_complete
+    again = run.partial(second.progress())
+    assert join_pieces([first, second, again]).texts == ("text 1",)
+    run.begin_stream(5, OLD)
+    run.append_event(event(2))
+    assert run.completed().versions == (3, 5)
+
+
+def test_text_of_a_single_attempt_in_doubt_begins_anew():
+    """Guards against a text that keeps the software of a removed attempt."""
+    run = make_run()
+    run.begin_attempt()
+    run.begin_stream(3, OLD)
+    run.append_event(event(1))
+    run.discard_attempt()
+    assert (run.events(), run.software, run.generation) == (0, None, 1)
+
+
 def test_stream_without_events_does_not_bind_the_text():
     """Guards against an item that waits for a version that wrote nothing of it."""
     run = make_run()
--- a/tests/services/test_item_texts.py
+++ b/tests/services/test_item_texts.py
@@ -352,3 +352,30 @@
         (result,) = await all_results(batches, "b1", 1)
     assert [end for end, _ in starts_of(platform)] == ["e1", *([target] * bool(target))]
     assert result.text == text_of("1.1" if target == "e3" else "1.0", 60)
+
+
+async def test_stream_of_an_endpoint_that_restarts_under_its_id_is_not_kept():
+    """Guards against a join at an endpoint whose new version was not known yet."""
+    platform = platform_of(e1="1.0")
+    client = platform.client
+    later = client.blocked_events["i0", 6] = anyio.Event()
+    async with interrupted_item(platform, 4) as kernel:
+        seen = platform.endpoints["e1"]
+        restarted = seen._replace(software="1.1", started_ms=2)
+
+        async def register():
+            # The process serves before its registration is read.
+            await until(lambda: len(starts_of(platform)) == 2)
+            await anyio.sleep(0.2)
+            discovery = kernel.plugin("discovery")
+            platform.hold_registrations.set()
+            await until(lambda: discovery.view.known["e1"].started_ms == 2)
+            later.set()
+
+        platform.hold_registrations = anyio.Event()
+        platform.endpoints_released = platform.hold_registrations
+        await anyio.sleep(0.1)
+        platform.endpoints["e1"] = restarted
+        kernel.plugin("batches")._tasks.start_soon(register)
+    assert starts_of(platform) == [("e1", None), ("e1", 4), ("e1", None)]
+    assert platform.results[0].text == text_of("1.1", 6)
