--- a/tools/proofs.py
+++ b/tools/proofs.py
@@ -21,6 +21,7 @@
     "at-most-once": "A non-idempotent booking runs at most once",
     "leaving": "A leaving endpoint receives no new work after 5 s",
     "shutdown": "A graceful shutdown cuts off no request",
+    "one-software": "No item's text is joined from two software versions",
     "configuration": "An accepted configuration is in force within 7 s, for good",
 }
 FAILURES = {
