Take an item's text to no service without a share of the route

A text of a service that the route still lists, with weight 0, resumed there, where no new request goes. The case with weight 0 of test_text_of_another_service_is_not_continued failed before (resumed at e1 after event 4 in place of o1).

--- a/plantainstack/policy/route_table.py
+++ b/plantainstack/policy/route_table.py
@@ -25,3 +25,9 @@
         return route.weighted_services[0].service
     weights = [share.weight for share in route.weighted_services]
     return rng.choices(route.weighted_services, weights)[0].service
+
+
+def services(route: Route) -> set[str]:
+    """Return the services that `pick_service` may return."""
+    shares = route.weighted_services
+    return {share.service for share in shares if share.weight > 0 or len(shares) == 1}
--- a/plantainstack/services/item_placement.py
+++ b/plantainstack/services/item_placement.py
@@ -122,7 +122,7 @@
         if run.text_complete or run.software is not None or not run.events():
             return
         known = self._discovery.view.known.values()
-        services = self._services()
+        services = route_table.services(self.route)
         run.software = software_versions.only_version(
             end for end in known if end.service in services
         )
@@ -167,7 +167,7 @@
 
     def serving_endpoints(self, software: SoftwareVersion) -> list[Endpoint]:
         """Return the endpoints of a software version that the route allows."""
-        if software.service not in self._services():
+        if software.service not in route_table.services(self.route):
             return []
         usable = self._discovery.usable(software.service)
         return [end for end in usable if software_of(end) == software]
@@ -241,9 +241,6 @@
         self._next_probe_at = now + PROBE_INTERVAL_S
         return usable
 
-    def _services(self) -> set[str]:
-        return {weighted.service for weighted in self.route.weighted_services}
-
     def _usable_endpoints(self) -> list[Endpoint]:
         service = route_table.pick_service(self.route, self._rng)
         return self._discovery.usable(service)
--- a/tests/services/test_item_texts.py
+++ b/tests/services/test_item_texts.py
@@ -330,10 +330,12 @@
     assert found["i0"] == piece._replace(software=software if known else None)
 
 
-async def test_text_of_another_service_is_not_continued():
+@pytest.mark.parametrize("left", [(), (WeightedService("models", 0.0),)])
+async def test_text_of_another_service_is_not_continued(left):
     """Guards against a join by equal version names after a change of the route."""
     platform = platform_of(e1="1.0")
-    moved = BATCH_ROUTE._replace(weighted_services=(WeightedService("others", 1.0),))
+    services = (WeightedService("others", 1.0), *left)
+    moved = BATCH_ROUTE._replace(weighted_services=services)
     async with interrupted_item(platform, 4) as kernel:
         add_endpoint(platform, "o1", "1.0", service="others")
         platform.config = CONFIG._replace(version=2, routes=(moved,))
