Refuse readers at once at an instance that has lost the store

Since absences are confirmed at the end of a reader's wait, a reader at an instance without the store waited for 1 s in vain, and 0.7 s more, before it got 503. Such an instance gets no notice of new results, so it now tries to confirm first, as before.

Without the change, test_reader_does_not_wait_at_an_instance_that_lost_the_store waits for 1.0 s.

--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -130,12 +130,12 @@
         wait_until = self._clock.now() + wait_s
         source = ReadSource.MEMORY
         entry = self._cache.entries.get(batch_id)
-        if entry is None:
+        if entry is None or self._is_wait_useless(entry, after):
             found = await self._confirm(batch_id)
             if found.is_err():
                 return found
             entry = found.unwrap()
-            source = ReadSource.STORE
+            source = ReadSource.STORE if wait_s <= 0.0 else ReadSource.MEMORY
         await self._wait_for_results(entry, after, wait_until)
         is_open = not entry.row.state.is_final()
         if after >= entry.row.state.listed and is_open and source is ReadSource.MEMORY:
@@ -148,6 +148,11 @@
             return Ok(ResultPage(entry.row.state.total, [], source))
         return await self._read_page(entry, batch_id, after)
 
+    def _is_wait_useless(self, entry: BatchEntry, after: int) -> bool:
+        """Return whether no notice of a result can come, unless the store is back."""
+        is_missing = after >= entry.row.state.listed and not entry.row.state.is_final()
+        return is_missing and self._feed.lost_at is not None
+
     async def _wait_for_results(
         self, entry: BatchEntry, after: int, wait_until: float
     ) -> None:
--- a/tests/services/test_batch_reads.py
+++ b/tests/services/test_batch_reads.py
@@ -350,3 +350,14 @@
         platform.rows.transact({}, {("batches", "b9", "state"): b"odd"})
         assert is_unavailable(await reader.results("b9", 0, 0.0))
         assert answers_with_results(await reader.results("b1", 0, 0.0))
+
+
+async def test_reader_does_not_wait_at_an_instance_that_lost_the_store():
+    """Guards against readers that learn late that they have to ask elsewhere."""
+    async with open_batch() as (platform, _owner, reader, stores, _gates):
+        assert len(await all_results(reader, "b1", 3)) == 3
+        stores[1].unavailable = True
+        await until(lambda: reader._feed.lost_at is not None)
+        asked_at = platform.clock.now()
+        assert is_unavailable(await reader.results("b1", 3, 1.0))
+        assert platform.clock.now() - asked_at < 1.0
