Move the attempts of a request and of a stream into modules of their own

A pure move: the base class and the stream's attempts go to request_runs.py and stream_runs.py and lose the underscore, since they are used across modules; no statement changes.

--- a/tests/services/test_stream_interleavings.py
+++ b/tests/services/test_stream_interleavings.py
@@ -14,7 +14,7 @@
 
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy import stream_versions as policy
-from plantainstack.services import forwarding, stream_records, stream_versions
+from plantainstack.services import stream_records, stream_runs, stream_versions
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import (
     EndpointChanges,
@@ -390,7 +390,7 @@
 
 async def test_streams_resumed_at_any_version_are_caught(monkeypatch):
     """Checks the check: a wrong version resumes within one answer at any endpoint."""
-    monkeypatch.setattr(forwarding._StreamRun, "_fits", lambda *args: True)
+    monkeypatch.setattr(stream_runs.StreamRun, "_fits", lambda *args: True)
     with pytest.raises(AssertionError, match="joined"):
         await play_all(Day, SEEDS)
 
