--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -195,6 +195,24 @@
         assert {software for _, software, _ in opened(platform)} == {"V"}
 
 
+async def test_streams_begin_at_the_base_service_while_the_store_is_away():
+    """Guards against refusing streams that drew a service without the base version."""
+    both = (WeightedService("models", 0.5), WeightedService("app", 0.5))
+    shared = STREAM_ROUTE._replace(weighted_services=both)
+    platform = platform_with(e1="V", e2="V")
+    platform.endpoints["a1"] = endpoint("a1", service="app", software="V")
+    platform.software["a1"] = "other"
+    platform.config = CONFIG._replace(routes=(*CONFIG.routes, shared))
+    async with settled(platform, "a") as (kernel,):
+        kernel.plugin("store").metadata_store.unavailable = True
+        ends = [
+            (await read(kernel, call(kernel, f"r{number}"), shared))[-1].is_ok()
+            for number in range(20)
+        ]
+        failed = ends.index(False)
+        assert all(ends[failed + 1 : failed + 6])
+
+
 async def test_stream_is_refused_as_not_run_without_store_and_base_version():
     """Guards against a stream whose version could not be told later."""
     platform = platform_with(e1="V", e2="V")
