Decode odd rows of other writers without exceptions

Cause: msgspec raises RecursionError for a field that nests deeply, also for a field that the type doesn't know, and `int` raises ValueError for texts that `isdigit` accepts (superscripts, over 4300 digits). Neither was caught on the way to the task of the feed, so the process ended. Numbers had no bounds: slots of 10^30, a start below zero, a host with a NUL byte or of 100,000 characters became endpoints, and an id that no header can hold made each request to that endpoint fail.

Why this works: every decoder runs through `decoding.decode`, which returns such an exception as a result; all numbers have bounds far beyond those in use. Each version of a row is logged once. An entry that is not valid names no endpoint, a configuration that is not valid leaves the last one in force. A route without a weighted service makes a configuration invalid, since each of its requests raised an exception.

--- a/plantainstack/platform/records.py
+++ b/plantainstack/platform/records.py
@@ -2,12 +2,15 @@
 
 import base64
 import binascii
-from typing import Any
+import re
+from typing import Annotated, Any, Literal
 
 import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from plantainstack.clock import Clock
+from plantainstack.decoding import decode, parse_decimal
 from plantainstack.platform.names import LENGTH_HINT, header
 from plantainstack.serving import (
     Batch,
@@ -31,11 +34,32 @@
     "stream": RequestKind.STREAM,
     "rollout": RequestKind.BATCH,
 }
+# Bounds on what other programs write, far beyond any value in use. The largest integers
+# are exact in JSON, and can be stored.
+INTEGER_MAX = 2**53
+SLOTS_MAX = 100_000
+DURATION_MAX_S = 30 * 24 * 3600.0
+TEXT_CHARACTERS_MAX = 200
+PORT_MAX = 65535
+
+_Text = Annotated[str, Meta(min_length=1, max_length=TEXT_CHARACTERS_MAX)]
+_Count = Annotated[int, Meta(ge=0, le=INTEGER_MAX)]
+_Slots = Annotated[int, Meta(ge=1, le=SLOTS_MAX)]
+_Number = Annotated[float, Meta(ge=0.0, le=float(INTEGER_MAX))]
+_Seconds = Annotated[float, Meta(ge=0.0, le=DURATION_MAX_S)]
+_Millis = Annotated[float, Meta(ge=0.0, le=DURATION_MAX_S * 1000)]
+
+# A name or an IPv4 address; a colon occurs in IPv6 addresses only.
+_HOST = re.compile(
+    r"[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*|(?=.*:)[0-9A-Fa-f:.]{2,45}"
+)
+# Visible characters of ASCII, without spaces.
+_VISIBLE = re.compile(r"[!-~]+")
 
 
 class _Split(msgspec.Struct):
     backend: str
-    weight: float = 1.0
+    weight: _Number = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -43,22 +67,22 @@
     hostname: str
     prefix: str
     route_type: str
-    timeout_ms: float
-    slo_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: _Millis
+    slo_ms: _Millis = 0.0
+    priority: _Count = 0
     # A route has either one service or several weighted ones.
     backend: str | None = None
     split: list[_Split] = []
-    max_attempts: int = 1
-    max_queue_s: float = 0.0
-    result_target_ms: float = 0.0
+    max_attempts: _Count = 1
+    max_queue_s: _Seconds = 0.0
+    result_target_ms: _Millis = 0.0
     single_version: bool = False
     resumable: bool = False
 
 
 class _Model(msgspec.Struct):
     name: str
-    version: int = 0
+    version: _Count = 0
 
 
 class _Engine(msgspec.Struct):
@@ -67,19 +91,19 @@
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 0
+    max_conns: _Count = 0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 32 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: _Count = 16 * 1024
+    max_body_bytes: _Count = 32 * 1024 * 1024
+    header_timeout_ms: _Millis = 3000.0
+    idle_timeout_ms: _Millis = 15000.0
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -87,18 +111,18 @@
 
 class _Registration(msgspec.Struct):
     # The service that the server belongs to.
-    backend: str
-    address: str
-    zone: str
-    slots: int
-    state: str
+    backend: _Text
+    address: _Text
+    zone: Annotated[str, Meta(max_length=TEXT_CHARACTERS_MAX)]
+    slots: _Slots
+    state: Literal["ready", "draining"]
     # Sequence number of the server's writes of this entry; it orders nothing else.
-    seq: int
+    seq: _Count
     # Version of the server's software, not of its weights.
-    version: str = ""
+    version: Annotated[str, Meta(max_length=TEXT_CHARACTERS_MAX)] = ""
     # Unix time of the server's start in milliseconds.
-    born: int = 0
-    cold_ms: float = 0.0
+    born: _Count = 0
+    cold_ms: _Millis = 0.0
     models: list[_Model] = []
 
 
@@ -107,12 +131,12 @@
     busy: bool = False
     # Number of orders accepted since the server's start; not related to
     # `_Registration.seq`.
-    seq: int = 0
+    seq: _Count = 0
 
 
 class _NamedVersion(msgspec.Struct):
-    model: str
-    version: int
+    model: _Text
+    version: _Count
 
 
 class _Scorer(msgspec.Struct):
@@ -150,10 +174,13 @@
 
 def decode_config(data: bytes) -> Result[ServingConfig, str]:
     """Decode the operator's configuration, or return why it is invalid."""
+    return decode(_CONFIG, data).and_then(_serving_config)
+
+
+def _serving_config(found: _Config) -> Result[ServingConfig, str]:
     try:
-        found = _CONFIG.decode(data)
         routes = tuple(_route(route) for route in found.routes)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except ValueError as exc:
         return Err(str(exc))
     services = {
         service.name: ServiceConfig(
@@ -183,6 +210,8 @@
     )
     if not weighted_services and route.backend is not None:
         weighted_services = (WeightedService(route.backend, 1.0),)
+    if not sum(part.weight for part in weighted_services) > 0.0:
+        raise ValueError(f"route {route.name!r} has no service with a weight")
     return Route(
         name=route.name,
         host=route.hostname.lower(),
@@ -202,20 +231,22 @@
 
 def decode_endpoint(key: str, data: bytes, clock: Clock) -> Result[Endpoint, str]:
     """Decode a server's registration, or return why the entry is not a valid one."""
-    try:
-        found = _REGISTRATION.decode(data)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        return Err(str(exc))
-    host, _, port = found.address.rpartition(":")
-    if found.state not in ("ready", "draining") or not host or not port.isdigit():
-        return Err(f"invalid state {found.state!r} or address {found.address!r}")
-    if not 0 < int(port) <= 65535 or found.slots <= 0:
-        return Err(f"port {port} or slots {found.slots} is out of range")
+    decoded = decode(_REGISTRATION, data)
+    if decoded.is_err():
+        return decoded
+    found = decoded.unwrap()
+    host, _, digits = found.address.rpartition(":")
+    port = parse_decimal(digits, PORT_MAX)
+    if not _HOST.fullmatch(host) or not port:
+        return Err(f"invalid address {found.address!r}")
+    # The id is sent to the endpoint as a header.
+    if not _VISIBLE.fullmatch(key):
+        return Err(f"invalid id {key!r}")
     return Ok(
         Endpoint(
             id=key,
             service=found.backend,
-            address=Address(host, int(port)),
+            address=Address(host, port),
             data_centre=found.zone,
             slots=found.slots,
             leaving=found.state == "draining",
@@ -229,31 +260,31 @@
 
 def decode_report(data: bytes) -> Result[EndpointReport, str]:
     """Decode a server's report of its own state."""
-    try:
-        found = _REPORT.decode(data)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        return Err(str(exc))
-    versions = {model.name: model.version for model in found.models}
-    return Ok(EndpointReport(versions, found.busy, found.seq))
+    return decode(_REPORT, data).map(
+        lambda found: EndpointReport(
+            {model.name: model.version for model in found.models},
+            found.busy,
+            found.seq,
+        )
+    )
 
 
 def decode_named_version(data: bytes) -> Result[tuple[str, int], str]:
     """Decode the weight version that the operator or a trainer set for a model."""
-    try:
-        found = _VERSION.decode(data)
-    except (msgspec.MsgspecError, ValueError) as exc:
-        return Err(str(exc))
-    return Ok((found.model, found.version))
+    return decode(_VERSION, data).map(lambda found: (found.model, found.version))
 
 
 def decode_batch(
     batch_id: str, host: str, path: str, data: bytes
 ) -> Result[Batch, str]:
     """Decode a submitted batch; one invalid item makes the whole batch invalid."""
+    decoded = decode(_BATCH, data)
+    if decoded.is_err():
+        return decoded
+    found = decoded.unwrap()
     try:
-        found = _BATCH.decode(data)
         items = tuple(_item(item) for item in found.requests)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except ValueError as exc:
         return Err(str(exc))
     if not items:
         return Err("the batch has no items")
--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -11,6 +11,7 @@
 from plantainstack import log
 from plantainstack.adapters.http import Answer, HttpClient, IncompleteExchange
 from plantainstack.clock import Clock
+from plantainstack.decoding import UnreadableRows, decode
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.platform import records
 from plantainstack.serving import (
@@ -74,6 +75,7 @@
 
     def __init__(self, address: Address, clock: Clock):
         self._clock = clock
+        self._invalid_rows = UnreadableRows("store.row_not_valid")
         self._calls = HttpClient(address, clock, CALL_CONNECTIONS)
         self._feeds = HttpClient(address, clock, FEED_CONNECTIONS)
         self._newest_version = 0
@@ -202,20 +204,14 @@
     ) -> Result[OperatorChanges | HistoryLost, Failure]:
         """Return the operator's changes after the cursor, or all without a cursor."""
         found = await self._rows_since(OPERATOR_TABLE, cursor, wait_s)
-        return found.map(_operator_changes)
+        return found.map(self._operator_changes)
 
     async def endpoint_changes(
         self, cursor: Cursor | None, wait_s: float
     ) -> Result[EndpointChanges | HistoryLost, Failure]:
         """Return registrations changed after the cursor, or all without a cursor."""
         found = await self._rows_since(ENDPOINT_TABLE, cursor, wait_s)
-        return found.map(
-            lambda rows: (
-                rows
-                if isinstance(rows, HistoryLost)
-                else _endpoint_changes(rows, self._clock)
-            )
-        )
+        return found.map(self._endpoint_changes)
 
     async def _rows_since(
         self, table: str, cursor: Cursor | None, wait_s: float
@@ -234,6 +230,44 @@
             log.event("store.stale_answer", source=source, version=version, known=known)
         return version < known
 
+    def _operator_changes(
+        self, rows: RowsRead | HistoryLost
+    ) -> OperatorChanges | HistoryLost:
+        if isinstance(rows, HistoryLost):
+            return rows
+        cfg = None
+        versions: dict[str, int] = {}
+        for row in rows.rows:
+            if row.value is None:
+                continue
+            if row.name.key == CONFIG_KEY:
+                cfg = self._valid(row, records.decode_config(row.value))
+            elif row.name.key.startswith(VERSION_PREFIX):
+                named = self._valid(row, records.decode_named_version(row.value))
+                if named is not None:
+                    versions[named[0]] = named[1]
+        return OperatorChanges(cfg, versions, rows.cursor)
+
+    def _endpoint_changes(
+        self, rows: RowsRead | HistoryLost
+    ) -> EndpointChanges | HistoryLost:
+        if isinstance(rows, HistoryLost):
+            return rows
+        changed = {}
+        for row in rows.rows:
+            key = row.name.key
+            changed[key] = None
+            if row.value is not None:
+                decoded = records.decode_endpoint(key, row.value, self._clock)
+                changed[key] = self._valid(row, decoded)
+        return EndpointChanges(changed, rows.cursor)
+
+    def _valid(self, row: StoredRow, decoded: Result[Any, str]) -> Any:
+        """Return what a row holds, or log why it is not valid and return None."""
+        if decoded.is_err():
+            self._invalid_rows.record(row, decoded.unwrap_err())
+        return decoded.ok()
+
     async def _parts(self, table: str) -> Result[list[str], Failure]:
         parts: list[str] = []
         while True:
@@ -286,11 +320,12 @@
 
 
 def _decode(answer: Answer, decoder: msgspec.json.Decoder) -> Result[Any, Failure]:
-    try:
-        return Ok(decoder.decode(answer.body))
-    except (msgspec.MsgspecError, ValueError) as exc:
-        message = f"the store's answer is not valid: {exc}"
-        return Err(Failure.of(ErrorKind.TABLE_OUTCOME_UNKNOWN, message))
+    return decode(decoder, answer.body).map_err(
+        lambda reason: Failure.of(
+            ErrorKind.TABLE_OUTCOME_UNKNOWN,
+            f"the store's answer is not valid: {reason}",
+        )
+    )
 
 
 def _transaction_result(answer: Answer) -> Result[TransactionResult, Failure]:
@@ -312,50 +347,5 @@
     try:
         return StoredRow(name, base64.b64decode(row.value, validate=True), row.ver)
     except ValueError:
-        log.event("store.row_not_base64", table=name.table, key=row.key)
+        # An empty value is not valid for any reader, which logs the row.
         return StoredRow(name, b"", row.ver)
-
-
-def _operator_changes(rows: RowsRead | HistoryLost) -> OperatorChanges | HistoryLost:
-    if isinstance(rows, HistoryLost):
-        return rows
-    cfg = None
-    versions: dict[str, int] = {}
-    for row in rows.rows:
-        if row.value is None:
-            continue
-        if row.name.key == CONFIG_KEY:
-            cfg = records.decode_config(row.value).unwrap_or_else(
-                _invalid_row_logger(row)
-            )
-        elif row.name.key.startswith(VERSION_PREFIX):
-            named = records.decode_named_version(row.value).unwrap_or_else(
-                _invalid_row_logger(row)
-            )
-            if named is not None:
-                versions[named[0]] = named[1]
-    return OperatorChanges(cfg, versions, rows.cursor)
-
-
-def _endpoint_changes(rows: RowsRead, clock: Clock) -> EndpointChanges:
-    changed = {}
-    for row in rows.rows:
-        endpoint = None
-        if row.value is not None:
-            decoded = records.decode_endpoint(row.name.key, row.value, clock)
-            endpoint = decoded.unwrap_or_else(_invalid_row_logger(row))
-        changed[row.name.key] = endpoint
-    return EndpointChanges(changed, rows.cursor)
-
-
-def _invalid_row_logger(row: StoredRow):
-    def log_invalid(message: str) -> None:
-        log.event(
-            "store.row_not_valid",
-            table=row.name.table,
-            key=row.name.key,
-            version=row.version,
-            reason=message,
-        )
-
-    return log_invalid
