Keep a feed going after an exception of its reader or consumer

What callers saw: nothing yet here; an exception in a feed's task ended the whole process, whatever its cause.

Cause: FeedReader.run caught failures that were returned, and no exception.

Why this works: an exception of a read counts as a failure of the feed, with its back-off, its metric and its log line. Changes that cannot be applied together are applied one by one, so that the bad one costs itself only and the cursor goes on; each exception is logged and counted.

--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 import anyio
-from result import Result
+from result import Err, Result
 
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
-from plantainstack.errors import Failure
+from plantainstack.decoding import REASON_CHARACTERS_MAX
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.serving import Cursor, HistoryLost, MetadataStore, RowsRead
 
 # Usual maximum duration of a long poll. It is short so that a dead connection is
@@ -52,6 +53,8 @@
     from a snapshot. `apply` is called with the changes and whether they are a
     snapshot. `pause_s` returns the pause before the next read, which combines changes
     in quick succession into one response. `wait_s` is the duration of a long poll.
+    Changes have a method `split`, which returns each of them alone; they are applied
+    in this way if `apply` fails for all of them together.
     """
 
     def __init__(
@@ -84,7 +87,7 @@
     async def run(self) -> None:
         """Read the feed until cancelled, with a random back-off after failures."""
         while True:
-            outcome = await self._read(self._cursor, self._wait_s)
+            outcome = await self._read_changes()
             if outcome.is_err():
                 self._handle_failure(outcome.unwrap_err())
                 await self._back_off()
@@ -93,6 +96,13 @@
             self._apply_changes(outcome.unwrap())
             await self._pause()
 
+    async def _read_changes(self) -> Result[Any, Failure]:
+        try:
+            return await self._read(self._cursor, self._wait_s)
+        except Exception as exc:
+            # An exception here would end the whole process.
+            return Err(Failure.of(ErrorKind.INTERNAL, _reason(exc)))
+
     def read_now(self) -> None:
         """End the pause before the next read."""
         self._due.set()
@@ -109,7 +119,23 @@
             return
         is_snapshot = self._cursor is None
         self._cursor = found.cursor if is_snapshot else max(self._cursor, found.cursor)
-        self._apply(found, is_snapshot)
+        try:
+            self._apply(found, is_snapshot)
+        except Exception as exc:
+            self._log_not_applied(exc)
+            self._apply_singly(found)
+
+    def _apply_singly(self, found) -> None:
+        """Apply each change of an answer alone, so that one costs itself only."""
+        for change in found.split():
+            try:
+                self._apply(change, False)
+            except Exception as exc:
+                self._log_not_applied(exc)
+
+    def _log_not_applied(self, exc: Exception) -> None:
+        metrics.FEED_FAILURES.labels(self._name).inc()
+        log.event("feed.not_applied", feed=self._name, reason=_reason(exc))
 
     def _handle_failure(self, failure: Failure) -> None:
         self._failures += 1
@@ -137,6 +163,10 @@
         await self._clock.sleep_until(self._clock.now() + wait)
 
 
+def _reason(exc: Exception) -> str:
+    return f"{type(exc).__name__}: {exc}"[:REASON_CHARACTERS_MAX]
+
+
 class ChangeNotifier:
     """Wake all tasks that wait for a change."""
 
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -127,6 +127,14 @@
     versions: dict[str, int]
     cursor: Cursor
 
+    def split(self) -> "list[OperatorChanges]":
+        """Return each change alone."""
+        versions = [
+            self._replace(config=None, versions={model: version})
+            for model, version in self.versions.items()
+        ]
+        return [self._replace(versions={}), *versions]
+
 
 class EndpointChanges(NamedTuple):
     """Map endpoint ids to registrations, or to None for removed ones."""
@@ -134,6 +142,10 @@
     changed: dict[str, Endpoint | None]
     cursor: Cursor
 
+    def split(self) -> "list[EndpointChanges]":
+        """Return each change alone."""
+        return [self._replace(changed={id: end}) for id, end in self.changed.items()]
+
 
 class HistoryLost(NamedTuple):
     """Report that the store no longer has the history after the given cursor."""
@@ -215,6 +227,10 @@
     cursor: Cursor
     store_now: float
 
+    def split(self) -> "list[RowsRead]":
+        """Return each row alone."""
+        return [self._replace(rows=(row,)) for row in self.rows]
+
 
 class MetadataStore(ABC):
     """Store rows and objects durably, independent of any process of the system.
