Keep an instance going beside rows of its own that cannot be read

Cause: rows of batches, permits and leases were decoded without a check. An exception ended the task that read them, and so the process.

Why this works: a state, a result or the items that cannot be read are a failure, which readers see as 503 and never as 404; a piece of text is left out, as if it had not been stored; a bucket of permits is replaced at the next write. A lease that cannot be read is not replaced, since its fence is not known and a new one could be lower: no orders go out for that service until the row is removed. Each version of such a row is logged once.

--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -8,13 +8,14 @@
 import uuid
 import zlib
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 from urllib.parse import quote, unquote
 
 import msgspec
 from result import Err, Ok, Result
 
 from plantainstack.clock import Clock
+from plantainstack.decoding import UnreadableRows, decode
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy.item_runs import PartialText, join_pieces
 from plantainstack.policy.software_versions import SoftwareVersion
@@ -105,6 +106,7 @@
     def __init__(self, store: MetadataStore, clock: Clock):
         self._store = store
         self._clock = clock
+        self._unreadable = UnreadableRows("batch.row_not_readable")
 
     async def accept(
         self, batch: Batch, route: str, owner: str
@@ -214,13 +216,9 @@
         Fails if the store answers from a state before `known_version`.
         """
         found = await self._read(STATE_TABLE, batch_id, known_version)
-        try:
-            return found.map(
-                lambda read: state_row(read.rows[0]) if read.rows else None
-            )
-        except msgspec.MsgspecError as exc:
-            message = f"cannot decode the stored state of batch {batch_id}: {exc}"
-            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
+        return found.and_then(
+            lambda read: self.state_row(read.rows[0]) if read.rows else Ok(None)
+        )
 
     async def batch(self, batch_id: str) -> Result[Batch, Failure]:
         """Read a batch that exists, with all of its items."""
@@ -237,10 +235,15 @@
             message = f"the store returned no items of batch {batch_id}"
             return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
         try:
-            return Ok(_BATCH.decode(zlib.decompress(data)))
-        except (zlib.error, msgspec.MsgspecError) as exc:
-            message = f"cannot decode the stored items of batch {batch_id}: {exc}"
-            return Err(Failure.of(ErrorKind.INTERNAL, message))
+            decoded = decode(_BATCH, zlib.decompress(data))
+        except zlib.error as exc:
+            decoded = Err(str(exc))
+        return decoded.map_err(
+            lambda reason: Failure.of(
+                ErrorKind.INTERNAL,
+                f"cannot decode the stored items of batch {batch_id}: {reason}",
+            )
+        )
 
     async def results(
         self, batch_id: str, first: int, count: int, known_version: int
@@ -264,7 +267,14 @@
         if [row.name.key for row in rows] != expected:
             message = f"the store returned {len(rows)} of {count} listed results"
             return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
-        return Ok([_RESULT.decode(row.value) for row in rows])
+        results: list[ItemResult] = []
+        for row in rows:
+            decoded = self._decode(_RESULT, row)
+            if decoded.is_err():
+                # The positions of the following results depend on this one.
+                return decoded
+            results.append(decoded.unwrap())
+        return Ok(results)
 
     async def partials(
         self, batch_id: str, known_version: int
@@ -279,9 +289,11 @@
         pieces: dict[str, list[PartialText]] = {}
         for row in found.unwrap().rows:
             item_id, _, position = row.name.key.rpartition("/")
-            piece = _PARTIAL.decode(row.value)
-            piece = piece._replace(software=_software_from_key(position))
-            pieces.setdefault(item_id, []).append(piece)
+            decoded = self._decode(_PARTIAL, row)
+            if decoded.is_ok():
+                software = _software_from_key(position)
+                piece = decoded.unwrap()._replace(software=software)
+                pieces.setdefault(item_id, []).append(piece)
         texts = {item_id: join_pieces(each) for item_id, each in pieces.items()}
         return Ok({id: text for id, text in texts.items() if text is not None})
 
@@ -342,7 +354,7 @@
         while True:
             outcome = await self._store.transact(transaction)
             if outcome.is_ok():
-                return Ok(_written(outcome.unwrap(), state))
+                return self._written(outcome.unwrap(), state)
             failure = outcome.unwrap_err()
             if failure.outcome is not Outcome.NOT_RUN and not unknown:
                 unknown = True
@@ -352,28 +364,38 @@
                 return Err(failure._replace(outcome=end))
             await self._clock.sleep_until(self._clock.now() + RETRY_S)
 
-
-def state_row(row: StoredRow) -> StateRow | None:
-    """Decode a row of the state table; return None if the row was removed."""
-    if row.value is None:
-        return None
-    return StateRow(_STATE.decode(row.value), row.version)
-
-
-def _written(done: TransactionResult, state: BatchState) -> StateRow | StateConflict:
-    if done.applied:
-        return StateRow(state, done.version)
-    current = _current_state(done)
-    if current is not None and current.state.nonce == state.nonce:
-        # An earlier attempt of this write was applied, but its response was lost.
-        return current
-    return StateConflict(current)
-
-
-def _current_state(done: TransactionResult) -> StateRow | None:
-    """Return the state in the answer to a rejected transaction."""
-    rows = [row for row in done.conflicts if row.value is not None]
-    return state_row(rows[0]) if rows else None
+    def _written(
+        self, done: TransactionResult, state: BatchState
+    ) -> Result[StateRow | StateConflict, Failure]:
+        if done.applied:
+            return Ok(StateRow(state, done.version))
+        rows = [row for row in done.conflicts if row.value is not None]
+        decoded = self.state_row(rows[0]) if rows else Ok(None)
+        if decoded.is_err():
+            return decoded
+        current = decoded.unwrap()
+        if current is not None and current.state.nonce == state.nonce:
+            # An earlier attempt of this write was applied, but its response was lost.
+            return Ok(current)
+        return Ok(StateConflict(current))
+
+    def state_row(self, row: StoredRow) -> Result[StateRow | None, Failure]:
+        """Decode a row of the state table; the result is None if it was removed."""
+        if row.value is None:
+            return Ok(None)
+        decoded = self._decode(_STATE, row)
+        return decoded.map(lambda state: StateRow(state, row.version))
+
+    def _decode(
+        self, decoder: msgspec.msgpack.Decoder, row: StoredRow
+    ) -> Result[Any, Failure]:
+        """Decode a row; log one that cannot be read."""
+        decoded = decode(decoder, row.value)
+        if decoded.is_ok():
+            return decoded
+        self._unreadable.record(row, decoded.unwrap_err())
+        message = f"the row {'/'.join(row.name)} cannot be read"
+        return Err(Failure.of(ErrorKind.INTERNAL, message))
 
 
 def _state_name(batch_id: str) -> RowName:
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -18,7 +18,6 @@
     STATE_TABLE,
     BatchStore,
     StateRow,
-    state_row,
 )
 from plantainstack.services.discovery import STORE_OUTAGE_MAX_S
 from plantainstack.services.feeds import FeedReader, recent_rows
@@ -278,7 +277,10 @@
     def _apply_rows(self, found: RowsRead, is_snapshot: bool) -> None:
         changed: dict[str, BatchEntry] = {}
         for row in found.rows:
-            decoded = state_row(row)
+            found_row = self._batch_store.state_row(row)
+            if found_row.is_err():
+                continue
+            decoded = found_row.unwrap()
             batch_id = row.name.part
             if decoded is None:
                 self._cache.remove(batch_id)
--- a/plantainstack/services/rate_permits.py
+++ b/plantainstack/services/rate_permits.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from plantainstack import log, metrics
+from plantainstack.decoding import UnreadableRows, decode
 from plantainstack.interfaces import Priority
 from plantainstack.plugins import Plugin
 from plantainstack.policy import rate_limits
@@ -56,6 +57,7 @@
         super().__init__(kernel)
         self._clock = kernel.clock
         self._store_clock = StoreClock()
+        self._unreadable = UnreadableRows("endpoint.bucket_not_readable")
         self._buckets: dict[tuple[str, int], _StoredBucket] = {}
         self._fetches: dict[tuple, _Fetch] = {}
         self._rng = random.Random()
@@ -217,7 +219,7 @@
         self._store_clock.update(sent_at, self._clock.now(), found.store_now)
         self._buckets[key] = _NO_BUCKET
         for row in found.rows:
-            self._buckets[key] = _decode(row)
+            self._buckets[key] = self._decode(row)
         return True
 
     async def _write(
@@ -239,7 +241,7 @@
         self._store_clock.update(sent_at, self._clock.now(), done.store_now)
         stored = _StoredBucket(bucket, done.version)
         if not done.applied:
-            stored = _decode(done.conflicts[0]) if done.conflicts else _NO_BUCKET
+            stored = self._decode(done.conflicts[0]) if done.conflicts else _NO_BUCKET
         self._buckets[endpoint.incarnation()] = stored
         return done.applied
 
@@ -281,6 +283,15 @@
                 reason=outcome.unwrap_err().message,
             )
 
+    def _decode(self, row: StoredRow) -> _StoredBucket:
+        """Decode a bucket; one that cannot be read is replaced at the next write."""
+        if row.value is None:
+            return _NO_BUCKET
+        decoded = decode(_BUCKET, row.value)
+        if decoded.is_err():
+            self._unreadable.record(row, decoded.unwrap_err())
+        return _StoredBucket(decoded.unwrap_or(RateBucket()), row.version)
+
     def _log_failure(self, endpoint: Endpoint, reason: str) -> None:
         log.event("endpoint.permits_unknown", endpoint=endpoint.id, reason=reason)
 
@@ -288,9 +299,3 @@
 def _row_name(incarnation: tuple[str, int]) -> RowName:
     id, started_ms = incarnation
     return RowName(BUCKET_TABLE, id, str(started_ms))
-
-
-def _decode(row: StoredRow) -> _StoredBucket:
-    if row.value is None:
-        return _NO_BUCKET
-    return _StoredBucket(_BUCKET.decode(row.value), row.version)
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from plantainstack import log, metrics
+from plantainstack.decoding import UnreadableRows, decode
 from plantainstack.plugins import Plugin
 from plantainstack.policy import order_lease, version_plan
 from plantainstack.policy.order_lease import OrderLease, StoreClock
@@ -113,6 +114,7 @@
         self._store_clock = StoreClock()
         self._lease: OrderLease | None = None
         self._lease_version = 0
+        self._unreadable = UnreadableRows("orders.lease_not_readable")
         self._renewed_at = 0.0
         self._loading: set[str] = set()
         # Endpoints with an order in flight or about to be sent.
@@ -200,7 +202,13 @@
         before = None
         self._lease_version = 0
         for row in rows.rows:
-            before = _LEASE.decode(row.value)
+            decoded = decode(_LEASE, row.value)
+            if decoded.is_err():
+                # Without the former fence, a new one could be lower.
+                self._unreadable.record(row, decoded.unwrap_err())
+                await self._clock.sleep_until(now + IDLE_CHECK_S)
+                return False
+            before = decoded.unwrap()
             self._lease_version = row.version
         self._lease = before
         new_lease = order_lease.acquire(
