Read numbers in headers and queries without exceptions

What callers saw: a request whose Plantainstack-Deadline-Ms or Plantainstack-Wait-Ms held a superscript ended in an exception, with a 500; a position of thousands of digits too. An endpoint's answer with such an event id, load or weight version ended the stream in the same way.

Cause: `str.isdigit` accepts texts that `int` refuses.

Evidence: the new cases of test_ingress.py and of test_odd_entries.py failed before; those with odd numbers in the head of an endpoint's answer passed already.

Why this works: all of them go through `parse_decimal`, which returns None for what is no number in bounds. A position that is no number is a 400: before, some were read as position 0, so that results were returned for another position than the one asked for.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -10,6 +10,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from plantainstack import log, metrics
+from plantainstack.decoding import parse_decimal
 from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
 from plantainstack.platform import names, records
 from plantainstack.policy.forwarding import RETRY_AFTER_S
@@ -21,6 +22,8 @@
 RESULTS_MAX_BYTES = 900_000
 # Longest event id that a client may name.
 EVENT_ID_DIGITS = 18
+# Keys of the rows of results have eight digits.
+POSITION_MAX = 99_999_999
 # Statuses that tell the client that the request was not and will not be executed.
 _NOT_EXECUTED_STATUSES = (
     HTTPStatus.SERVICE_UNAVAILABLE,
@@ -193,8 +196,13 @@
                 else _json_response({})
             )
         after = self._query_number("after")
-        wait_ms = names.header(self._headers, names.WAIT_MS) or "0"
-        wait_s = min(WAIT_MAX_S, int(wait_ms) / 1000) if wait_ms.isdigit() else 0.0
+        if after is None:
+            message = "the position is not a number"
+            return _failure_response(Failure.of(ErrorKind.BAD_REQUEST, message))
+        wait_ms = names.header(self._headers, names.WAIT_MS)
+        wait_s = min(
+            WAIT_MAX_S, (parse_decimal(wait_ms, records.INTEGER_MAX) or 0) / 1000
+        )
         found = await self._batches.results(batch_id, after, wait_s)
         if found.is_err():
             return _failure_response(found.unwrap_err())
@@ -219,15 +227,16 @@
         headers = [("Content-Type", "application/octet-stream")]
         return _Response(HTTPStatus.OK, headers, found.unwrap())
 
-    def _query_number(self, name: str) -> int:
+    def _query_number(self, name: str) -> int | None:
         text = parse_qs(self._query).get(name, ["0"])[0]
-        return int(text) if text.isdigit() else 0
+        return parse_decimal(text, POSITION_MAX)
 
     def _client_call(self, route: Route) -> ClientCall:
-        deadline_ms = names.header(self._headers, names.DEADLINE_MS) or ""
+        text = names.header(self._headers, names.DEADLINE_MS)
+        deadline_ms = parse_decimal(text, records.INTEGER_MAX)
         seconds = route.timeout_s
-        if deadline_ms.isdigit():
-            seconds = min(seconds, int(deadline_ms) / 1000)
+        if deadline_ms is not None:
+            seconds = min(seconds, deadline_ms / 1000)
         kept = tuple(
             (name, value)
             for name, value in self._headers
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -12,6 +12,7 @@
 
 from plantainstack import log
 from plantainstack.clock import Clock
+from plantainstack.decoding import parse_decimal
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.interfaces import PlainAnswer
 from plantainstack.links.connections import (
@@ -50,6 +51,8 @@
 # lost.
 SILENCE_TIMEOUT_S = 2.5
 CONTROL_TIMEOUT_S = 1.0
+# Requests that an endpoint may report as running or waiting.
+LOAD_MAX = 1_000_000
 
 _MODES = {
     LoadMode.FINISH_FIRST: "wait",
@@ -335,9 +338,10 @@
 
 def _load_report(headers) -> EndpointLoadReport | None:
     parts = (names.header(headers, names.LOAD) or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = [parse_decimal(part.strip(), LOAD_MAX) for part in parts]
+    if len(numbers) != 3 or None in numbers:
         return None
-    return EndpointLoadReport(*(int(part) for part in parts))
+    return EndpointLoadReport(*numbers)
 
 
 def _rate_limit(headers) -> float | None:
@@ -355,13 +359,13 @@
 
 
 def _parse_version(text: str | None) -> int | None:
-    return int(text) if text and text.strip().isdigit() else None
+    return parse_decimal(text.strip(), records.INTEGER_MAX) if text else None
 
 
 def _stream_event(event: SseEvent) -> StreamEvent:
     number = event.value("id")
     return StreamEvent(
-        int(number) if number and number.isdigit() else None,
+        parse_decimal(number, records.INTEGER_MAX),
         event.data() or "",
         _parse_version(event.value(names.WEIGHT_VERSIONS.lower())),
         event.raw,
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -51,7 +51,7 @@
         lines = [f"{method} {path} HTTP/1.1", "Host: desk.example"]
         lines += [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
         lines.append(f"Content-Length: {len(body)}")
-        await self.stream.send("\r\n".join([*lines, "", ""]).encode() + body)
+        await self.stream.send("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
 
     async def answer(self):
         with anyio.fail_after(10):
@@ -151,6 +151,44 @@
         assert platform.rows.parts("batches") == []
 
 
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+@pytest.mark.parametrize(
+    "body", [NESTED, b'{"requests": ' + NESTED + b"}", b'{"group_count": 1e999}']
+)
+async def test_batch_that_cannot_be_decoded_is_a_bad_request(body):
+    """Guards against a body that ends in an exception, so that it is sent again."""
+    platform = FakePlatform()
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        request_id = {"Plantainstack_Request_Id": "b1"}
+        assert (await conn.request("POST", "/a/x", body, **request_id))[0] == 400
+        assert platform.rows.parts("batches") == []
+
+
+@pytest.mark.parametrize("number", ["\xb2", "9" * 1900, "-1", "x"])
+async def test_unreadable_numbers_of_a_request_count_as_missing(number):
+    """Guards against requests that end without an answer because of a header."""
+    platform = FakePlatform()
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        more = {"Plantainstack_Deadline_Ms": number, "Plantainstack_Wait_Ms": number}
+        assert (await conn.request("GET", "/s/x", **more))[0] == 200
+        body = msgspec.json.encode(lot(items=2, min_version=1))
+        request_id = {"Plantainstack_Request_Id": "b1"}
+        assert (await conn.request("POST", "/a/x", body, **request_id))[0] == 202
+        path = f"{names.LOTS_PATH}b1?after=0"
+        assert (await conn.request("GET", path, **more))[0] == 200
+
+
+@pytest.mark.parametrize("after", ["%C2%B2", "9" * 5000, "-1", "x"])
+async def test_unreadable_position_is_a_bad_request(after):
+    """Guards against results that are returned for another position."""
+    platform = FakePlatform()
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        path = f"{names.LOTS_PATH}b1?after={after}"
+        assert (await conn.request("GET", path))[0] == 400
+
+
 async def test_batch_reads_get_503_while_the_store_is_unavailable():
     """Guards against `not found` for a batch that another instance accepted."""
     platform = FakePlatform()
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -12,7 +12,9 @@
 from hypothesis import strategies as st
 
 from plantainstack.clock import FakeClock, SystemClock
+from plantainstack.links.events import SseDecoder
 from plantainstack.platform import records
+from plantainstack.platform.servers import _parse_version, _stream_event
 from plantainstack.platform.store import PlatformStore
 from standins.metadata_store import MetadataStoreStandin
 from standins.server import serving
@@ -195,6 +197,14 @@
     assert DECODERS[name](data).is_err()
 
 
+@pytest.mark.parametrize("text", ["²", "9" * 5000, "٣", "-1", "1.5", ""])
+def test_unreadable_numbers_of_an_answer_count_as_missing(text):
+    """Guards against a stream that ends with an exception because of a number."""
+    assert _parse_version(text) is None
+    [event] = SseDecoder().feed(f"id: {text}\ndata: x\n\n".encode())
+    assert _stream_event(event).id is None
+
+
 @contextlib.asynccontextmanager
 async def following(standin):
     """Run an instance that follows the rows of a store."""
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -310,3 +310,24 @@
 
 
 NOT_EXECUTED = "Plantainstack-Not-Executed: full\r\n"
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        f"HTTP/1.1 200 OK\r\n{ID}{SEAL}Content-Length: {'9' * 5000}\r\n\r\nx",
+        f"HTTP/1.1 200 OK\r\n{ID}{SEAL}Content-Length: -1\r\n\r\nx",
+        f"HTTP/1.1 200 OK\r\n{ID}{SEAL}Content-Length: ²\r\n\r\nx",
+        f"HTTP/1.1 200 OK\r\n{ID}{SEAL}Transfer-Encoding: chunked\r\n\r\n"
+        + "f" * 5000
+        + "\r\nx",
+        f"HTTP/1.1 200 OK\r\n{ID}{SEAL}Transfer-Encoding: chunked\r\n\r\n²\r\nx",
+        f"HTTP/1.1 99999 OK\r\n{ID}{SEAL}\r\nx",
+        f"HTTP/1.1 ² OK\r\n{ID}{SEAL}\r\nx",
+        f"HTTP/{'9' * 5000}.1 200 OK\r\n{ID}{SEAL}\r\nx",
+    ],
+)
+async def test_odd_numbers_in_the_head_of_an_answer_are_a_failure(step):
+    """Guards against an exception in place of a failure, which ends the process."""
+    outcomes, _ = await call_endpoint(step + "CLOSE")
+    assert outcomes[0].unwrap_err().outcome is Outcome.MAY_HAVE_RUN
