Refuse a batch whose items cannot be sent as HTTP requests

What callers saw: nothing yet here. A batch with a header, id or path outside of Latin-1 was answered 202; each instance that ran one of its items then ended, the next owner too, and all other work with it.

Cause: decode_batch looked for line breaks only. The client of the endpoints raises UnicodeEncodeError or TypeError for such a text, which nothing catches in the task of the item; for a space in a path or a NUL byte it fails at every endpoint until the item is given up. Numbers above 2^64 could not be stored, and an unreadable length hint, which is an estimate, made the whole batch a bad request.

Evidence: the new cases of test_odd_entries.py failed before. A run of the real client with a header of "€" raised UnicodeEncodeError, with a path of "/a/€" TypeError.

Why this works: ids, paths, and names and values of headers are checked against what HTTP allows before the batch is accepted, and numbers have bounds; the client gets a 400 with the reason.

--- a/plantainstack/platform/records.py
+++ b/plantainstack/platform/records.py
@@ -1,7 +1,6 @@
 """Decoding and encoding of the platform's JSON bodies."""
 
 import base64
-import binascii
 import re
 from typing import Annotated, Any, Literal
 
@@ -39,6 +38,7 @@
 INTEGER_MAX = 2**53
 SLOTS_MAX = 100_000
 DURATION_MAX_S = 30 * 24 * 3600.0
+LENGTH_HINT_MAX = 10**9
 TEXT_CHARACTERS_MAX = 200
 PORT_MAX = 65535
 
@@ -53,8 +53,11 @@
 _HOST = re.compile(
     r"[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*|(?=.*:)[0-9A-Fa-f:.]{2,45}"
 )
-# Visible characters of ASCII, without spaces.
+_HEADER_NAME = re.compile(r"[0-9A-Za-z!#$%&'*+.^_`|~-]+")
+# Visible characters of ASCII, without spaces: an id, or the target of a request.
 _VISIBLE = re.compile(r"[!-~]+")
+# The characters of Latin-1 that HTTP allows, without spaces at the ends.
+_HEADER_VALUE = re.compile(r"([!-~\x80-\xff]([ \t!-~\x80-\xff]*[!-~\x80-\xff])?)?")
 
 
 class _Split(msgspec.Struct):
@@ -159,10 +162,10 @@
 
 class _BatchBody(msgspec.Struct):
     requests: list[_BatchItemBody]
-    step: int = 0
+    step: _Count = 0
     model: str = ""
-    min_version: int = 0
-    group_count: int = 0
+    min_version: _Count = 0
+    group_count: _Count = 0
 
 
 _CONFIG = msgspec.json.Decoder(_Config)
@@ -290,8 +293,8 @@
         return Err("the batch has no items")
     if len({item.id for item in items}) < len(items):
         return Err("two items have the same id")
-    if any(not item.id or not item.path.startswith("/") for item in items):
-        return Err("an item has no id or no absolute path")
+    if any(not _is_target(item.path) for item in items):
+        return Err("an item has no absolute path")
     return Ok(
         Batch(
             batch_id,
@@ -307,33 +310,40 @@
 
 def _item(item: _BatchItemBody) -> Item:
     headers = tuple(item.headers.items())
-    if any("\n" in text or "\r" in text for pair in headers for text in pair):
-        raise ValueError(f"a header of item {item.id!r} contains a line break")
-    hint = header(headers, LENGTH_HINT) or "0"
+    if not _VISIBLE.fullmatch(item.id):
+        raise ValueError(f"an item has the invalid id {item.id!r}")
+    if not all(_HEADER_NAME.fullmatch(name) for name, _ in headers):
+        raise ValueError(f"item {item.id!r} has a header with an invalid name")
+    if not all(_HEADER_VALUE.fullmatch(value) for _, value in headers):
+        raise ValueError(f"item {item.id!r} has a header with an invalid value")
     return Item(
         item.id,
         item.group,
         item.path,
         headers,
         _decode_body(item.id, item.body),
-        int(hint) if hint.isdigit() else 0,
+        parse_decimal(header(headers, LENGTH_HINT), LENGTH_HINT_MAX) or 0,
         _reward_call(item.id, item.scorer) if item.scorer else None,
     )
 
 
 def _reward_call(item_id: str, scorer: _Scorer) -> RewardCall:
-    if not scorer.id or not scorer.path.startswith("/"):
+    if not _VISIBLE.fullmatch(scorer.id) or not _is_target(scorer.path):
         raise ValueError(f"the scorer of item {item_id!r} has no id or absolute path")
-    if any(char in scorer.hostname + scorer.path for char in "\r\n "):
-        raise ValueError(f"the scorer of item {item_id!r} has an invalid address")
+    if not _VISIBLE.fullmatch(scorer.hostname):
+        raise ValueError(f"the scorer of item {item_id!r} has an invalid host")
     body = _decode_body(item_id, scorer.body)
     return RewardCall(scorer.id, scorer.hostname, scorer.path, body)
 
 
+def _is_target(path: str) -> bool:
+    return path.startswith("/") and _VISIBLE.fullmatch(path) is not None
+
+
 def _decode_body(item_id: str, body: str) -> bytes:
     try:
         return base64.b64decode(body, validate=True)
-    except binascii.Error as exc:
+    except ValueError as exc:
         raise ValueError(f"a body of item {item_id!r} is not base64") from exc
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -147,6 +147,42 @@
     assert records.decode_named_version(data).is_err()
 
 
+def item_of(**changes):
+    return lot(1) | {"requests": [lot(1)["requests"][0] | changes]}
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        lot(1, group_count=10**30),
+        lot(1, min_version=10**30),
+        lot(1, min_version=-1),
+        lot(1, step=10**30),
+        item_of(id="é"),
+        item_of(id="a b"),
+        item_of(id=""),
+        item_of(path="/train/€"),
+        item_of(path="/train/a b"),
+        item_of(headers={"X-Note": "€"}),
+        item_of(headers={"X-Note": "a\0b"}),
+        item_of(headers={"X Note": "a"}),
+        item_of(headers={"": "a"}),
+        item_of(body="é"),
+    ],
+)
+def test_batch_whose_items_cannot_be_sent_is_not_valid(content):
+    """Guards against an accepted batch that ends each instance that runs it."""
+    assert DECODERS["batch"](msgspec.json.encode(content)).is_err()
+
+
+@pytest.mark.parametrize("hint", ["²", "9" * 5000, "many", "-1", ""])
+def test_unreadable_length_hint_counts_as_none(hint):
+    """Guards against a batch that is refused because of an estimate."""
+    content = item_of(headers={"Plantainstack-Length-Hint": hint})
+    batch = DECODERS["batch"](msgspec.json.encode(content)).unwrap()
+    assert batch.items[0].length_hint == 0
+
+
 VALUES = st.recursive(
     st.none()
     | st.booleans()
@@ -187,6 +223,8 @@
     except (OverflowError, UnicodeEncodeError):
         return
     found = DECODERS[name](data)
+    if name == "batch" and found.is_ok():
+        msgspec.msgpack.encode(found.unwrap())
     if name == "endpoint" and found.is_ok():
         assert 0 < found.unwrap().address.port <= 65535
         msgspec.msgpack.encode(found.unwrap())
