Take only answers of the type text/event-stream for streams

What callers saw: nothing yet here; other operators' clients found an error's text in the middle of their streams, or streams that ended as if they were complete.

Cause: each answer with status 200 was read as a stream of events. A page of another type that holds blank lines and ids was passed on as events, and an empty one counted as the end of the stream, also of an item's text, which then was stored as completed. An answer of another type at the start of a stream was cut to what looked like events.

Why this works: an answer of another type is a whole answer. Before any event it reaches the client unchanged; after that, or for an item, it ends the attempt. An answer without a type still counts as a stream.

--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -53,6 +53,7 @@
 CONTROL_TIMEOUT_S = 1.0
 # Requests that an endpoint may report as running or waiting.
 LOAD_MAX = 1_000_000
+EVENT_STREAM = "text/event-stream"
 
 _MODES = {
     LoadMode.FINISH_FIRST: "wait",
@@ -115,7 +116,7 @@
                 yield opened
                 return
             response, exchange = opened.unwrap()
-            if response.status != HTTPStatus.OK:
+            if not _is_event_stream(response):
                 try:
                     body = await read_body(response)
                 except _TRANSPORT_ERRORS as exc:
@@ -313,6 +314,13 @@
     return (endpoint.id, endpoint.started_ms, endpoint.address)
 
 
+def _is_event_stream(response: httpcore.Response) -> bool:
+    """Return whether an answer is a stream; one that names no type counts as one."""
+    kind = names.header(response.headers, "content-type") or EVENT_STREAM
+    media_type = kind.partition(";")[0].strip().lower()
+    return response.status == HTTPStatus.OK and media_type == EVENT_STREAM
+
+
 def _answer_mismatch(response: httpcore.Response, call: EndpointCall) -> str | None:
     """Return why an answer does not belong to the request, or None if it does."""
     if not call.request_id:
