Pass on no event without an id, and log errors within a stream

What callers saw: nothing yet here. If the first event of a stream had no id and the stream broke off, it was begun again from the start, after the event that the client already had.

Cause: the check of an event's id was left out until one event had an id. An error that an endpoint gave in place of the rest of a stream was dropped without a log line, and the endpoint stayed as good as before.

Why this works: an event without an id ends the attempt wherever it comes, and an answer that is no stream is recorded as a failure.

--- a/plantainstack/services/stream_runs.py
+++ b/plantainstack/services/stream_runs.py
@@ -147,12 +147,16 @@
             if stream.not_run:
                 self._handle_refusal(endpoint, stream.answer.status)
                 return
-            if not self._head_sent:
-                answer = stream.answer
-                self.answered = answer.status < forwarding.ERROR_STATUS
-                yield StreamHead(answer.status, answer.headers, None, stream.load)
-                yield answer.body
-                yield None
+            answer = stream.answer
+            if self._head_sent:
+                message = f"the answer with status {answer.status} is no stream"
+                failure = Failure(ErrorKind.ENDPOINT_REFUSED, message, Outcome.RAN)
+                self._handle_failure(endpoint, failure)
+                return
+            self.answered = answer.status < forwarding.ERROR_STATUS
+            yield StreamHead(answer.status, answer.headers, None, stream.load)
+            yield answer.body
+            yield None
             return
         async for part in self._stream_events(endpoint, stream):
             yield part
@@ -167,7 +171,7 @@
                 self._handle_failure(endpoint, outcome.unwrap_err())
                 return
             event = outcome.unwrap()
-            if self._last_event is not None and event.id != self._last_event + 1:
+            if event.id is None or self._last_event not in (None, event.id - 1):
                 message = f"received event {event.id} after event {self._last_event}"
                 self._handle_failure(
                     endpoint, Failure.of(ErrorKind.ANSWER_CROSSED, message)
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -276,6 +276,15 @@
     assert found.resumed_after() == [None, None]
 
 
+async def test_event_without_an_id_is_not_passed_on_as_the_first_one():
+    """Guards against a stream that begins again from the start after such an event."""
+    answer, found = await read_stream(
+        chunked("data: oops\n\n", end=""), chunked(ONE, TWO)
+    )
+    assert answer.body == ONE + TWO
+    assert found.resumed_after() == [None, None]
+
+
 @pytest.mark.parametrize(
     "step",
     [chunked(ONE, TWO), unframed(ONE + TWO), sized(ONE + TWO, headers=ID + SEAL)],
