Reset the connection if an HTTP/1.0 response breaks off

A client that speaks HTTP/1.0 saw a stream that broke off end as if it were complete.

Cause: a response to HTTP/1.0 has no chunks and ends with its connection, which uvicorn closes regularly after an exception too.

Why this works: the connection is reset, which no client takes for an end.

--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 import socket
+import struct
 import sys
 from collections.abc import Callable
 
@@ -31,7 +32,30 @@
 
 
 class FrontProtocol(H11Protocol):
-    """Send a JSON error response to requests that cannot be parsed."""
+    """Send a JSON error response to requests that cannot be parsed.
+
+    A response that breaks off does not look complete, whatever ends it regularly.
+    """
+
+    def __init__(self, config, *args, **kwargs):
+        super().__init__(config, *args, **kwargs)
+        self._inner_app = self.app
+        self.app = self._serve
+
+    async def _serve(self, scope, receive, send) -> None:
+        try:
+            await self._inner_app(scope, receive, send)
+        except BaseException:
+            if self.conn.our_state is h11.SEND_BODY and scope["http_version"] == "1.0":
+                self._reset()
+            raise
+
+    def _reset(self) -> None:
+        """Reset the connection: in HTTP/1.0, closing it ends a response regularly."""
+        sock = self.transport.get_extra_info("socket")
+        # With a linger time of 0, closing the socket sends RST in place of FIN.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
 
     def send_400_response(self, msg: str) -> None:
         """Send the error, or only close the connection if a response has started."""
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -231,7 +231,7 @@
     assert found.resumed_after() == [None, "1", "1"]
 
 
-@pytest.mark.parametrize("version", ["1.1"])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
 @pytest.mark.parametrize("wrong", ALL_RESUMES.values(), ids=ALL_RESUMES)
 async def test_stream_that_cannot_go_on_does_not_look_complete(wrong, version):
     """Guards against a stream that ends as if it were complete."""
@@ -241,7 +241,7 @@
     assert not answer.complete
 
 
-@pytest.mark.parametrize("version", ["1.1"])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
 @pytest.mark.parametrize("broken", BROKEN.values(), ids=BROKEN)
 async def test_stream_that_may_not_be_resumed_does_not_look_complete(broken, version):
     """Guards against a stream that ends as if it were complete."""
@@ -252,7 +252,7 @@
     assert len(found.requests) == 1
 
 
-@pytest.mark.parametrize("version", ["1.1"])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
 async def test_break_after_the_last_event_does_not_look_complete(version):
     """Guards against an end that the endpoint did not send."""
     answer, _ = await read_stream(
@@ -261,7 +261,7 @@
     assert not answer.complete
 
 
-@pytest.mark.parametrize("version", ["1.1"])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
 async def test_break_between_head_and_first_event_does_not_look_complete(version):
     """Guards against a complete stream without events."""
     answer, _ = await read_stream(chunked(end=""), version=version, resumable=False)
@@ -291,7 +291,7 @@
 )
 async def test_complete_stream_ends_as_complete(step):
     """Guards against a check that cuts sound streams."""
-    for version in ("1.1",):
+    for version in ("1.1", "1.0"):
         answer, found = await read_stream(step, version=version)
         assert (answer.body, answer.complete) == (ONE + TWO, True)
         assert len(found.requests) == 1
