Treat nested answers of services as failures, not as exceptions

Cause: the clients of engines, of the table service and of the other services caught the errors of msgspec, and not RecursionError, which it raises for an unknown field that nests deeply. The operators' history read its limit with `isdigit`.

Bodies of clients were refused already, as they may hold no unknown fields; their new tests passed before.

Why this works: all of them catch the same set of exceptions.

--- a/plantainstack/adapters/service_client.py
+++ b/plantainstack/adapters/service_client.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from plantainstack.adapters.http import Answer, Headers, HttpClient
+from plantainstack.decoding import UNDECODABLE
 from plantainstack.errors import ErrorKind, Failure, Outcome
 
 T = TypeVar("T")
@@ -68,7 +69,7 @@
         return unexpected(answer)
     try:
         return Ok(msgspec.json.decode(answer.body, type=kind))
-    except msgspec.DecodeError as exc:
+    except UNDECODABLE as exc:
         message = f"the answer cannot be decoded: {exc}"
         return Err(unavailable(message, Outcome.MAY_HAVE_RUN))
 
--- a/plantainstack/adapters/table.py
+++ b/plantainstack/adapters/table.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from plantainstack.adapters.http import HttpClient, IncompleteExchange
+from plantainstack.decoding import UNDECODABLE
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.interfaces import Mutation, MutationOutcome, Row, TableService
 
@@ -92,7 +93,7 @@
             return Err(unknown(f"{path}: unexpected status {answer.status}"))
         try:
             return Ok(msgspec.json.decode(answer.body, type=kind))
-        except msgspec.DecodeError as exc:
+        except UNDECODABLE as exc:
             return Err(unknown(f"{path}: the answer cannot be decoded: {exc}"))
 
 
--- a/plantainstack/decoding.py
+++ b/plantainstack/decoding.py
@@ -12,6 +12,8 @@
 # `int` refuses texts of more than 4300 digits, which are far beyond any number in use.
 DIGITS_MAX = 18
 UNREADABLE_ROWS_MAX = 1000
+# What the decoders of msgspec raise, also for input that nests too deeply.
+UNDECODABLE = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class Decoder(Protocol):
@@ -25,7 +27,7 @@
     """Decode bytes, or return why they are not valid."""
     try:
         return Ok(decoder.decode(data))
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+    except UNDECODABLE as exc:
         return Err(f"{type(exc).__name__}: {exc}"[:REASON_CHARACTERS_MAX])
 
 
--- a/plantainstack/front/callers.py
+++ b/plantainstack/front/callers.py
@@ -15,6 +15,7 @@
 from starlette.routing import Route
 
 from plantainstack import metrics
+from plantainstack.decoding import UNDECODABLE
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.front.answers import (
     ATTEMPTS_HEADER,
@@ -394,7 +395,7 @@
 def _parse_completion(body: bytes) -> Result[CompletionRequest, Failure]:
     try:
         completion = _COMPLETION_DECODER.decode(body)
-    except msgspec.MsgspecError as exc:
+    except UNDECODABLE as exc:
         return Err(Failure.of(ErrorKind.BAD_REQUEST, str(exc)))
     problem = None
     if not completion.messages:
--- a/plantainstack/front/operators.py
+++ b/plantainstack/front/operators.py
@@ -9,6 +9,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from plantainstack.decoding import UNDECODABLE, parse_decimal
 from plantainstack.errors import ConfigurationError, ErrorKind, Failure
 from plantainstack.front.answers import error_response
 from plantainstack.kernel import Kernel
@@ -24,6 +25,7 @@
 FLEET_QUERY_TIMEOUT_S = 2.0
 FLEET_QUERY_CONCURRENCY = 16
 BODY_MAX_BYTES = 4 * 1024**2
+HISTORY_ITEMS_MAX = 1_000_000
 
 Handler = Callable[[Kernel, Request, str], Awaitable[Response]]
 
@@ -90,7 +92,7 @@
         exceptions = msgspec.convert(
             change.exceptions, type=FleetContent.__annotations__["exceptions"]
         )
-    except msgspec.DecodeError as exc:  # includes ValidationError
+    except UNDECODABLE as exc:
         return error_response(Failure.of(ErrorKind.BAD_REQUEST, str(exc)))
     content = FleetContent(defaults=change.defaults, exceptions=exceptions)
     problems = check_content(content)
@@ -108,12 +110,12 @@
 
 async def show_history(kernel: Kernel, request: Request, operator: str) -> Response:
     """Return the latest configuration changes."""
-    limit = request.query_params.get("limit", "20")
-    if not limit.isdigit():
+    limit = parse_decimal(request.query_params.get("limit", "20"), HISTORY_ITEMS_MAX)
+    if limit is None:
         return error_response(
             Failure.of(ErrorKind.BAD_REQUEST, "limit is not a whole number")
         )
-    outcome = await kernel.plugin("configuration").history(int(limit))
+    outcome = await kernel.plugin("configuration").history(limit)
     if outcome.is_err():
         return error_response(outcome.unwrap_err())
     return JSONResponse({"history": [item._asdict() for item in outcome.unwrap()]})
--- a/plantainstack/front/trainers.py
+++ b/plantainstack/front/trainers.py
@@ -9,6 +9,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from plantainstack.decoding import UNDECODABLE
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.front.answers import error_response
 from plantainstack.policy.samples import StepRecord
@@ -143,7 +144,7 @@
     def _validate(self, trainer: str, data: bytes) -> Result[OpenRequest, Failure]:
         try:
             body = msgspec.json.decode(data, type=OpenBody)
-        except msgspec.DecodeError as exc:
+        except UNDECODABLE as exc:
             return _bad_request(str(exc))
         count = len(body.groups) * body.samples_per_group
         if body.samples_per_group < 1 or not 1 <= count <= SAMPLES_MAX:
--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from plantainstack.clock import Clock
+from plantainstack.decoding import UNDECODABLE
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.interfaces import (
     CacheEvent,
@@ -365,7 +366,7 @@
 ) -> Result[CompletionChunk, Failure]:
     try:
         chunk = _CHUNK_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except UNDECODABLE:
         message = "the engine sent an invalid chunk"
         return Err(exchange.failure(ErrorKind.ENDPOINT_FAILED, message))
     if chunk.error is not None:
@@ -390,7 +391,7 @@
 def _decode(body: bytes, kind) -> Result[Any, Failure]:
     try:
         return Ok(msgspec.json.decode(body, type=kind))
-    except msgspec.MsgspecError:
+    except UNDECODABLE:
         message = "the engine sent an invalid answer"
         return Err(Failure.of(ErrorKind.ENDPOINT_FAILED, message))
 
--- a/tests/front/test_bad_input.py
+++ b/tests/front/test_bad_input.py
@@ -30,6 +30,10 @@
     "malformed JSON": ({"path": PATH, "body": b'{"model": '}, "bad_request"),
     "not an object": ({"path": PATH, "body": b"[]"}, "bad_request"),
     "not UTF-8": ({"path": PATH, "body": b'{"model": "\xff"}'}, "bad_request"),
+    "nested deeply": (
+        {"path": PATH, "body": b'{"more": ' + b"[" * 100_000},
+        "bad_request",
+    ),
     "unknown field": (completion(best_of=2), "bad_request"),
     "wrong type": (completion(stream="yes"), "bad_request"),
     "unknown role": (
--- a/tests/front/test_operators.py
+++ b/tests/front/test_operators.py
@@ -69,6 +69,7 @@
         (CHANGE | {"extra": 1}, 400, "extra"),
         ([], 400, "object"),
         (b"{", 400, "truncated"),
+        (b'{"exceptions": ' + b"[" * 100_000, 400, None),
     ],
 )
 async def test_configuration_changes_are_validated(client, change, status, message):
@@ -92,5 +93,10 @@
     """Guards against history items that are encoded as lists."""
     answer = await client.send("GET", "/operator/history?limit=5", **OPERATOR)
     assert answer.json()["history"][0]["author"] == "day"
-    answer = await client.send("GET", "/operator/history?limit=x", **OPERATOR)
-    assert answer.status == 400
+
+
+@pytest.mark.parametrize("limit", ["x", "-1", "%C2%B2", "9" * 5000])
+async def test_limit_of_the_history_that_is_no_number_is_a_bad_request(client, limit):
+    """Guards against an exception for digits that are no number."""
+    path = f"/operator/history?limit={limit}"
+    assert (await client.send("GET", path, **OPERATOR)).status == 400
--- a/tests/front/test_trainers.py
+++ b/tests/front/test_trainers.py
@@ -117,3 +117,9 @@
     status, _, content = await send(app, "POST", "", {**BODY, **change})
     assert status == 400
     assert content["error"]["kind"] == "bad_request"
+
+
+async def test_deeply_nested_request_is_rejected(app):
+    """Guards against a body that ends in an exception."""
+    status, _, content = await send(app, "POST", "", b'{"more": ' + b"[" * 100_000)
+    assert (status, content["error"]["kind"]) == (400, "bad_request")
--- a/tests/links/test_endpoint.py
+++ b/tests/links/test_endpoint.py
@@ -14,7 +14,13 @@
     Priority,
 )
 from plantainstack.kernel import Kernel
-from plantainstack.links.endpoint import EndpointLinks
+from plantainstack.links.connections import Exchange
+from plantainstack.links.endpoint import (
+    EndpointLinks,
+    _cache_events,
+    _completion_chunk,
+    _engine_status,
+)
 from plantainstack.links.events import SseDecoder
 from tests.fakes import ScriptedBackend, record
 
@@ -174,3 +180,16 @@
     pieces = [data[at : at + size] for at in range(0, len(data), size)]
     events = [event.data() for piece in pieces for event in reader.feed(piece)]
     assert events == ["a\nb", "æ"]
+
+
+@pytest.mark.parametrize("decode", [_engine_status, _cache_events])
+@pytest.mark.parametrize("data", [b'{"more": ' + b"[" * 100_000, b"\xff", b"{}"])
+def test_answer_that_cannot_be_decoded_is_a_failure(decode, data):
+    """Guards against an exception in place of a failure, which ends the process."""
+    assert decode(data).unwrap_err().kind is ErrorKind.ENDPOINT_FAILED
+
+
+def test_chunk_that_cannot_be_decoded_is_a_failure():
+    exchange = Exchange(FakeClock(), 1.0)
+    outcome = _completion_chunk('{"more": ' + "[" * 100_000, exchange)
+    assert outcome.unwrap_err().kind is ErrorKind.ENDPOINT_FAILED
