Send nothing new to an endpoint whose answer says that it leaves

Callers and items went on being sent to a leaving endpoint until its registration said so: nothing read the header Server-Leaving, and an instance that is cut off from the store, or whose feed lags, learned of it late or never.

The header is read at one place, where the head of every answer arrives (requests, streams, items, reward calls, orders, reports, refusals, answers to hedges), and the decision is in policy/endpoint_view.py: the incarnation gets nothing new, whatever registrations say later. The word is kept while the endpoint is registered and 60 s longer, since an old list can still name it; without a start time in the registration, runs under one id cannot be told apart, so that its end counts. A request that waited for a permit is placed anew. Orders of versions stop as well. A crossed answer, status 421 (given by another endpoint) and other values than 1 have no effect.

Other instances are not told: they learn it from their own next answer or from the registration. A shared row would add a write for each leaving endpoint and a feed to each instance, and would not reach an instance that is cut off from the store.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -78,6 +78,12 @@
     ["route", "source"],
     registry=REGISTRY,
 )
+ENDPOINTS_LEAVING = Counter(
+    "plantainstack_endpoints_leaving",
+    "Endpoints that this instance learned to be leaving, by service and source.",
+    ["service", "source"],
+    registry=REGISTRY,
+)
 LIMITED_ENDPOINTS = Gauge(
     "plantainstack_limited_endpoints",
     "Endpoints that have named this instance a limit on their request rate.",
--- a/plantainstack/platform/names.py
+++ b/plantainstack/platform/names.py
@@ -7,6 +7,8 @@
 LOAD = "Plantainstack-Server-Load"
 # Requests a second that the endpoint takes from all instances together.
 RATE_LIMIT = "Server-Limit"
+# Sent in all answers of an endpoint that is shutting down.
+LEAVING = "Server-Leaving"
 NOT_EXECUTED = "Plantainstack-Not-Executed"
 WEIGHT_VERSIONS = "Plantainstack-Weight-Versions"
 LENGTH_HINT = "Plantainstack-Length-Hint"
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import math
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from http import HTTPStatus
 
 import anyio
@@ -93,6 +93,11 @@
         self._clock = clock
         self._backend = httpcore.AnyIOBackend()
         self._pools: dict[tuple, ConnectionPool] = {}
+        self._leaving_listeners: list[Callable[[Endpoint], None]] = []
+
+    def notify_leaving(self, listener: Callable[[Endpoint], None]) -> None:
+        """Call `listener` for each answer whose endpoint says in it that it leaves."""
+        self._leaving_listeners.append(listener)
 
     async def call(
         self, endpoint: Endpoint, call: EndpointCall
@@ -218,6 +223,9 @@
                         again = pool.exchange(request, exchange, timeouts, True)
                         response = await stack.enter_async_context(again)
                     opened = True
+                    if _says_leaving(response, call):
+                        for listener in self._leaving_listeners:
+                            listener(endpoint)
                     yield Ok((response, exchange))
         except _TRANSPORT_ERRORS as exc:
             if opened:
@@ -336,6 +344,23 @@
     return None
 
 
+def _says_leaving(response: httpcore.Response, call: EndpointCall) -> bool:
+    """Return whether an answer to this request says that its endpoint leaves.
+
+    Status 421 comes from another endpoint than the one that was asked.
+    """
+    text = names.header(response.headers, names.LEAVING)
+    if text is None or response.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return False
+    returned = names.header(response.headers, names.REQUEST_ID)
+    if call.request_id and returned not in (None, call.request_id):
+        return False
+    if text.strip() != "1":
+        log.event("endpoint.leaving_unreadable", value=text[:40])
+        return False
+    return True
+
+
 def _end_to_end_headers(headers) -> list[tuple[str, str]]:
     return [
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/plantainstack/policy/endpoint_view.py
+++ b/plantainstack/policy/endpoint_view.py
@@ -5,6 +5,9 @@
 # Registrations that expired during an outage of the store are renewed within about 2 s
 # of its recovery; endpoints that are still missing then have ended.
 RENEWAL_GRACE_S = 2.2
+# A list of registrations that is this old, at most, can still contain an endpoint that
+# has left.
+LEAVING_KEPT_S = 60.0
 
 
 class EndpointView:
@@ -14,6 +17,21 @@
         self.known: dict[str, Endpoint] = {}
         self._grace_until = 0.0
         self._expired: set[str] = set()
+        # Incarnations whose answers said that they leave, with the time at which that
+        # is forgotten: infinity while they are registered.
+        self._leaving: dict[tuple[str, int], float] = {}
+
+    def record_leaving(self, endpoint: Endpoint, now: float) -> bool:
+        """Record that an answer says that its endpoint leaves; return if that is new.
+
+        Registrations of the same incarnation do not make it usable again.
+        """
+        key = endpoint.incarnation()
+        if key in self._leaving:
+            return False
+        self._leaving[key] = float("inf")
+        self._forget_left(now)
+        return True
 
     def store_recovered(self, now: float) -> None:
         """Start the grace period in which expired registrations may be renewed."""
@@ -35,6 +53,7 @@
             else:
                 self.known.pop(id, None)
         self.expire(now)
+        self._forget_left(now)
 
     def expire(self, now: float) -> None:
         """Remove expired registrations at the end of the grace period."""
@@ -42,11 +61,38 @@
             for id in self._expired:
                 self.known.pop(id, None)
             self._expired.clear()
+        self._forget_left(now)
 
     def usable(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that may get new requests."""
         return [
             endpoint
             for endpoint in self.known.values()
-            if endpoint.service == service and not endpoint.leaving
+            if endpoint.service == service and self._accepts_requests(endpoint)
         ]
+
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint chosen earlier may still get new requests."""
+        known = self.known.get(endpoint.id)
+        same = known is not None and known.incarnation() == endpoint.incarnation()
+        return same and self._accepts_requests(known)
+
+    def _accepts_requests(self, endpoint: Endpoint) -> bool:
+        return not endpoint.leaving and endpoint.incarnation() not in self._leaving
+
+    def _forget_left(self, now: float) -> None:
+        """Forget the endpoints that left a while ago.
+
+        Where registrations do not state the start of an endpoint, the next run under
+        the same id cannot be told apart, so the end of the registration counts.
+        """
+        if not self._leaving:
+            return
+        registered = {each.incarnation() for each in self.known.values()}
+        for key, forget_at in list(self._leaving.items()):
+            if key in registered:
+                self._leaving[key] = float("inf")
+            elif not key[1] or now >= forget_at:
+                del self._leaving[key]
+            elif forget_at == float("inf"):
+                self._leaving[key] = now + LEAVING_KEPT_S
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -63,7 +63,9 @@
 
     async def start(self, tasks) -> None:
         """Start to read the feeds of the operator and of the endpoints."""
-        registry = self.kernel.plugin("store").registry
+        store = self.kernel.plugin("store")
+        store.endpoint_client.notify_leaving(self.record_leaving)
+        registry = store.registry
         self._operator_feed = FeedReader(
             "operator",
             self.kernel.clock,
@@ -119,6 +121,28 @@
         """Return the endpoints of a service that can be given new requests."""
         return self.view.usable(service)
 
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint chosen earlier can still be given new requests."""
+        return self.view.is_usable(endpoint)
+
+    def record_leaving(self, endpoint: Endpoint) -> None:
+        """Record that an answer of an endpoint says that it leaves."""
+        if self.view.record_leaving(endpoint, self.kernel.clock.now()):
+            self._log_leaving(endpoint, "answer")
+            self.changed.notify()
+
+    def _log_leaving(self, endpoint: Endpoint, source: str) -> None:
+        metrics.ENDPOINTS_LEAVING.labels(endpoint.service, source).inc()
+        read_at = self._endpoint_feed.answered_at
+        age_s = None if read_at is None else self.kernel.clock.now() - read_at
+        log.event(
+            "endpoint.leaving",
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            source=source,
+            registration_age_s=None if age_s is None else round(age_s, 3),
+        )
+
     def limits(self) -> ClientLimits:
         """Return the limits on client requests, or defaults without a configuration."""
         return self.serving.limits if self.serving else ClientLimits()
@@ -202,7 +226,7 @@
                 gone.append(endpoint)
                 log.event("endpoint.gone", endpoint=id, service=endpoint.service)
             elif after.leaving and not endpoint.leaving:
-                log.event("endpoint.leaving", endpoint=id, service=endpoint.service)
+                self._log_leaving(after, "registration")
         for id, endpoint in known.items():
             old = before.get(id)
             if old is None or old.incarnation() != endpoint.incarnation():
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -50,6 +50,9 @@
         if not forwarding.may_start_attempt(self._route, counts):
             return None
         endpoint = await self._choose_endpoint()
+        while endpoint is not None and not self._plugin.discovery.is_usable(endpoint):
+            # It began to leave while the request waited for a permit.
+            endpoint = await self._choose_endpoint()
         if endpoint is None:
             return None
         self.tried.append(endpoint.id)
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -300,7 +300,7 @@
         key = endpoint.incarnation()
         if key not in self._orders_seen and not await self._read_report(load, deadline):
             return False
-        if self._is_confirmed(load):
+        if self._is_confirmed(load) or not self._discovery.is_usable(endpoint):
             return False
         send_before = self._order_deadline(endpoint.id)
         if send_before is None:
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -1,7 +1,7 @@
 """Types and interfaces for deployments that keep their state in a metadata store."""
 
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -512,6 +512,10 @@
     ) -> Result[EndpointReport, Failure]:
         """Fetch the endpoint's current state from the endpoint itself."""
 
+    @abstractmethod
+    def notify_leaving(self, listener: Callable[[Endpoint], None]) -> None:
+        """Call `listener` for each answer whose endpoint says in it that it leaves."""
+
     @abstractmethod
     def drop_connections(self, endpoints: Sequence[Endpoint]) -> None:
         """Drop the connection pools of endpoints that were removed."""
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -12,6 +12,7 @@
     EndpointAnswer,
     EndpointCall,
     LoadMode,
+    OpenStream,
     OrderAnswer,
     VersionOrder,
 )
@@ -331,3 +332,76 @@
     """Guards against an exception in place of a failure, which ends the process."""
     outcomes, _ = await call_endpoint(step + "CLOSE")
     assert outcomes[0].unwrap_err().outcome is Outcome.MAY_HAVE_RUN
+
+
+LEAVING = "Server-Leaving: 1\r\n"
+OTHER_ID = "Plantainstack-Request-Id: r0\r\n"
+
+
+async def leaving_endpoints(step, send):
+    """Return the ids of the endpoints of whose leaving an answer told."""
+    found = []
+    async with serving(Script(step)) as (client, target):
+        client.notify_leaving(lambda endpoint: found.append(endpoint.id))
+        await send(client, target)
+    return found
+
+
+async def send_call(client, target):
+    await client.call(target, call())
+
+
+async def send_stream(client, target):
+    async with client.stream(target, call()) as opened:
+        if isinstance(opened.ok(), OpenStream):
+            _ = [event async for event in opened.unwrap().events()]
+
+
+async def send_order(client, target):
+    order = VersionOrder("m0", 2, LoadMode.CONTINUE, "a", 1, 0)
+    await client.order(target, order, SystemClock().now() + 5.0)
+
+
+async def send_report(client, target):
+    await client.report(target, SystemClock().now() + 5.0)
+
+
+@pytest.mark.parametrize(
+    ("step", "send"),
+    [
+        (answer(headers=ID + SEAL + LEAVING), send_call),
+        (answer("500 Failed", ID + LEAVING), send_call),
+        (answer("503 Full", ID + NOT_EXECUTED + LEAVING), send_call),
+        (answer("503 Full", NOT_EXECUTED + LEAVING), send_call),
+        (unframed(EVENTS, ID + SEAL + VERSION + LEAVING), send_stream),
+        (answer("422 Never", ID + LEAVING), send_stream),
+        (answer("202 Accepted", LEAVING, ""), send_order),
+        (answer(headers=LEAVING, body="{}"), send_report),
+        (answer(headers=ID + SEAL + LEAVING, length=9) + "CLOSE", send_call),
+    ],
+)
+async def test_leaving_is_read_from_each_kind_of_answer(step, send):
+    """Guards against missing that an endpoint leaves because of the request's kind."""
+    assert await leaving_endpoints(step, send) == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        ID + SEAL,
+        OTHER_ID + SEAL + LEAVING,
+        ID + SEAL + "Server-Leaving: 0\r\n",
+        ID + SEAL + "Server-Leaving:\r\n",
+        ID + SEAL + "Server-Leaving: yes\r\n",
+        ID + SEAL + "Server-Leaving: 11\r\n",
+    ],
+)
+async def test_odd_or_crossed_leaving_header_takes_no_endpoint_away(headers):
+    """Guards against avoiding an endpoint that has not said that it leaves."""
+    assert await leaving_endpoints(answer(headers=headers), send_call) == []
+
+
+async def test_leaving_in_the_answer_of_another_endpoint_takes_none_away():
+    """Guards against a leaving endpoint at an address that is in use again."""
+    step = answer("421 Misdirected", ID + NOT_EXECUTED + LEAVING)
+    assert await leaving_endpoints(step, send_call) == []
--- a/tests/policy/test_endpoint_view.py
+++ b/tests/policy/test_endpoint_view.py
@@ -1,6 +1,10 @@
 """Tests of the view of registered endpoints."""
 
-from plantainstack.policy.endpoint_view import RENEWAL_GRACE_S, EndpointView
+from plantainstack.policy.endpoint_view import (
+    LEAVING_KEPT_S,
+    RENEWAL_GRACE_S,
+    EndpointView,
+)
 from tests.policy.serving_samples import endpoint
 
 
@@ -44,3 +48,60 @@
     endpoint_view = make_view("a")
     endpoint_view.update({"ghost": None}, 1.0)
     assert usable_ids(endpoint_view) == ["a"]
+
+
+def test_lagging_registration_does_not_bring_a_leaving_endpoint_back():
+    """Guards against requests to an endpoint whose answer said that it leaves."""
+    endpoint_view = make_view("a", "b")
+    assert endpoint_view.record_leaving(endpoint("a"), 1.0)
+    endpoint_view.update({"a": endpoint("a")}, 1.1)
+    endpoint_view.replace({"a": endpoint("a"), "b": endpoint("b")}, 1.2)
+    assert usable_ids(endpoint_view) == ["b"]
+    assert not endpoint_view.is_usable(endpoint("a"))
+    assert not endpoint_view.record_leaving(endpoint("a"), 1.3)
+
+
+def test_next_run_under_the_id_of_a_leaving_endpoint_is_used():
+    """Guards against losing an endpoint that restarts under its id."""
+    endpoint_view = make_view("a")
+    endpoint_view.record_leaving(endpoint("a"), 1.0)
+    endpoint_view.update({"a": endpoint("a", started_ms=2)}, 1.1)
+    assert usable_ids(endpoint_view) == ["a"]
+    assert not endpoint_view.is_usable(endpoint("a", started_ms=1))
+
+
+def test_other_endpoint_at_the_address_of_a_leaving_one_is_used():
+    """Guards against taking an address for an endpoint."""
+    endpoint_view = make_view("a")
+    endpoint_view.record_leaving(endpoint("a"), 1.0)
+    endpoint_view.update({"a": None, "b": endpoint("b")}, 1.1)
+    assert usable_ids(endpoint_view) == ["b"]
+
+
+def test_old_list_does_not_bring_back_an_endpoint_that_has_left():
+    """Guards against requests to an endpoint that an old snapshot still contains."""
+    endpoint_view = make_view("a")
+    endpoint_view.record_leaving(endpoint("a"), 1.0)
+    endpoint_view.update({"a": None}, 2.0)
+    endpoint_view.replace({"a": endpoint("a")}, 3.0)
+    assert usable_ids(endpoint_view) == []
+
+
+def test_endpoints_that_have_left_are_forgotten():
+    """Guards against a memory that grows with each endpoint that ever left."""
+    endpoint_view = make_view("a")
+    endpoint_view.record_leaving(endpoint("a"), 1.0)
+    endpoint_view.update({"a": None}, 2.0)
+    endpoint_view.expire(2.0 + LEAVING_KEPT_S)
+    assert endpoint_view.record_leaving(endpoint("a"), 2.1 + LEAVING_KEPT_S)
+
+
+def test_end_of_a_registration_without_a_start_time_ends_the_leaving():
+    """Guards against losing an id for good whose runs cannot be told apart."""
+    endpoint_view = make_view()
+    endpoint_view.update({"a": endpoint("a", started_ms=0)}, 0.0)
+    endpoint_view.record_leaving(endpoint("a", started_ms=0), 1.0)
+    assert usable_ids(endpoint_view) == []
+    endpoint_view.update({"a": None}, 2.0)
+    endpoint_view.update({"a": endpoint("a", started_ms=0)}, 5.0)
+    assert usable_ids(endpoint_view) == ["a"]
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -242,7 +242,8 @@
     software version of the endpoint, if it has one. `statuses` sets other response
     statuses by item or endpoint id. `scripts` lists the outcomes of the next calls with
     a request id: a status, a failure, or an event that must be set before a success.
-    `rate_limits` holds the limits that endpoints name in their answers.
+    `rate_limits` holds the limits that endpoints name in their answers, and `leaving`
+    the ids of those whose answers say that they leave.
     """
 
     def __init__(self, platform):
@@ -254,6 +255,7 @@
         self.sent_calls = []
         self.load = None
         self.rate_limits = {}
+        self.leaving = set()
         self.blocked_events = {}
         self.failing_events = []
         self.opened_streams = []
@@ -322,10 +324,49 @@
         seen = self.state(endpoint.id).orders_seen
         return Ok(EndpointReport(dict(found.versions), False, seen))
 
+    def notify_leaving(self, listener):
+        pass
+
     def drop_connections(self, endpoints):
         pass
 
 
+class InstanceEndpoints(EndpointClient):
+    """Give one instance the shared endpoints; only it is told what they answer it."""
+
+    def __init__(self, shared):
+        self.shared = shared
+        self._listeners = []
+
+    def notify_leaving(self, listener):
+        self._listeners.append(listener)
+
+    def _check_leaving(self, endpoint, outcome):
+        if endpoint.id in self.shared.leaving and outcome.is_ok():
+            for listener in self._listeners:
+                listener(endpoint)
+        return outcome
+
+    async def call(self, endpoint, call):
+        return self._check_leaving(endpoint, await self.shared.call(endpoint, call))
+
+    @contextlib.asynccontextmanager
+    async def stream(self, endpoint, call):
+        async with self.shared.stream(endpoint, call) as opened:
+            yield self._check_leaving(endpoint, opened)
+
+    async def order(self, endpoint, order, deadline):
+        answer = await self.shared.order(endpoint, order, deadline)
+        return self._check_leaving(endpoint, answer)
+
+    async def report(self, endpoint, deadline):
+        answer = await self.shared.report(endpoint, deadline)
+        return self._check_leaving(endpoint, answer)
+
+    def drop_connections(self, endpoints):
+        self.shared.drop_connections(endpoints)
+
+
 class StorePlugin(Plugin, register=False):
     """Give one instance access to the shared platform."""
 
@@ -336,7 +377,9 @@
         super().__init__(kernel)
         self.metadata_store = MemoryStore(self.platform.rows, kernel.clock)
         self.registry = FakeRegistry(self.platform)
-        self.endpoint_client = self.platform.client
+        client = self.platform.client
+        scripted = isinstance(client, ScriptedEndpoints)
+        self.endpoint_client = InstanceEndpoints(client) if scripted else client
 
 
 def new_kernel(platform, name, more=(), address="127.0.0.1:1"):
--- a/tests/services/test_reward_interleavings.py
+++ b/tests/services/test_reward_interleavings.py
@@ -211,7 +211,7 @@
     score = service.RewardCalls.score
 
     async def keep(self, request):
-        key = (self._endpoints, request.call.id)
+        key = (self._endpoints.shared, request.call.id)
         if key not in kept:
             kept[key] = await score(self, request)
         return kept[key]
