--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -52,6 +52,8 @@
 
     def _reset(self) -> None:
         """Reset the connection: in HTTP/1.0, closing it ends a response regularly."""
+        if self.transport.is_closing():
+            return
         sock = self.transport.get_extra_info("socket")
         # With a linger time of 0, closing the socket sends RST in place of FIN.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
