Keep records and bases for as long as streams of a slow route last

The life of a stream was 120 s whatever the time limit of its route: where streams may last longer, a record would have been removed, or a base replaced, while its stream could still be taken up, and a take-up would have gone on at another version. The life is now at least four times the longest time limit of a route whose streams may be resumed.

--- a/plantainstack/policy/stream_versions.py
+++ b/plantainstack/policy/stream_versions.py
@@ -7,15 +7,17 @@
 began at it without a record have ended.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-# Longest time from the start of a stream to the last attempt to take it up.
+# Longest time from the start of a stream to the last attempt to take it up, at least,
+# and as a multiple of the longest time limit of a route.
 STREAM_LIFE_S = 120.0
+STREAM_LIFE_TIMEOUTS = 4.0
 # Time for which an instance may begin streams without a record by a base that it read.
 BASE_TRUST_S = 300.0
-# Time after closing a base at which no stream without a record of it is left. The
-# margin covers clocks that run at different rates.
+# Time after closing a base at which no stream without a record of it is left, for
+# streams of the shortest life. The margin covers clocks that run at different rates.
 BASE_HANDOVER_S = STREAM_LIFE_S + BASE_TRUST_S + 30.0
 # A base is closed once it has had few endpoints for this long.
 BASE_MINOR_S = 10.0
@@ -54,6 +56,17 @@
         return origin == self.base.origin
 
 
+def stream_life_s(timeouts_s: Iterable[float]) -> float:
+    """Return the longest life of streams on routes with these time limits."""
+    longest = max(timeouts_s, default=0.0)
+    return max(STREAM_LIFE_S, STREAM_LIFE_TIMEOUTS * longest)
+
+
+def handover_s(life_s: float) -> float:
+    """Return the time for which a base stays closed before it is replaced."""
+    return BASE_HANDOVER_S - STREAM_LIFE_S + life_s
+
+
 def is_minor(base: BaseOrigin, counts: Mapping[Origin, int]) -> bool:
     """Return whether the base has so few of the endpoints that it may be closed."""
     total = sum(counts.values())
@@ -65,11 +78,13 @@
     counts: Mapping[Origin, int],
     minor_for_s: float,
     closed_for_s: float,
+    life_s: float,
 ) -> BaseOrigin | None:
     """Return the base to write in place of the current one, or None to keep it.
 
     `counts` holds the endpoints of the route by origin. The times say for how long
-    the base has been minor, and closed, as seen by this instance.
+    the base has been minor, and closed, as seen by this instance; `life_s` is the
+    longest life of a stream.
     """
     total = sum(counts.values())
     if not total:
@@ -81,4 +96,4 @@
         return base._replace(closed=True) if minor_for_s >= BASE_MINOR_S else None
     if counts.get(base.origin, 0) >= REOPEN_FROM * total:
         return base._replace(closed=False)
-    return BaseOrigin(most) if closed_for_s >= BASE_HANDOVER_S else None
+    return BaseOrigin(most) if closed_for_s >= handover_s(life_s) else None
--- a/plantainstack/services/stream_records.py
+++ b/plantainstack/services/stream_records.py
@@ -13,7 +13,7 @@
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure, Outcome
-from plantainstack.policy.stream_versions import STREAM_LIFE_S, Origin
+from plantainstack.policy.stream_versions import Origin
 from plantainstack.requests import new_id
 from plantainstack.serving import MetadataStore, RowName, StoredRow, Transaction
 
@@ -31,7 +31,8 @@
 # that crashed is back within seconds.
 RETRY_AFTER_S = 1.0
 EXPIRY_INTERVAL_S = 10.0
-# Interval of looking for records of instances that have ended; above STREAM_LIFE_S.
+# Interval of looking for records of instances that have ended, at least; a record is
+# removed when it is found for the second time.
 SWEEP_INTERVAL_S = 1800.0
 # Records of an instance that it removes by itself.
 WRITTEN_MAX = 50_000
@@ -134,12 +135,12 @@
                 return unknown_origin("the client names no stream, and versions differ")
         return Ok(None)
 
-    async def run_expiry(self) -> None:
+    async def run_expiry(self, life_s: Callable[[], float]) -> None:
         """Remove the records that this instance wrote once their streams are over."""
         while True:
             wait_s = EXPIRY_INTERVAL_S * self._rng.uniform(0.7, 1.3)
             await self._clock.sleep_until(self._clock.now() + wait_s)
-            horizon = self._clock.now() - STREAM_LIFE_S
+            horizon = self._clock.now() - life_s()
             old = []
             while self._written and self._written[0].at < horizon:
                 old.append(self._written.popleft().name)
@@ -150,11 +151,14 @@
                 for _ in range(extra):
                     self._written.popleft()
 
-    async def run_sweep(self, is_used: Callable[[], bool]) -> None:
+    async def run_sweep(
+        self, is_used: Callable[[], bool], life_s: Callable[[], float]
+    ) -> None:
         """Remove the records that instances left behind which have ended."""
         seen: set[RowName] = set()
         while True:
-            wait_s = SWEEP_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+            interval_s = max(SWEEP_INTERVAL_S, 2 * life_s())
+            wait_s = interval_s * self._rng.uniform(0.5, 1.5)
             await self._clock.sleep_until(self._clock.now() + wait_s)
             if not is_used():
                 continue
--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -13,7 +13,6 @@
 from plantainstack.plugins import Plugin
 from plantainstack.policy import stream_versions
 from plantainstack.policy.stream_versions import (
-    STREAM_LIFE_S,
     BaseOrigin,
     KnownBase,
     Origin,
@@ -76,6 +75,7 @@
         self._bases: dict[str, _BaseRow] = {}
         self._bases_read_at = float("-inf")
         self._used = False
+        self._longest_life_s = 0.0
         self._streams: OrderedDict[str, _Remembered] = OrderedDict()
 
     async def start(self, tasks) -> None:
@@ -85,8 +85,8 @@
         self.records = StreamRecords(self._store, self._clock, tasks, self._rng)
         tasks.start_soon(self._follow_bases)
         tasks.start_soon(self._forget)
-        tasks.start_soon(self.records.run_expiry)
-        tasks.start_soon(self.records.run_sweep, lambda: bool(self._resumable_routes()))
+        tasks.start_soon(self.records.run_expiry, self._life_s)
+        tasks.start_soon(self.records.run_sweep, self._is_used, self._life_s)
 
     def may_begin(
         self, route: Route, origin: Origin, earlier: StreamRecord | None
@@ -233,6 +233,17 @@
             if route.kind is RequestKind.STREAM and route.resumable
         ]
 
+    def _is_used(self) -> bool:
+        return bool(self._resumable_routes())
+
+    def _life_s(self) -> float:
+        """Return the longest life of a stream; it does not fall while one may last."""
+        timeouts = (route.timeout_s for route in self._resumable_routes())
+        self._longest_life_s = max(
+            self._longest_life_s, stream_versions.stream_life_s(timeouts)
+        )
+        return self._longest_life_s
+
     async def _refresh(self, routes: list[Route]) -> None:
         age_s = self._clock.now() - self._bases_read_at
         missing = any(route.name not in self._bases for route in routes)
@@ -285,7 +296,7 @@
         now = self._clock.now()
         wanted = None
         if row is None:
-            wanted = stream_versions.next_base(None, counts, 0.0, 0.0)
+            wanted = stream_versions.next_base(None, counts, 0.0, 0.0, 0.0)
         else:
             if not stream_versions.is_minor(row.known.base, counts):
                 row.minor_at = None
@@ -294,7 +305,11 @@
                 row.minor_at = now + self._rng.uniform(0.0, TICK_S * 10)
             minor_for_s = now - row.minor_at if row.minor_at is not None else 0.0
             wanted = stream_versions.next_base(
-                row.known.base, counts, minor_for_s, now - row.closed_at
+                row.known.base,
+                counts,
+                minor_for_s,
+                now - row.closed_at,
+                self._life_s(),
             )
         if wanted is not None:
             await self._write_base(route, wanted, row.version if row else 0)
@@ -320,6 +335,6 @@
         """Forget streams that are over."""
         while True:
             await self._clock.sleep_until(self._clock.now() + FORGET_INTERVAL_S)
-            horizon = self._clock.now() - STREAM_LIFE_S
+            horizon = self._clock.now() - self._life_s()
             while self._streams and next(iter(self._streams.values())).at < horizon:
                 self._streams.popitem(last=False)
--- a/tests/services/test_stream_interleavings.py
+++ b/tests/services/test_stream_interleavings.py
@@ -46,8 +46,7 @@
 @pytest.fixture(autouse=True)
 def short_bounds(monkeypatch):
     """Let bases change several times a day."""
-    for module in (policy, stream_versions, stream_records):
-        monkeypatch.setattr(module, "STREAM_LIFE_S", 8.0)
+    monkeypatch.setattr(policy, "STREAM_LIFE_S", 8.0)
     monkeypatch.setattr(policy, "BASE_TRUST_S", 3.0)
     monkeypatch.setattr(policy, "BASE_HANDOVER_S", 12.0)
     monkeypatch.setattr(policy, "BASE_MINOR_S", 1.0)
