Give up an item's text that its version continues at none of its endpoints

What a trainer would see: an item that is not listed until the registrations of dead endpoints expire. An owner that reads a stored text whose endpoints are down gets refused connections, which do not count as failures of an endpoint while an item resumes. With two endpoints of the version, one of them looked sound at each choice, and the wait was never compared with the time for writing the events again.

Three attempts without an event now count as no free endpoint, and the text goes to another version only. test_stored_text_is_given_up_if_its_version_continues_it_nowhere timed out before.

--- a/plantainstack/policy/item_runs.py
+++ b/plantainstack/policy/item_runs.py
@@ -137,10 +137,15 @@
         self.last_event: int | None = None
         self.text_complete = False
         self.reward_attempts = RewardAttempts()
-        self.begin_attempt()
+        self.attempts_without_event = 0
+        self._mark_end()
 
     def begin_attempt(self) -> None:
         """Remember the end of the text, for `discard_attempt`."""
+        self.attempts_without_event += 1
+        self._mark_end()
+
+    def _mark_end(self) -> None:
         self._attempt_start = _TextMark(
             self.generation,
             len(self._texts),
@@ -184,7 +189,7 @@
             self.last_event = found.last_event
             self.text_complete = found.complete
             self.reward_attempts = RewardAttempts(found.reward_errors)
-            self.begin_attempt()
+            self._mark_end()
 
     def begin_stream(
         self, version: int | None, software: SoftwareVersion | None = None
@@ -223,6 +228,7 @@
         self._stream_version = version
         self.software = self._stream_software
         self.last_event = event.id
+        self.attempts_without_event = 0
         self._texts.append(event.data)
         if version not in self._versions:
             self._versions.append(version)
--- a/plantainstack/policy/software_versions.py
+++ b/plantainstack/policy/software_versions.py
@@ -11,6 +11,9 @@
 
 # Endpoints take 40 to 60 ms for an event; used while no latency is known.
 USUAL_EVENT_S = 0.05
+# A text that its version continues in none of so many attempts counts as without a
+# free endpoint, although they take connections.
+RESUME_ATTEMPTS_MAX = 3
 
 
 class SoftwareVersion(NamedTuple):
--- a/plantainstack/services/item_placement.py
+++ b/plantainstack/services/item_placement.py
@@ -182,19 +182,20 @@
         now = self._clock.now()
         serving = self.serving_endpoints(run.software)
         same = self._choose_from(self._with_trials(serving), run.item, exclude)
-        if same is not None and not balancer.is_avoided(same, now):
+        stuck = run.attempts_without_event >= software_versions.RESUME_ATTEMPTS_MAX
+        if same is not None and not stuck and not balancer.is_avoided(same, now):
             return same
         latency_s = balancer.best_latency(serving, now)
         if not software_versions.begins_anew(
             run.events(), latency_s, waited_s, bool(serving)
         ):
             return same
-        other = self._choose_from(self._candidates(), run.item, exclude)
+        others = [end for end in self._candidates() if software_of(end) != run.software]
+        other = self._choose_from(others, run.item, exclude)
         if other is None or (same is not None and balancer.is_avoided(other, now)):
             return same
-        if software_of(other) != run.software:
-            reason = "version_busy" if serving else "version_gone"
-            self.discard_text(run, reason, waited_s)
+        reason = "version_busy" if serving else "version_gone"
+        self.discard_text(run, reason, waited_s)
         return other
 
     def _choose_from(
--- a/tests/services/test_item_texts.py
+++ b/tests/services/test_item_texts.py
@@ -291,6 +291,26 @@
     assert starts_of(platform)[-1][1] == resumes
 
 
+async def test_stored_text_is_given_up_if_its_version_continues_it_nowhere():
+    """Guards against an owner that never saw the endpoint of a text alive."""
+    platform = platform_of(e1="1.0")
+    async with interrupted_item(platform, 40) as kernel:
+        await until(lambda: stored_events(platform) == 40)
+        kernel.plugin("batches").on_drain()
+        await kernel.plugin("batches").drain(0.0)
+        platform.client.blocked_events.clear()
+        platform.client.failing_events.clear()
+        platform.client.down |= {"e1", "e3"}
+        add_endpoint(platform, "e3", "1.0")
+        add_endpoint(platform, "e2", "1.1")
+        async with running(platform, "b") as (other,):
+            taken_at = platform.clock.now()
+            (result,) = await all_results(other.plugin("batches"), "b1", 1)
+            seconds = platform.clock.now() - taken_at
+    assert result.text == text_of("1.1", 42)
+    assert seconds < 40 * 0.05 + 1.0
+
+
 class OlderPartialText(NamedTuple):
     """Stored text as a build without the field `software` decodes it."""
 
