--- a/standins/base.py
+++ b/standins/base.py
@@ -15,7 +15,7 @@
 from starlette.types import ASGIApp
 
 from plantainstack.clock import Clock, SystemClock
-from standins.faults import Fault, FaultMiddleware, FaultTable
+from standins.faults import ATTEMPT_HEADER, Fault, FaultMiddleware, FaultTable
 
 T = TypeVar("T")
 
@@ -36,6 +36,8 @@
     PUT /_faults replaces the injected faults; GET /_state returns the state.
     """
 
+    id_header: ClassVar[bytes] = ATTEMPT_HEADER
+
     def __init__(self, clock: Clock | None = None):
         self.clock = clock or SystemClock()
         self.faults = FaultTable()
@@ -62,7 +64,7 @@
             lifespan=self._lifespan,
             exception_handlers={msgspec.DecodeError: _bad_request},
         )
-        return FaultMiddleware(app, self.faults, self.clock)
+        return FaultMiddleware(app, self.faults, self.clock, self.id_header)
 
     @asynccontextmanager
     async def _lifespan(self, app: Starlette):
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -83,19 +83,29 @@
 
 
 class FaultMiddleware:
-    """ASGI middleware: echo the attempt id and apply faults to responses."""
+    """ASGI middleware: echo the attempt id and apply faults to responses.
 
-    def __init__(self, app: ASGIApp, faults: FaultTable, clock: Clock):
+    The id is taken from and returned in `id_header`, whose name is in lower case.
+    """
+
+    def __init__(
+        self,
+        app: ASGIApp,
+        faults: FaultTable,
+        clock: Clock,
+        id_header: bytes = ATTEMPT_HEADER,
+    ):
         self._app = app
         self._faults = faults
         self._clock = clock
+        self._id_header = id_header
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve a request; the control paths, which start with /_, have no faults."""
         if scope["type"] != "http" or scope["path"].startswith("/_"):
             await self._app(scope, receive, send)
             return
-        exchange = _Exchange(scope, receive, send)
+        exchange = _Exchange(scope, receive, send, self._id_header)
         fault = self._faults.take_answer_fault(scope["path"])
         if fault is None:
             await self._app(scope, receive, exchange.answer)
@@ -141,16 +151,17 @@
 class _Exchange:
     """Response to one request, which a fault can alter or suppress."""
 
-    def __init__(self, scope: Scope, receive: Receive, send: Send):
+    def __init__(self, scope: Scope, receive: Receive, send: Send, id_header: bytes):
         self.scope = scope
         self.receive = receive
-        self.attempt_id = dict(scope["headers"]).get(ATTEMPT_HEADER)
+        self.attempt_id = dict(scope["headers"]).get(id_header)
+        self._id_header = id_header
         self._send = send
         self._truncated = False
 
     async def answer(self, message: Message) -> None:
         if message["type"] == "http.response.start" and self.attempt_id is not None:
-            headers = [*message.get("headers", []), (ATTEMPT_HEADER, self.attempt_id)]
+            headers = [*message.get("headers", []), (self._id_header, self.attempt_id)]
             message = {**message, "headers": headers}
         await self._send(message)
 
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -75,9 +75,31 @@
             self._rows[name] = _Row(value, self.version)
         for name in removed:
             self._rows[name] = _Row(None, self.version)
+        self.wake_feeds()
+        return True
+
+    def wake_feeds(self) -> None:
+        """Let waiting feeds look for changes again."""
         event, self.changed = self.changed, anyio.Event()
         event.set()
-        return True
+
+    @property
+    def read_version(self) -> int:
+        """Return the version that an answer to a read contains."""
+        return self.version
+
+    @property
+    def feed_version(self) -> int:
+        """Return the version that an answer of the feed contains."""
+        return self.version
+
+    def copy(self) -> "Rows":
+        """Return an independent copy of the current rows."""
+        copied = Rows()
+        copied.version = self.version
+        copied.compacted_version = self.compacted_version
+        copied._rows = dict(self._rows)
+        return copied
 
     def row(self, name: RowName) -> _Row:
         """Return a row, or one without a value and with version 0."""
@@ -127,12 +149,86 @@
         self.compacted_version = self.version
 
 
+class RowsView:
+    """Shared rows as one instance sees them: reads and feed can be out of date.
+
+    Transactions always see and change the current rows.
+    """
+
+    def __init__(self, rows: Rows):
+        self._rows = rows
+        self._old_reads: Rows | None = None
+        self._old_feed: Rows | None = None
+
+    def hold_reads(self) -> None:
+        """Answer reads from the rows of this moment until `release`."""
+        self._old_reads = self._rows.copy()
+
+    def hold_feed(self) -> None:
+        """Report no change after this moment in the feed until `release`."""
+        self._old_feed = self._rows.copy()
+
+    def release(self) -> None:
+        """Answer reads and feeds from the current rows again."""
+        self._old_reads = self._old_feed = None
+        self._rows.wake_feeds()
+
+    @property
+    def version(self) -> int:
+        """Return the current version."""
+        return self._rows.version
+
+    @property
+    def read_version(self) -> int:
+        """Return the version that an answer to a read contains."""
+        return (self._old_reads or self._rows).version
+
+    @property
+    def feed_version(self) -> int:
+        """Return the version that an answer of the feed contains."""
+        return (self._old_feed or self._rows).version
+
+    @property
+    def changed(self) -> anyio.Event:
+        """Return the event that is set at the next change."""
+        return self._rows.changed
+
+    def transact(
+        self,
+        expected: dict[RowName, int],
+        puts: dict[RowName, bytes],
+        removed: list[RowName] | tuple = (),
+    ) -> bool:
+        """Apply changes to the current rows; return whether they were applied."""
+        return self._rows.transact(expected, puts, removed)
+
+    def row(self, name: RowName) -> _Row:
+        """Return a current row, or one without a value and with version 0."""
+        return self._rows.row(name)
+
+    def range(self, table: str, part: str, first: str, end: str):
+        """Return rows of a part as `Rows.range` does, out of date if held."""
+        return (self._old_reads or self._rows).range(table, part, first, end)
+
+    def parts(self, table: str) -> list[str]:
+        """Return the parts of a table, out of date if held."""
+        return (self._old_reads or self._rows).parts(table)
+
+    def changed_since(self, table: str, version: int):
+        """Return changed rows as `Rows.changed_since` does, none newer if held."""
+        return (self._old_feed or self._rows).changed_since(table, version)
+
+    def compact(self) -> None:
+        """Drop the change history up to the current version."""
+        self._rows.compact()
+
+
 class MetadataStoreStandin(Standin):
     """Serve rows, a change feed and objects over HTTP."""
 
     def __init__(self, clock=None):
         super().__init__(clock)
-        self.rows = Rows()
+        self.rows = RowsView(Rows())
         self.objects: dict[str, bytes] = {}
         self.calls = 0
 
@@ -153,7 +249,7 @@
         return {"calls": self.calls, "version": self.rows.version}
 
     def write(self, table: str, key: str, content: Any) -> None:
-        """Write a row as the operator or an endpoint does.
+        """Write a row as the operator, an endpoint or another writer does.
 
         Content other than bytes is encoded as JSON.
         """
@@ -173,9 +269,10 @@
         }
         removed = [(r.table, r.part, r.key) for r in change.remove]
         if self.rows.transact(expected, puts, removed):
-            return json_response(self._version_and_time())
+            return json_response(self._version_and_time(self.rows.version))
         rows = [_encode_row(name, self.rows.row(name)) for name in expected]
-        return json_response({**self._version_and_time(), "rows": rows}, 412)
+        version = self._version_and_time(self.rows.version)
+        return json_response({**version, "rows": rows}, 412)
 
     async def _get(self, request: Request) -> Response:
         self.calls += 1
@@ -188,9 +285,8 @@
         )
         limit = min(ROWS_MAX, int(query.get("limit", ROWS_MAX)))
         rows = [_encode_row(name, row) for name, row in found[:limit]]
-        return json_response(
-            {**self._version_and_time(), "rows": rows, "has_more": len(found) > limit}
-        )
+        version = self._version_and_time(self.rows.read_version)
+        return json_response({**version, "rows": rows, "has_more": len(found) > limit})
 
     async def _parts(self, request: Request) -> Response:
         self.calls += 1
@@ -209,8 +305,9 @@
         found = self.rows.changed_since(query["table"], int(query["after"]))
         if found is None:
             return json_response({"error": "the history is gone"}, 410)
+        version = self._version_and_time(self.rows.feed_version)
         return json_response(
-            {**self._version_and_time(), "rows": [_encode_row(*pair) for pair in found]}
+            {**version, "rows": [_encode_row(*pair) for pair in found]}
         )
 
     async def _put_object(self, request: Request) -> Response:
@@ -231,8 +328,8 @@
         self.objects.pop(request.path_params["name"], None)
         return json_response({})
 
-    def _version_and_time(self) -> dict[str, Any]:
-        return {"ver": self.rows.version, "now_ms": self.clock.now() * 1000}
+    def _version_and_time(self, version: int) -> dict[str, Any]:
+        return {"ver": version, "now_ms": self.clock.now() * 1000}
 
 
 def _encode_row(name: RowName, row: _Row) -> dict[str, Any]:
