Leave the in-memory store of the tests as it was

RowsView is used by the store over HTTP alone. The test that a held feed waits, and reports the change when it is released, is played over HTTP in place of MemoryStore, with the same checks.

--- a/tests/standins/test_metadata_store.py
+++ b/tests/standins/test_metadata_store.py
@@ -8,7 +8,6 @@
 from plantainstack.serving import HistoryLost, RowName, Transaction
 from standins.metadata_store import MetadataStoreStandin, Rows, RowsView
 from standins.server import serving
-from tests.services.store_fleet import MemoryStore
 
 pytestmark = pytest.mark.anyio
 
@@ -81,23 +80,26 @@
     assert view.changed_since("t", 0) is None
 
 
-async def test_memory_store_waits_for_a_held_feed():
-    rows = Rows()
-    view = RowsView(rows)
-    store = MemoryStore(view, SystemClock())
-    view.hold_feed()
-    write(rows, b"new")
-    behind = (await store.rows_changed("t", 0, 0.05)).unwrap()
-    assert (behind.rows, behind.cursor) == ((), 0)
-    async with anyio.create_task_group() as tasks:
+async def test_feed_that_waits_while_held_reports_the_change_when_released():
+    standin = MetadataStoreStandin()
+    async with serving(standin) as address, anyio.create_task_group() as tasks:
+        store = PlatformStore(address, SystemClock())
         found = []
 
         async def follow():
             found.append((await store.rows_changed("t", 0, 5.0)).unwrap())
 
+        standin.rows.hold_feed()
         tasks.start_soon(follow)
-        await anyio.sleep(0.02)
-        view.release()
+        await anyio.sleep(0.05)
+        write(standin.rows, b"new")
+        await anyio.sleep(0.05)
+        assert found == []
+        standin.rows.release()
+        with anyio.fail_after(2.0):
+            while not found:
+                await anyio.sleep(0.01)
+        await store.aclose()
     assert [row.value for row in found[0].rows] == [b"new"]
     assert found[0].cursor == 1
 
