--- a/plantainstack/services/stream_records.py
+++ b/plantainstack/services/stream_records.py
@@ -12,6 +12,7 @@
 
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
+from plantainstack.decoding import decode
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy.stream_versions import Origin
 from plantainstack.requests import new_id
@@ -252,16 +253,13 @@
 
 def decode_row(decoder: msgspec.msgpack.Decoder, row: StoredRow) -> Result:
     """Return the value of a row, or a failure that refuses to take a stream up."""
-    try:
-        return Ok(decoder.decode(row.value))
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
-        log.event(
-            "stream.row_not_valid",
-            table=row.name.table,
-            key=row.name.key,
-            reason=str(exc),
-        )
-        return unknown_origin("the row of the stream's version is not valid")
+    decoded = decode(decoder, row.value)
+    if decoded.is_ok():
+        return decoded
+    reason = decoded.unwrap_err()
+    table, _, key = row.name
+    log.event("stream.row_not_valid", table=table, key=key, reason=reason)
+    return unknown_origin("the row of the stream's version is not valid")
 
 
 def unknown_origin(reason: str) -> Err[Failure]:
