Begin no stream at a service that the route has left

What callers saw: after a configuration that moved a resumable stream route from one service to another, new streams went to the old service while the store was away, and for 1 s after each failed write of records, until the base of the route was closed.

Cause: without the store, streams begin at the service of the route's base, which outlives a change of the route, and nothing compared it with the route. The base was also counted over services without a share of the route, so such a service could become the base and get streams.

Why it works: the service of the base is used only while pick_service may return it, and only such services are counted and resumed at. Otherwise the request keeps its own service and is refused as not run if its version cannot be recorded.

--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -11,7 +11,7 @@
 from plantainstack import log, metrics
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.plugins import Plugin
-from plantainstack.policy import stream_versions
+from plantainstack.policy import route_table, stream_versions
 from plantainstack.policy.stream_versions import (
     BaseOrigin,
     KnownBase,
@@ -107,7 +107,11 @@
         None stands for any, and for no such service.
         """
         row = self._bases.get(route.name)
-        return row.known.base.origin.service if row and self._store_is_lost() else None
+        if row is None or not self._store_is_lost():
+            return None
+        service = row.known.base.origin.service
+        # The base outlives a change of the route's services.
+        return service if service in route_table.services(route) else None
 
     def begin(
         self,
@@ -148,7 +152,7 @@
             wait_s = min(LOOKUP_WAIT_S, deadline - self._clock.now())
             with anyio.move_on_after(max(0.0, wait_s)):
                 found = await self._look_up(route, take_up.stream_id)
-        services = {weighted.service for weighted in route.weighted_services}
+        services = route_table.services(route)
         if found.is_ok() and found.unwrap()[0].service not in services:
             origin, _source = found.unwrap()
             found = unknown_origin(
@@ -289,8 +293,8 @@
         """Write the base of a route if it is missing or has to change."""
         counts = Counter(
             Origin(endpoint.service, endpoint.software)
-            for weighted in route.weighted_services
-            for endpoint in self._discovery.usable(weighted.service)
+            for service in route_table.services(route)
+            for endpoint in self._discovery.usable(service)
         )
         row = self._bases.get(route.name)
         now = self._clock.now()
--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -382,6 +382,39 @@
     assert part.unwrap_err().outcome is Outcome.NOT_RUN
 
 
+@pytest.mark.parametrize("left", [(), (WeightedService("models", 0.0),)])
+async def test_no_stream_begins_at_a_service_that_the_route_has_left(left):
+    """Guards against the old service while the store is away after a change."""
+    platform = platform_with(e1="V", e2="V")
+    platform.endpoints["a1"] = endpoint("a1", service="app", software="V")
+    platform.software["a1"] = "app V"
+    async with settled(platform, "a") as (kernel,):
+        moved = STREAM_ROUTE._replace(
+            weighted_services=(*left, WeightedService("app", 1.0))
+        )
+        platform.config = CONFIG._replace(version=2, routes=(*CONFIG.routes, moved))
+        await anyio.sleep(SETTLED_S)
+        kernel.plugin("store").metadata_store.unavailable = True
+        for number in range(4):
+            await read(kernel, call(kernel, f"r{number}"), moved)
+    assert {end for _, end, _ in platform.client.opened_streams} <= {"a1"}
+
+
+async def test_base_is_no_service_without_a_share_of_the_route():
+    """Guards against streams at a service that gets none, and records for the rest."""
+    platform = platform_with(e1="V", e2="V")
+    platform.endpoints["a1"] = endpoint("a1", service="app", software="V")
+    shares = (WeightedService("models", 0.0), WeightedService("app", 1.0))
+    split = STREAM_ROUTE._replace(weighted_services=shares)
+    platform.config = CONFIG._replace(routes=(*CONFIG.routes, split))
+    async with settled(platform, "a") as (kernel,):
+        await read(kernel, call(kernel, "r1"), split)
+        assert platform.rows.parts(RECORD_TABLE) == []
+        kernel.plugin("store").metadata_store.unavailable = True
+        assert (await read(kernel, call(kernel, "r2"), split))[-1].is_ok()
+    assert {end for _, end, _ in platform.client.opened_streams} == {"a1"}
+
+
 async def test_take_up_that_names_no_stream_goes_on_beside_a_single_version_only():
     """Guards against a joined text for clients that send no Resumes."""
     platform = platform_with(e1="V", e2="V", e3="W")
