Refresh the base of streams also while none begins

What callers saw: an instance that had had no stream for five minutes refused or broke off all streams as soon as it lost the store.

Cause: a base was read again only if a stream had begun since the last read, and it is trusted for 300 s. After that, every stream needs a record, which cannot be stored without the store.

Why it works: the base is read every 100 s at least, so an instance that loses the store can begin streams at it for 200 s or more. The cost is one read in 100 s for each instance with resumable routes.

--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -40,6 +40,9 @@
 LOOKUP_WAIT_S = 1.5
 TICK_S = 0.5
 REFRESH_S = 30.0
+# Interval while no stream begins. An instance that loses the store needs a base that
+# it may trust for a while.
+IDLE_REFRESH_S = stream_versions.BASE_TRUST_S / 3
 FORGET_INTERVAL_S = 10.0
 # Streams whose origin an instance keeps in memory.
 STREAMS_MAX = 20_000
@@ -251,7 +254,7 @@
     async def _refresh(self, routes: list[Route]) -> None:
         age_s = self._clock.now() - self._bases_read_at
         missing = any(route.name not in self._bases for route in routes)
-        if missing or (self._used and age_s >= REFRESH_S):
+        if missing or age_s >= (REFRESH_S if self._used else IDLE_REFRESH_S):
             self._used = False
             await self._read_bases()
 
--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -369,6 +369,16 @@
         assert (await read(kernel, call(kernel, "r3")))[-1].is_err()
 
 
+async def test_instance_without_streams_for_long_begins_some_without_the_store():
+    """Guards against refusing all streams in an outage after a quiet time."""
+    platform = platform_with(e1="V", e2="V")
+    async with settled(platform, "a") as (kernel,):
+        await anyio.sleep(BASE_TRUST_S + 60.0)
+        kernel.plugin("store").metadata_store.unavailable = True
+        await anyio.sleep(SETTLED_S)
+        assert (await read(kernel, call(kernel, "r1")))[-1].is_ok()
+
+
 async def test_stream_of_a_service_that_the_route_has_left_is_refused():
     """Guards against going on at a service that the configuration forbids."""
     platform = platform_with(e1="V", e2="V")
