Share the reads of bases among take-ups

What callers saw: after a restart of all instances, each stream that a client took up cost two reads of the store, one after the other, of which the second is the same for all. Take-ups that got no answer in time were refused.

Cause: the base was read for each take-up alone.

Evidence: test_take_ups_at_one_time_share_their_reads_of_the_base counted 100 reads for 50 take-ups before.

Why it works: a shared read begins after all who wait for it have asked, so the base is still read after the record. It is given up after 0.7 s, so that a lost answer does not hold up those who wait behind it for long.

--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -17,6 +17,7 @@
     KnownBase,
     Origin,
 )
+from plantainstack.services.shared_calls import SharedCalls
 from plantainstack.services.stream_records import (
     StreamRecord,
     StreamRecords,
@@ -38,6 +39,9 @@
 STORE_LOST_S = 1.0
 # Maximum time of looking up the origin of a stream.
 LOOKUP_WAIT_S = 1.5
+# Timeout of one read of the bases, for which others wait. A working store responds
+# within 0.3 s.
+BASE_READ_TIMEOUT_S = 0.7
 TICK_S = 0.5
 REFRESH_S = 30.0
 # Interval while no stream begins. An instance that loses the store needs a base that
@@ -86,6 +90,7 @@
         self._discovery = self.kernel.plugin("discovery")
         self._store = self.kernel.plugin("store").metadata_store
         self.records = StreamRecords(self._store, self._clock, tasks, self._rng)
+        self._base_reads = SharedCalls(tasks, self._read_base_rows, BASE_READ_TIMEOUT_S)
         tasks.start_soon(self._follow_bases)
         tasks.start_soon(self._forget)
         tasks.start_soon(self.records.run_expiry, self._life_s)
@@ -259,15 +264,22 @@
             await self._read_bases()
 
     async def _read_bases(self) -> bool:
+        """Read all bases; return whether they are as of after this call began."""
+        outcome = await self._base_reads.call("")
+        if outcome is None:
+            log.event("stream.bases_unknown", reason="no answer in time")
+        return outcome is not None and outcome.is_ok()
+
+    async def _read_base_rows(self, part: str) -> Result[None, Failure]:
         sent_at = self._clock.now()
-        outcome = await self._store.read(BASE_TABLE, "")
+        outcome = await self._store.read(BASE_TABLE, part)
         if outcome.is_err():
             log.event("stream.bases_unknown", reason=outcome.unwrap_err().message)
-            return False
+            return outcome
         self._bases_read_at = sent_at
         for row in outcome.unwrap().rows:
             self._apply_base(row, sent_at)
-        return True
+        return Ok(None)
 
     def _apply_base(self, row: StoredRow, read_at: float) -> None:
         if row.value is None:
--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -379,6 +379,21 @@
         assert (await read(kernel, call(kernel, "r1")))[-1].is_ok()
 
 
+async def test_take_ups_at_one_time_share_their_reads_of_the_base():
+    """Guards against two reads of the store for each stream after a restart of all."""
+    platform = platform_with(e1="V", e2="V")
+    async with settled(platform, "a") as (kernel,):
+        await begin_at(platform, kernel, "V", "r0")
+    async with settled(platform, "b") as (kernel,):
+        reads = kernel.plugin("store").metadata_store.reads
+        async with anyio.create_task_group() as tasks:
+            for number in range(50):
+                tasks.start_soon(resume, kernel, f"s{number}", f"r{number}")
+        reads = kernel.plugin("store").metadata_store.reads - reads
+    assert len(platform.client.opened_streams) == 50
+    assert reads <= 60
+
+
 async def test_stream_of_a_service_that_the_route_has_left_is_refused():
     """Guards against going on at a service that the configuration forbids."""
     platform = platform_with(e1="V", e2="V")
