Play stale reads through the stand-in's views in two tests

The test of that refusal holds the reads and writes another row, and the test of held reads writes through another client. The checks are the same.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -179,7 +179,9 @@
         (await store.transact(INSERT)).unwrap()
         assert (await store.read("t", "p")).is_ok()
         assert "store.stale_answer" not in events
-        standin.rows.version -= 1
+        standin.rows.hold_reads()
+        other = RowName("t", "p", "two")
+        (await store.transact(Transaction(puts=((other, b"two"),)))).unwrap()
         failure = (await store.read("t", "p")).unwrap_err()
         assert failure.outcome is Outcome.NOT_RUN
         assert "store.stale_answer" in events
--- a/tests/standins/test_metadata_store.py
+++ b/tests/standins/test_metadata_store.py
@@ -107,11 +107,12 @@
 async def test_store_over_http_answers_from_held_rows():
     standin = MetadataStoreStandin()
     async with serving(standin) as address:
-        store = PlatformStore(address, SystemClock())
+        # A client refuses reads that precede what it knows, so another one writes.
+        writer, store = (PlatformStore(address, SystemClock()) for _ in range(2))
         change = Transaction(expected=(), puts=((RowName(*NAME), b"new"),))
         standin.rows.hold_reads()
         standin.rows.hold_feed()
-        assert (await store.transact(change)).unwrap().applied
+        assert (await writer.transact(change)).unwrap().applied
         assert (await store.read("t", "p")).unwrap().rows == ()
         behind = (await store.rows_changed("t", 0, 0.05)).unwrap()
         assert (behind.rows, behind.cursor) == ((), 0)
@@ -119,4 +120,5 @@
         standin.rows.compact()
         assert len((await store.read("t", "p")).unwrap().rows) == 1
         assert isinstance((await store.rows_changed("t", 0, 0.0)).unwrap(), HistoryLost)
+        await writer.aclose()
         await store.aclose()
