Log a row of streams that cannot be read once

What callers saw: nothing; operators saw a line or two every half second from each instance while the base of a route could not be read, until the limit on log lines hid other ones.

Cause: rows of streams had a decoder and a log line of their own, beside the common ones for unreadable rows.

Evidence: test_base_of_a_route_that_cannot_be_read_is_logged_once fails before (the line also lacked the version of the row).

Why it works: UnreadableRows logs each version of a row once.

--- a/plantainstack/services/stream_records.py
+++ b/plantainstack/services/stream_records.py
@@ -12,7 +12,7 @@
 
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
-from plantainstack.decoding import decode
+from plantainstack.decoding import UnreadableRows, decode
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy.stream_versions import Origin
 from plantainstack.requests import new_id
@@ -79,6 +79,7 @@
         self._clock = clock
         self._tasks = tasks
         self._rng = rng
+        self._unreadable = UnreadableRows("stream.row_not_readable")
         self._queues: dict[str, deque[StreamRecord]] = {}
         self._writing: set[str] = set()
         self._written: deque[_Written] = deque()
@@ -124,7 +125,15 @@
         if not rows:
             return Ok(None)
         last = max(rows, key=lambda row: row.name.key)
-        return decode_row(_ORIGIN, last)
+        return self.decode_row(_ORIGIN, last)
+
+    def decode_row(self, decoder: msgspec.msgpack.Decoder, row: StoredRow) -> Result:
+        """Return the value of a row, or a failure that refuses to take a stream up."""
+        decoded = decode(decoder, row.value)
+        if decoded.is_ok():
+            return decoded
+        self._unreadable.record(row, decoded.unwrap_err())
+        return unknown_origin("the row of the stream's version is not valid")
 
     async def read_absence(self) -> Result[None, Failure]:
         """Succeed if no stream has a record, so that all began at their bases."""
@@ -251,17 +260,6 @@
     return RowName(RECORD_TABLE, str(int(digest[:4], 16) % SHARDS), key)
 
 
-def decode_row(decoder: msgspec.msgpack.Decoder, row: StoredRow) -> Result:
-    """Return the value of a row, or a failure that refuses to take a stream up."""
-    decoded = decode(decoder, row.value)
-    if decoded.is_ok():
-        return decoded
-    reason = decoded.unwrap_err()
-    table, _, key = row.name
-    log.event("stream.row_not_valid", table=table, key=key, reason=reason)
-    return unknown_origin("the row of the stream's version is not valid")
-
-
 def unknown_origin(reason: str) -> Err[Failure]:
     """Return the failure of a stream whose origin cannot be known now."""
     return refused(ErrorKind.STORE_UNAVAILABLE, reason)
--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -21,7 +21,6 @@
 from plantainstack.services.stream_records import (
     StreamRecord,
     StreamRecords,
-    decode_row,
     refused,
     unknown_origin,
 )
@@ -284,7 +283,7 @@
     def _apply_base(self, row: StoredRow, read_at: float) -> None:
         if row.value is None:
             return
-        decoded = decode_row(_BASE, row)
+        decoded = self.records.decode_row(_BASE, row)
         if decoded.is_err():
             return
         known = KnownBase(decoded.unwrap(), read_at)
--- a/tests/services/test_unreadable_rows.py
+++ b/tests/services/test_unreadable_rows.py
@@ -11,10 +11,14 @@
 from plantainstack.interfaces import Priority
 from plantainstack.services import batch_store
 from plantainstack.services.batch_store import BatchStore
+from plantainstack.services.forwarding import ClientCall
+from plantainstack.services.stream_versions import BASE_TABLE
+from plantainstack.serving import RequestKind
 from standins.metadata_store import Rows
-from tests.policy.serving_samples import batch, endpoint
+from tests.policy.serving_samples import batch, endpoint, route
 from tests.services.store_fleet import (
     BATCH_ROUTE,
+    CONFIG,
     FakePlatform,
     MemoryStore,
     all_results,
@@ -108,3 +112,19 @@
         await anyio.sleep(1.5)
         assert kernel.unready_reason() is None
     assert platform.client.orders == []
+
+
+@pytest.mark.parametrize("odd", ODD_VALUES)
+async def test_base_of_a_route_that_cannot_be_read_is_logged_once(odd, logged):
+    """Guards against log lines with each check of the bases, and lost streams."""
+    platform = FakePlatform()
+    stream_route = route(RequestKind.STREAM, name="r-stream", prefix="/t/")
+    platform.config = CONFIG._replace(routes=(*CONFIG.routes, stream_route))
+    platform.rows.transact({}, {(BASE_TABLE, "", stream_route.name): odd})
+    async with running(platform, "a") as (kernel,):
+        await anyio.sleep(1.5)
+        deadline = kernel.clock.now() + 5.0
+        sent = ClientCall("r1", "POST", "/t/1", "desk.example", (), b"", deadline)
+        stream = kernel.plugin("forwarding").stream(sent, stream_route)
+        assert [part async for part in stream][-1].is_ok()
+    assert len(logged) == 1
