Bound the doublings of back-offs

What callers saw: each instance ended by itself after some minutes without the store, and so all of them at about the same time.

Cause: the back-off of a feed is min(maximum, minimum * 2**failures). From 1024 failures in a row on, that is after five to eight minutes, the power does not fit into a float. The OverflowError ended the feed and with it the process. The delay of reward calls had the same form.

Why it works: more than ten doublings exceed both maxima, so the exponent is bounded there.

--- a/plantainstack/policy/reward_calls.py
+++ b/plantainstack/policy/reward_calls.py
@@ -21,6 +21,8 @@
 # again after about the first one; the last one limits the load during an outage.
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 0.8
+# 2 to the power of 1024 is too large for a float.
+RETRY_DOUBLINGS_MAX = 10
 
 
 class GroupProgress:
@@ -93,7 +95,8 @@
         """Return the delay before the next attempt in seconds."""
         if not self._failures:
             return 0.0
-        return min(RETRY_MAX_S, RETRY_MIN_S * 2 ** (self._failures - 1))
+        doublings = min(self._failures - 1, RETRY_DOUBLINGS_MAX)
+        return min(RETRY_MAX_S, RETRY_MIN_S * 2**doublings)
 
     def preferred(self, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
         """Return the endpoints that have not failed this call, or all of them."""
--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -18,6 +18,8 @@
 POLL_WAIT_S = 0.6
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
+# 2 to the power of 1024 is too large for a float.
+RETRY_DOUBLINGS_MAX = 10
 
 # How many store versions before the newest one a read of recent rows begins. The first
 # value covers several seconds at some hundred transactions a second, and the store
@@ -158,7 +160,8 @@
         self.answered_at = now
 
     async def _back_off(self) -> None:
-        longest = min(RETRY_MAX_S, RETRY_MIN_S * 2**self._failures)
+        doublings = min(self._failures, RETRY_DOUBLINGS_MAX)
+        longest = min(RETRY_MAX_S, RETRY_MIN_S * 2**doublings)
         wait = random.uniform(RETRY_MIN_S, longest)
         await self._clock.sleep_until(self._clock.now() + wait)
 
--- a/tests/policy/test_reward_calls.py
+++ b/tests/policy/test_reward_calls.py
@@ -215,3 +215,11 @@
         assert max(ours.caller_seconds) <= 0.05
         assert max(baseline.caller_seconds) > 0.15
         assert ours.scored_at < baseline.scored_at + 0.5
+
+
+def test_delay_of_a_call_that_was_refused_for_long_is_a_number():
+    """Guards against an exception that ends the process after 1024 refusals."""
+    attempts = RewardAttempts()
+    for _ in range(2000):
+        attempts.record_refusal()
+    assert attempts.retry_delay_s() == reward_calls.RETRY_MAX_S
