Wait after a takeover whose batch could not be read

What callers saw: nothing by this alone; the store got a write and three reads six times a second for each batch that its owner could not read.

Cause: an owner whose reads failed after the takeover had no run, and a batch that this instance owns without a run counts as orphaned at once. Its own takeover came back with the feed and started the next one.

Why it works: the delay doubles from 0.4 s to 8 s. It soon exceeds the timeout of an owner, so an instance that can read the batch takes it over.

--- a/plantainstack/services/batch_cache.py
+++ b/plantainstack/services/batch_cache.py
@@ -22,6 +22,10 @@
         self.run: BatchRun | None = None
         # Whether a takeover or the removal of the batch is in progress.
         self.pending = False
+        # Takeovers in a row after which the batch could not be read, and the time
+        # before which there is no other one.
+        self.failed_resumes = 0
+        self.resume_at = 0.0
 
     def is_running(self) -> bool:
         """Return whether this instance runs the batch."""
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -44,6 +44,11 @@
 # slow store responds within 0.3 s.
 RELEASE_MARGIN_S = 1.5
 DRAIN_CHECK_S = 0.05
+# Delay after a takeover whose batch could not be read, doubled each time. Once it
+# exceeds the timeout of an owner, another instance tries.
+RESUME_RETRY_MIN_S = 0.4
+RESUME_RETRY_MAX_S = 8.0
+RESUME_DOUBLINGS_MAX = 10
 
 
 class Batches(Plugin):
@@ -374,12 +379,12 @@
             return False
         if entry.pending or batch_id in self._accepting:
             return False
-        if entry.is_running():
+        now = self.kernel.clock.now()
+        if entry.is_running() or now < entry.resume_at:
             return False
         if state.owner == self._instance_id and entry.run is None:
             # An earlier process of this instance owned the batch.
             return True
-        now = self.kernel.clock.now()
         return batch_scheduling.owner_lost(
             state.owner, entry.seen_at, self._healthy_since, now
         )
@@ -428,7 +433,9 @@
             if outcome.is_err():
                 reason = outcome.unwrap_err().message
                 log.event("batch.not_resumed", batch_id, reason=reason)
+                self._delay_resume(entry)
                 return
+        entry.failed_resumes = 0
         self._cache.add_results(entry, 0, listed.unwrap())
         route = batch_route(self._discovery.serving, loaded.unwrap())
         if route is None:
@@ -438,6 +445,12 @@
             entry, row, loaded.unwrap(), route, listed.unwrap(), partials.unwrap()
         )
 
+    def _delay_resume(self, entry: BatchEntry) -> None:
+        doublings = min(entry.failed_resumes, RESUME_DOUBLINGS_MAX)
+        delay_s = min(RESUME_RETRY_MAX_S, RESUME_RETRY_MIN_S * 2**doublings)
+        entry.failed_resumes += 1
+        entry.resume_at = self.kernel.clock.now() + delay_s
+
     async def _read_progress(
         self, entry: BatchEntry, row: StateRow, batch_id: str
     ) -> list[Result]:
--- a/tests/services/test_unreadable_rows.py
+++ b/tests/services/test_unreadable_rows.py
@@ -13,9 +13,9 @@
 from plantainstack.services.batch_store import BatchStore
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.services.stream_versions import BASE_TABLE
-from plantainstack.serving import RequestKind
+from plantainstack.serving import ItemResult, ItemState, RequestKind
 from standins.metadata_store import Rows
-from tests.policy.serving_samples import batch, endpoint, route
+from tests.policy.serving_samples import batch, endpoint, item, route
 from tests.services.store_fleet import (
     BATCH_ROUTE,
     CONFIG,
@@ -128,3 +128,19 @@
         stream = kernel.plugin("forwarding").stream(sent, stream_route)
         assert [part async for part in stream][-1].is_ok()
     assert len(logged) == 1
+
+
+async def test_batch_that_cannot_be_resumed_is_not_taken_over_again_at_once():
+    """Guards against writes and reads without pause because of one row."""
+    platform = FakePlatform()
+    store = BatchStore(MemoryStore(platform.rows, SystemClock()), SystemClock())
+    row, _ = (await store.accept(batch(item("i1"), item("i2")), "r-batch", "")).unwrap()
+    listed = [ItemResult("i1", ItemState.COMPLETED, "text", (1,))]
+    await store.append(batch().id, row, listed)
+    odd = (batch_store.RESULT_TABLE, batch().id, "00000000")
+    platform.rows.transact({}, {odd: b"\xc1"})
+    async with running(platform, "a"):
+        await anyio.sleep(4.0)
+        state = (await store.state(batch().id)).unwrap().state
+    assert state.owner == "a"
+    assert state.term <= 5
