--- a/tests/services/test_item_texts.py
+++ b/tests/services/test_item_texts.py
@@ -346,7 +346,7 @@
     ((name, value),) = batch_store._partial_rows("b1", [("i0", piece)])
     assert len(name.key) <= 200
     assert platform.rows.transact({}, {tuple(name): value}, [])
-    found = (await store.partials("b1")).unwrap()
+    found = (await store.partials("b1", 0)).unwrap()
     assert found["i0"] == piece._replace(software=software if known else None)
 
 
