Read the event id of a take-up by the shared parser

The bound is that of all event ids now (2^53 in place of 18 digits); an id above it is answered with 400 as before.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -20,8 +20,6 @@
 # Longest time for which a request for results may wait; the platform specifies 1 s.
 WAIT_MAX_S = 1.5
 RESULTS_MAX_BYTES = 900_000
-# Longest event id that a client may name.
-EVENT_ID_DIGITS = 18
 # Keys of the rows of results have eight digits.
 POSITION_MAX = 99_999_999
 # Statuses that tell the client that the request was not and will not be executed.
@@ -257,9 +255,9 @@
         text = names.header(self._headers, names.LAST_EVENT_ID)
         if text is None:
             return None
-        readable = text.isascii() and text.isdigit() and len(text) <= EVENT_ID_DIGITS
+        after = parse_decimal(text, records.INTEGER_MAX)
         stream_id = names.header(self._headers, names.RESUMES) or ""
-        return TakeUp(int(text) if readable else None, stream_id)
+        return TakeUp(after, stream_id)
 
     def _log_refusal(self, failure: Failure) -> None:
         log.event(
