Resume no stream of an endpoint that restarted with other software

What callers saw: one answer, or an answer and its take-up, joined from two software versions.

Cause: the version of a stream is that of the registration under which its endpoint was chosen. An endpoint that restarted under its id with other software is still known by its old registration for as long as the feed lags.

Why it works: where the stream breaks off, the registration is compared with that of the choice. If the software differs and the restart does not come after the first event, the stream ends, and a last record with an unknown origin lets no instance take it up. Streams that began before the restart go on elsewhere. What remains: a break before the new registration is read.

--- a/plantainstack/policy/stream_versions.py
+++ b/plantainstack/policy/stream_versions.py
@@ -33,6 +33,10 @@
     software: str
 
 
+# Origin of a stream whose endpoint had other software than its registration said.
+UNKNOWN_ORIGIN = Origin("", "")
+
+
 class BaseOrigin(NamedTuple):
     """Hold the origin of a route's streams that have no record.
 
--- a/plantainstack/services/stream_records.py
+++ b/plantainstack/services/stream_records.py
@@ -21,6 +21,8 @@
 RECORD_TABLE = "stream_records"
 # Partitions of the records, since the store carries out the writes of one in turn.
 SHARDS = 4
+# Highest number of a record; numbers are compared as text of three digits.
+NUMBER_MAX = 999
 # Rows of one transaction; the store takes up to 100.
 GROUP_MAX = 80
 # Pause between two writes of a shard, longer while the store refuses writes.
@@ -105,6 +107,12 @@
             self._tasks.start_soon(self._write_records, part)
         return record
 
+    def write_last(self, request_id: str, origin: Origin) -> StreamRecord:
+        """Start to store a record that counts whatever others the stream has."""
+        record = self.write(request_id, origin, None)
+        record.number = NUMBER_MAX
+        return record
+
     async def is_stored(self, record: StreamRecord, deadline: float) -> bool:
         """Wait for a record; after False, it is not written any more."""
         wait_s = min(record.until, deadline) - self._clock.now()
--- a/plantainstack/services/stream_runs.py
+++ b/plantainstack/services/stream_runs.py
@@ -37,6 +37,9 @@
         # The last record of the stream, and that of the running attempt if it has one.
         self._record: StreamRecord | None = None
         self._awaited: StreamRecord | None = None
+        # Endpoints that brought the events which the client has received, with the
+        # wall-clock time of the first event of each.
+        self._sources: list[tuple[Endpoint, float]] = []
         self._head_sent = False
 
     async def parts(self) -> AsyncIterator[Result[StreamHead | bytes, Failure]]:
@@ -69,8 +72,18 @@
                 software=self._origin.software,
                 after=self._last_event,
             )
+        if self._is_in_doubt():
+            await self._versions.disown(self._stream_id(), self._call.deadline)
         yield Err(self._failure())
 
+    def _stream_id(self) -> str:
+        take_up = self._call.take_up
+        return take_up.stream_id if take_up else self._call.request_id
+
+    def _is_in_doubt(self) -> bool:
+        """Return whether events may come from other software than recorded."""
+        return any(self._versions.is_in_doubt(*source) for source in self._sources)
+
     async def _find_start(self) -> Failure | None:
         """Find out where to go on, and at which origin; return why not."""
         take_up = self._call.take_up
@@ -101,7 +114,8 @@
     def _fits(self, endpoint: Endpoint) -> bool:
         origin = _origin(endpoint)
         if self._origin is not None:
-            return self._last_event is not None and origin == self._origin
+            fits = self._last_event is not None and origin == self._origin
+            return fits and not self._is_in_doubt()
         if not self._route.resumable:
             return True
         return self._versions.may_begin(self._route, origin, self._record)
@@ -129,6 +143,8 @@
             self._origin = _origin(endpoint)
             if self._route.resumable:
                 self._versions.remember(self._call.request_id, self._origin)
+        if self._route.resumable:
+            self._sources.append((endpoint, self._clock.wall()))
         self._log_source(endpoint)
         return True
 
--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -13,6 +13,7 @@
 from plantainstack.plugins import Plugin
 from plantainstack.policy import route_table, stream_versions
 from plantainstack.policy.stream_versions import (
+    UNKNOWN_ORIGIN,
     BaseOrigin,
     KnownBase,
     Origin,
@@ -25,6 +26,7 @@
     unknown_origin,
 )
 from plantainstack.serving import (
+    Endpoint,
     RequestKind,
     Route,
     RowName,
@@ -41,6 +43,8 @@
 # Timeout of one read of the bases, for which others wait. A working store responds
 # within 0.3 s.
 BASE_READ_TIMEOUT_S = 0.7
+# Largest difference that is expected between the clocks of two machines.
+CLOCK_SKEW_S = 1.0
 TICK_S = 0.5
 REFRESH_S = 30.0
 # Interval while no stream begins. An instance that loses the store needs a base that
@@ -146,6 +150,24 @@
             if len(self._streams) > STREAMS_MAX:
                 self._streams.popitem(last=False)
 
+    def is_in_doubt(self, endpoint: Endpoint, first_event_at: float) -> bool:
+        """Return whether events may come from other software than an endpoint had.
+
+        A restarted endpoint may keep its id, and its registration is read late.
+        `first_event_at` is the wall-clock time of the first of the events.
+        """
+        known = self._discovery.view.known.get(endpoint.id)
+        if known is None or known.software == endpoint.software:
+            return False
+        return known.started_ms / 1000 <= first_event_at + CLOCK_SKEW_S
+
+    async def disown(self, stream_id: str, deadline: float) -> None:
+        """Let nobody take up a stream of which the origin is in doubt."""
+        self.remember(stream_id, UNKNOWN_ORIGIN)
+        record = self.records.write_last(stream_id, UNKNOWN_ORIGIN)
+        stored = await self.records.is_stored(record, deadline)
+        log.event("stream.disowned", stream=stream_id[:200], stored=stored)
+
     async def find_origin(
         self, route: Route, take_up: TakeUp, request_id: str, deadline: float
     ) -> Result[Origin, Failure]:
@@ -160,6 +182,8 @@
             with anyio.move_on_after(max(0.0, wait_s)):
                 found = await self._look_up(route, take_up.stream_id)
         services = route_table.services(route)
+        if found.is_ok() and found.unwrap()[0] == UNKNOWN_ORIGIN:
+            found = unknown_origin("its endpoint restarted with other software")
         if found.is_ok() and found.unwrap()[0].service not in services:
             origin, _source = found.unwrap()
             found = unknown_origin(
--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -485,3 +485,65 @@
     assert [after for _, _, after in opened(platform)] == [None, None]
     assert platform.rows.parts(BASE_TABLE) == []
     assert platform.rows.parts(RECORD_TABLE) == []
+
+
+async def test_text_of_an_endpoint_that_restarted_with_other_software_is_not_joined():
+    """Guards against a resumption by a registration that was read too late."""
+    platform = platform_with(e1="V", e2="V", e3="W")
+    ids = [f"r{number}" for number in range(12)]
+    gate = anyio.Event()
+    platform.client.blocked_events = {(id, 3): gate for id in ids}
+    platform.client.failing_events = [(id, 3) for id in ids]
+
+    async def take_up_all(kernel, first):
+        for id, end in first.items():
+            parts = await resume(kernel, f"{kernel.settings.instance.id}-{id}", id)
+            assert parts[-1].is_err() == (end == "e1")
+
+    async with settled(platform, "a") as (kernel,):
+        platform.endpoints_released = anyio.Event()
+        await anyio.sleep(SETTLED_S)
+        restarted = endpoint("e1", software="W", started_ms=2)
+        platform.endpoints["e1"] = restarted
+        async with anyio.create_task_group() as tasks:
+            for id in ids:
+                tasks.start_soon(read, kernel, call(kernel, id, seconds=30.0))
+            await anyio.sleep(SETTLED_S)
+            platform.endpoints_released.set()
+            await anyio.sleep(SETTLED_S)
+            gate.set()
+        first = {id: end for id, end, after in platform.client.opened_streams[:12]}
+        platform.software["e1"] = "W"
+        versions = {id: set() for id in ids}
+        for id, software, _ in opened(platform):
+            versions[id].add(software)
+        await take_up_all(kernel, first)
+    async with settled(platform, "b") as (kernel,):
+        await take_up_all(kernel, first)
+    assert "e1" in first.values()
+    assert [id for id, found in versions.items() if len(found) > 1] == []
+
+
+async def test_stream_goes_on_after_its_endpoint_was_upgraded_in_place():
+    """Guards against refusing streams that began before the restart."""
+    platform = platform_with(e1="V")
+    gate = anyio.Event()
+    platform.client.blocked_events = {("r1", 3): gate}
+    platform.client.failing_events = [("r1", 3)]
+    parts = []
+    async with settled(platform, "a") as (kernel,):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read_into, parts, kernel, call(kernel, seconds=30.0))
+            await anyio.sleep(3.0)
+            born_ms = int(kernel.clock.wall() * 1000)
+            set_versions(platform, e1="W", e2="V")
+            upgraded = endpoint("e1", software="W", started_ms=born_ms)
+            platform.endpoints["e1"] = upgraded
+            await anyio.sleep(SETTLED_S)
+            gate.set()
+        assert parts[-1].is_ok()
+        assert [end for _, end, _ in platform.client.opened_streams] == ["e1", "e2"]
+
+
+async def read_into(parts, kernel, sent):
+    parts += await read(kernel, sent)
