--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -314,6 +314,9 @@
         self.rig.store.write("servers", self.id, entry)
 
     async def beat(self):
+        """Register at once, and write the entry again at each heartbeat."""
+        self.register()
+        await asyncio.sleep(random.uniform(0.0, BEAT_S))
         while True:
             self.register()
             await asyncio.sleep(BEAT_S)
