Measure no pace from events that were read together

Cause: the time to a stream's first event is left out of its pace. When the process stands still until several first events have arrived, only the gaps between them count, a few microseconds each. The average was rounded to 0.0, stored with the batch's state, taken over by every other instance that had not used the endpoint lately, and divided by.

Events that are read together now share the time since those before them, and first events that come together give no sample. The balancer holds latencies between 0.0001 s and 600 s only: numbers of other instances out of these bounds are refused and logged.

--- a/plantainstack/policy/load_balancing.py
+++ b/plantainstack/policy/load_balancing.py
@@ -32,6 +32,9 @@
 LOAD_SLOWDOWN = 0.05
 # Slow endpoints stay slow for about 5 s; an older latency is discarded.
 LATENCY_AGE_MAX_S = 5.0
+# Bounds of a latency, by which others are divided.
+LATENCY_MIN_S = 0.0001
+LATENCY_MAX_S = 600.0
 
 
 class _EndpointState:
@@ -143,6 +146,7 @@
 
         This also ends the avoidance of the endpoint.
         """
+        seconds = min(LATENCY_MAX_S, max(LATENCY_MIN_S, seconds))
         state = self._state(endpoint)
         before = self.latency(endpoint, now)
         if before is None:
@@ -170,12 +174,18 @@
 
     def record_remote_latency(
         self, endpoint: Endpoint, seconds: float, now: float
-    ) -> None:
-        """Record a latency reported by another instance, unless one is known here."""
+    ) -> bool:
+        """Record a latency reported by another instance, unless one is known here.
+
+        Returns False if it is out of bounds, and so not taken.
+        """
+        if not LATENCY_MIN_S <= seconds <= LATENCY_MAX_S:
+            return False
         if self.latency(endpoint, now) is None:
             state = self._state(endpoint)
             state.average_latency_s = seconds
             state.latency_at = now
+        return True
 
     def choose_fastest(
         self, endpoints: Sequence[Endpoint], now: float, load_max: float
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -293,12 +293,12 @@
 
     def _record_event(self, attempt: Attempt) -> None:
         now = self._clock.now()
-        if attempt.last_event_at is not None:
-            # The time to the first event is left out: it includes queueing and prefill.
-            gap = now - attempt.last_event_at
-            balancer = self._discovery.balancer
-            balancer.record_latency(attempt.endpoint, gap, now, EVENT_WEIGHT)
         attempt.last_event_at = now
+        sample = attempt.pace.record(now)
+        if sample is not None:
+            weight = 1.0 - (1.0 - EVENT_WEIGHT) ** sample.events
+            balancer = self._discovery.balancer
+            balancer.record_latency(attempt.endpoint, sample.seconds, now, weight)
 
     def _latencies(self) -> dict[str, float]:
         """Return the latencies in seconds per event of the endpoints in use."""
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -170,8 +170,10 @@
         now = self.kernel.clock.now()
         for id, seconds in latencies.items():
             endpoint = self.view.known.get(id)
-            if endpoint is not None:
-                self.balancer.record_remote_latency(endpoint, seconds, now)
+            if endpoint is None:
+                continue
+            if not self.balancer.record_remote_latency(endpoint, seconds, now):
+                log.event("endpoint.latency_refused", endpoint=id, seconds=seconds)
 
     def _apply_operator_changes(
         self, found: OperatorChanges, is_snapshot: bool
--- a/plantainstack/services/item_migration.py
+++ b/plantainstack/services/item_migration.py
@@ -7,6 +7,7 @@
 from plantainstack import log
 from plantainstack.interfaces import Priority
 from plantainstack.policy import software_versions
+from plantainstack.policy.event_pace import EventPace
 from plantainstack.policy.item_runs import ItemRun
 from plantainstack.policy.software_versions import SoftwareVersion, software_of
 from plantainstack.policy.stream_migration import (
@@ -36,6 +37,7 @@
         self.scope = anyio.CancelScope()
         self.started_at = now
         self.last_event_at: float | None = None
+        self.pace = EventPace()
         self.begins_anew = False
 
     def silent_s(self, now: float) -> float:
--- a/tests/policy/test_load_balancing.py
+++ b/tests/policy/test_load_balancing.py
@@ -1,5 +1,9 @@
 """Tests of the load balancer on a few simulated endpoints."""
 
+import math
+
+import pytest
+
 from plantainstack.policy.load_balancing import FAILURE_AVOIDANCE_S, LoadBalancer
 from plantainstack.serving import EndpointLoadReport
 from tests.policy.serving_samples import endpoint
@@ -163,3 +167,24 @@
         balancer.request_started(chosen)
         seconds.append(length * balancer.latency(chosen, 0.0))
     assert max(seconds) == 132 * 0.05
+
+
+@pytest.mark.parametrize("seconds", [0.0, -0.1, 1e-9, math.nan, math.inf, 1e300])
+def test_latency_of_another_instance_that_is_out_of_bounds_is_not_taken(seconds):
+    """Guards against a shared latency by which nothing can be divided."""
+    balancer = make_balancer()
+    assert not balancer.record_remote_latency(A, seconds, 0.0)
+    assert balancer.latency(A, 0.0) is None
+    assert balancer.record_remote_latency(A, 0.05, 0.0)
+    assert balancer.latency(A, 0.0) == 0.05
+
+
+@pytest.mark.parametrize("seconds", [0.0, 1e-9, math.inf])
+def test_measured_latency_is_always_usable_as_a_divisor(seconds):
+    """Guards against a latency of zero from two events that came at once."""
+    balancer = make_balancer()
+    balancer.record_latency(A, seconds, 0.0)
+    for _ in range(500):
+        balancer.record_latency(A, 0.0, 0.0)
+    assert 0.0 < balancer.latency(A, 0.0) < math.inf
+    assert balancer.record_remote_latency(B, round(balancer.latency(A, 0.0), 4), 0.0)
