Give every answer that its deadline cuts off an outcome

Cause: the endpoint client opened answers under a cancel scope with the deadline of the call, and yielded inside it. When the deadline passed while the body was read, the scope swallowed the cancellation and the context manager ended as if the caller's block had: `call` returned None, `report` and `order` raised AttributeError, streams ended without a failure, and a stream whose client did not read was cancelled in the wrong task.

Reads and writes of a connection are now limited by the deadline of its exchange, so that a late body fails like any other. The scope covers the time until the head only. A client's stream has a scope of its own in the task that serves it, and closes its generators there. An attempt that is ended by the deadline is not repeated, and its endpoint not avoided.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -102,13 +102,15 @@
     def __init__(self, stream: httpcore.AsyncNetworkStream):
         self._stream = stream
         self._exchange: Exchange | None = None
+        self._written = False
         self._awaiting_head = False
         self._head_bytes = 0
         self._head_reads = 0
 
     def arm(self, exchange: Exchange) -> None:
-        """Set the exchange that is checked before the next write."""
+        """Set the exchange whose deadline limits all reads and writes."""
         self._exchange = exchange
+        self._written = False
         self._awaiting_head = True
         self._head_bytes = self._head_reads = 0
 
@@ -118,14 +120,14 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write bytes; check the deadline before the first bytes of an exchange."""
-        if buffer and self._exchange is not None:
+        if buffer and self._exchange is not None and not self._written:
             self._exchange.before_first_byte()
-            self._exchange = None
-        await self._stream.write(buffer, timeout)
+            self._written = True
+        await self._stream.write(buffer, self._limited(timeout))
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read bytes; raise AnswerTooLarge if the head does not end in time."""
-        data = await self._stream.read(max_bytes, timeout)
+        data = await self._stream.read(max_bytes, self._limited(timeout))
         if self._awaiting_head:
             self._head_bytes += len(data)
             self._head_reads += 1
@@ -142,6 +144,13 @@
         """Return information about the underlying stream."""
         return self._stream.get_extra_info(info)
 
+    def _limited(self, timeout: float | None) -> float | None:
+        """Return a time-out that ends no later than the deadline of the exchange."""
+        if self._exchange is None:
+            return timeout
+        remaining = max(0.0, self._exchange.remaining())
+        return remaining if timeout is None else min(timeout, remaining)
+
 
 class Connection(NamedTuple):
     """A connection and its network stream."""
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -1,6 +1,7 @@
 """HTTP interface for the platform's clients and trainers."""
 
 import math
+from contextlib import aclosing
 from http import HTTPStatus
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
@@ -20,6 +21,8 @@
 # Longest time for which a request for results may wait; the platform specifies 1 s.
 WAIT_MAX_S = 1.5
 RESULTS_MAX_BYTES = 900_000
+# Time after the deadline of a stream for which its last bytes may still be sent.
+SEND_GRACE_S = 0.25
 # Keys of the rows of results have eight digits.
 POSITION_MAX = 99_999_999
 # Statuses that tell the client that the request was not and will not be executed.
@@ -155,8 +158,19 @@
         await self._respond(_Response(answer.status, answer.headers, answer.body))
 
     async def _stream(self, route: Route) -> None:
+        call = self._client_call(route)
+        remaining = max(0.0, call.deadline - self._kernel.clock.now())
+        parts = self._forwarding.stream(call, route)
+        async with aclosing(parts):
+            # Forwarding keeps to the deadline, but a client may stop reading.
+            with anyio.move_on_after(remaining + SEND_GRACE_S) as scope:
+                await self._send_parts(parts)
+        if scope.cancelled_caught:
+            raise StreamAborted("the deadline passed while the client did not read")
+
+    async def _send_parts(self, parts) -> None:
         started = False
-        async for outcome in self._forwarding.stream(self._client_call(route), route):
+        async for outcome in parts:
             if outcome.is_err():
                 if started:
                     raise StreamAborted(outcome.unwrap_err().message)
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -205,38 +205,46 @@
             _connection_key(endpoint),
             ConnectionPool(endpoint.address, self._backend, IDLE_LIMIT_S),
         )
-        opened = False
+        request = self._outgoing_request(endpoint, call, exchange)
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                # The body is read by the caller. A cancel scope must not be open
+                # then: it would end the caller's block without a result.
+                with anyio.fail_after(remaining):
+                    response = await self._receive_head(
+                        stack, pool, request, exchange, timeouts, call.reuse_connection
+                    )
+            except _TRANSPORT_ERRORS as exc:
+                if isinstance(exc, TimeoutError | httpcore.TimeoutException):
+                    await pool.close_idle()
+                yield Err(exchange.failure_from_exception(exc, answering=False))
+                return
+            if _says_leaving(response, call):
+                for listener in self._leaving_listeners:
+                    listener(endpoint)
+            yield Ok((response, exchange))
+
+    @staticmethod
+    async def _receive_head(
+        stack: contextlib.AsyncExitStack,
+        pool: ConnectionPool,
+        request: OutgoingRequest,
+        exchange: Exchange,
+        timeouts: Timeouts,
+        reuse: bool,
+    ) -> httpcore.Response:
+        """Send a request and return the response, whose body is yet to be read."""
+        first = pool.exchange(request, exchange, timeouts, not reuse)
         try:
-            with anyio.CancelScope(deadline=anyio.current_time() + remaining):
-                async with contextlib.AsyncExitStack() as stack:
-                    request = self._outgoing_request(endpoint, call, exchange)
-                    fresh = not call.reuse_connection
-                    first = pool.exchange(request, exchange, timeouts, fresh)
-                    try:
-                        response = await stack.enter_async_context(first)
-                    except _CONNECTION_LOST_ERRORS:
-                        if not exchange.reused:
-                            raise
-                        # The server may have closed the idle connection, which is no
-                        # failure of the server: retry on a new one.
-                        await pool.close_idle()
-                        again = pool.exchange(request, exchange, timeouts, True)
-                        response = await stack.enter_async_context(again)
-                    opened = True
-                    if _says_leaving(response, call):
-                        for listener in self._leaving_listeners:
-                            listener(endpoint)
-                    yield Ok((response, exchange))
-        except _TRANSPORT_ERRORS as exc:
-            if opened:
+            return await stack.enter_async_context(first)
+        except _CONNECTION_LOST_ERRORS:
+            if not exchange.reused:
                 raise
-            if isinstance(exc, httpcore.TimeoutException):
-                await pool.close_idle()
-            yield Err(exchange.failure_from_exception(exc, answering=False))
-            return
-        if not opened:
-            await pool.close_idle()
-            yield Err(exchange.failure_from_exception(TimeoutError(), answering=False))
+        # The server may have closed the idle connection, which is no failure of the
+        # server: retry on a new one.
+        await pool.close_idle()
+        again = pool.exchange(request, exchange, timeouts, True)
+        return await stack.enter_async_context(again)
 
     def _outgoing_request(
         self, endpoint: Endpoint, call: EndpointCall, exchange: Exchange
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from typing import NamedTuple
 
 import anyio
@@ -114,12 +115,13 @@
             )
         run = StreamRun(self, call, route)
         try:
-            async for part in run.parts():
-                if part.is_err():
-                    await run.settle()
-                yield part
-                if part.is_err():
-                    break
+            async with aclosing(run.parts()) as parts:
+                async for part in parts:
+                    if part.is_err():
+                        await run.settle()
+                    yield part
+                    if part.is_err():
+                        break
         finally:
             await run.settle()
         self._record_end(call, route, run, part, started)
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -46,6 +46,8 @@
         )
 
     async def _next_endpoint(self) -> Endpoint | None:
+        if self._deadline_passed():
+            return None
         counts = AttemptCounts(len(self.tried), self.ran, self.running)
         if not forwarding.may_start_attempt(self._route, counts):
             return None
@@ -139,7 +141,8 @@
         self.failures.append(failure)
         if failure.outcome is Outcome.NOT_RUN:
             self.ran -= 1
-        self._balancer.record_failure(endpoint, self._clock.now())
+        if not self._deadline_passed():
+            self._balancer.record_failure(endpoint, self._clock.now())
         if quarantine.is_loss(failure):
             self._lost.append(endpoint)
             self._plugin.losses.record(self.digest, self._call.request_id, endpoint)
@@ -153,6 +156,10 @@
             reason=failure.message,
         )
 
+    def _deadline_passed(self) -> bool:
+        """Return whether the deadline ended an attempt, which is no one's failure."""
+        return self._clock.now() >= self._call.deadline
+
     def _handle_refusal(self, endpoint: Endpoint, status: int) -> None:
         self.ran -= 1
         self._balancer.record_refusal(endpoint, self._clock.now())
--- a/plantainstack/services/stream_runs.py
+++ b/plantainstack/services/stream_runs.py
@@ -1,6 +1,7 @@
 """Attempts of one stream at endpoints."""
 
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
@@ -58,10 +59,11 @@
                 call = self._endpoint_call(self._last_event)
                 async with self._plugin.endpoints.stream(endpoint, call) as opened:
                     self._record_rate_limit(endpoint, opened, started)
-                    async for part in self._attempt_parts(endpoint, opened):
-                        if part is None:
-                            return
-                        yield Ok(part)
+                    async with aclosing(self._attempt_parts(endpoint, opened)) as parts:
+                        async for part in parts:
+                            if part is None:
+                                return
+                            yield Ok(part)
             finally:
                 self._balancer.request_ended(endpoint)
         if self._origin is not None:
@@ -174,31 +176,35 @@
             yield answer.body
             yield None
             return
-        async for part in self._stream_events(endpoint, stream):
-            yield part
+        async with aclosing(self._stream_events(endpoint, stream)) as parts:
+            async for part in parts:
+                yield part
 
     async def _stream_events(self, endpoint: Endpoint, stream: OpenStream):
         if not self._head_sent:
             self._head_sent = True
             yield stream.head
         first = True
-        async for outcome in stream.events():
-            if outcome.is_err():
-                self._handle_failure(endpoint, outcome.unwrap_err())
-                return
-            event = outcome.unwrap()
-            if event.id is None or self._last_event not in (None, event.id - 1):
-                message = f"received event {event.id} after event {self._last_event}"
-                self._handle_failure(
-                    endpoint, Failure.of(ErrorKind.ANSWER_CROSSED, message)
-                )
-                return
-            if first:
-                first = False
-                if not await self._may_pass_on(endpoint):
+        async with aclosing(stream.events()) as outcomes:
+            async for outcome in outcomes:
+                if outcome.is_err():
+                    self._handle_failure(endpoint, outcome.unwrap_err())
+                    return
+                event = outcome.unwrap()
+                if event.id is None or self._last_event not in (None, event.id - 1):
+                    message = (
+                        f"received event {event.id} after event {self._last_event}"
+                    )
+                    self._handle_failure(
+                        endpoint, Failure.of(ErrorKind.ANSWER_CROSSED, message)
+                    )
                     return
-            self._last_event = event.id
-            yield event.raw
+                if first:
+                    first = False
+                    if not await self._may_pass_on(endpoint):
+                        return
+                self._last_event = event.id
+                yield event.raw
         self.answered = True
         yield None
 
