Refuse requests that cannot end before a stopping instance is killed

Cause: an instance that stops runs its batches on until 1.5 s before SIGKILL. Until then it kept idle connections open and took whatever came on them, without a look at the time that was left.

Once no new connections come, a request is taken only if its deadline passes before the end, and is refused as not run otherwise. Idle connections are closed at that time.

--- a/plantainstack/front/gateway.py
+++ b/plantainstack/front/gateway.py
@@ -3,6 +3,7 @@
 from plantainstack.front.server import FrontServer
 from plantainstack.platform.ingress import Ingress, Probes
 from plantainstack.plugins import Plugin
+from plantainstack.policy.draining import StopTimes
 
 # The platform polls readiness once a second and stops sending connections after
 # two failures; new connections may arrive until then.
@@ -31,15 +32,26 @@
         for server in self._servers:
             tasks.start_soon(server.run_until_closed)
 
+    def on_drain(self) -> None:
+        """Take only requests that can be answered before SIGKILL."""
+        now = self.kernel.clock.now()
+        grace = self.kernel.settings.bounds.grace
+        self.ingress.stop_times = StopTimes(
+            now + DRAIN_NOTICE_S, now + grace - KILL_MARGIN_S
+        )
+
     async def drain(self, deadline: float) -> None:
         """Wait until the platform sends no new requests and all requests have finished.
 
         The wait ends KILL_MARGIN_S before SIGKILL, even if requests are still running.
         """
         clock = self.kernel.clock
-        now = clock.now()
-        end = min(deadline, now + self.kernel.settings.bounds.grace - KILL_MARGIN_S)
-        await clock.sleep_until(min(end, now + DRAIN_NOTICE_S))
+        times = self.ingress.stop_times
+        end = min(deadline, times.answers_until)
+        await clock.sleep_until(min(end, times.noticed_at))
+        # Batches may go on for seconds. Clients of idle connections go elsewhere, in
+        # place of requests that would be refused here.
+        self._servers[0].close_idle_connections()
         while self.ingress.open_requests and clock.now() < end:
             await clock.sleep_until(clock.now() + 0.05)
 
--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -75,7 +75,10 @@
 
 
 class ClientLimitsProtocol(FrontProtocol):
-    """Close connections of clients that are slow or idle for too long."""
+    """Close connections of clients that are slow or idle for too long, or on request.
+
+    While the instance drains, the application closes connections by its answers.
+    """
 
     def __init__(self, config, *args, **kwargs):
         super().__init__(config, *args, **kwargs)
@@ -93,8 +96,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data; limit the time until a request head is complete."""
         super().data_received(data)
-        partial = self.conn.their_state is h11.IDLE and self.conn.trailing_data[0]
-        if not partial:
+        if not self._has_partial_head():
             self._stop_header_timer()
         elif self._header_timer is None:
             self._header_timer = self.loop.call_later(
@@ -106,6 +108,14 @@
         self._stop_header_timer()
         super().connection_lost(exc)
 
+    def close_when_idle(self) -> None:
+        """Close the connection, after the answer if a request is being received."""
+        if not self._has_partial_head():
+            self.shutdown()
+
+    def _has_partial_head(self) -> bool:
+        return self.conn.their_state is h11.IDLE and bool(self.conn.trailing_data[0])
+
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
@@ -173,6 +183,11 @@
         await self.on_tick(0)
         await self._close_requested.wait()
 
+    def close_idle_connections(self) -> None:
+        """Close connections without a request, and the others after their answers."""
+        for conn in list(self.server_state.connections):
+            conn.close_when_idle()
+
     async def close(self) -> None:
         """Stop listening and wait until running requests have finished."""
         self.should_exit = True
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -14,7 +14,11 @@
 from plantainstack.decoding import parse_decimal
 from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
 from plantainstack.platform import names, records
+from plantainstack.policy import draining
+from plantainstack.policy.draining import StopTimes
 from plantainstack.policy.forwarding import RETRY_AFTER_S
+from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
+from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import RequestKind, Route, TakeUp
 
@@ -53,6 +57,7 @@
         self._batches = kernel.plugin("batches")
         self._discovery = kernel.plugin("discovery")
         self.open_requests = 0
+        self.stop_times: StopTimes | None = None
 
     async def __call__(self, scope, receive, send) -> None:
         """Handle one request, and cancel it when the client disconnects."""
@@ -103,6 +108,7 @@
     """Handle one request whose body has been read."""
 
     def __init__(self, ingress: Ingress, scope, body, arrived_at: float, send):
+        self._ingress = ingress
         self._kernel = ingress._kernel
         self._forwarding = ingress._forwarding
         self._batches = ingress._batches
@@ -129,10 +135,16 @@
             return
         method = self._scope["method"]
         if self._path.startswith(names.LOTS_PATH) and method in ("GET", "DELETE"):
-            await self._respond(await self._batch_resource(method))
+            await self._respond(
+                self._refusal_by_stop(self._resource_deadline(method))
+                or await self._batch_resource(method)
+            )
             return
         if self._path.startswith(names.ITEMS_PATH) and method == "GET":
-            await self._respond(await self._item_body())
+            await self._respond(
+                self._refusal_by_stop(self._resource_deadline(method))
+                or await self._item_body()
+            )
             return
         found = self._forwarding.route(self._host, self._path)
         if found.is_err():
@@ -141,8 +153,35 @@
             return
         await self._forward(found.unwrap())
 
-    async def _forward(self, route: Route) -> None:
+    def _refusal_by_stop(self, answer_by: float) -> _Response | None:
+        """Refuse a request that may still run when the instance has to end."""
+        times = self._ingress.stop_times
+        now = self._kernel.clock.now()
+        if times is None or draining.may_take(times, answer_by, now):
+            return None
+        message = "the instance is stopping and may not answer in time"
+        failure = Failure.of(ErrorKind.DRAINING, message)
+        self._log_refusal(failure)
+        return _failure_response(failure)
+
+    def _resource_deadline(self, method: str) -> float:
+        """Return the time by which a request for a batch is answered."""
+        longest_s = self._wait_s() + STATE_READ_TIMEOUT_S
+        if method == "DELETE":
+            longest_s = UNKNOWN_WRITE_TIMEOUT_S
+        return self._kernel.clock.now() + longest_s
+
+    def _route_deadline(self, route: Route) -> float:
+        """Return the time by which a request on a route is answered."""
         if route.kind is RequestKind.BATCH:
+            return self._kernel.clock.now() + UNKNOWN_WRITE_TIMEOUT_S
+        return self._deadline(route)
+
+    async def _forward(self, route: Route) -> None:
+        refusal = self._refusal_by_stop(self._route_deadline(route))
+        if refusal is not None:
+            await self._respond(refusal)
+        elif route.kind is RequestKind.BATCH:
             await self._respond(await self._submit(route))
         elif route.kind is RequestKind.STREAM:
             await self._stream(route)
@@ -211,11 +250,7 @@
         if after is None:
             message = "the position is not a number"
             return _failure_response(Failure.of(ErrorKind.BAD_REQUEST, message))
-        wait_ms = names.header(self._headers, names.WAIT_MS)
-        wait_s = min(
-            WAIT_MAX_S, (parse_decimal(wait_ms, records.INTEGER_MAX) or 0) / 1000
-        )
-        found = await self._batches.results(batch_id, after, wait_s)
+        found = await self._batches.results(batch_id, after, self._wait_s())
         if found.is_err():
             return _failure_response(found.unwrap_err())
         page = found.unwrap()
@@ -239,16 +274,25 @@
         headers = [("Content-Type", "application/octet-stream")]
         return _Response(HTTPStatus.OK, headers, found.unwrap())
 
+    def _wait_s(self) -> float:
+        wait_ms = names.header(self._headers, names.WAIT_MS)
+        return min(
+            WAIT_MAX_S, (parse_decimal(wait_ms, records.INTEGER_MAX) or 0) / 1000
+        )
+
     def _query_number(self, name: str) -> int | None:
         text = parse_qs(self._query).get(name, ["0"])[0]
         return parse_decimal(text, POSITION_MAX)
 
-    def _client_call(self, route: Route) -> ClientCall:
+    def _deadline(self, route: Route) -> float:
         text = names.header(self._headers, names.DEADLINE_MS)
         deadline_ms = parse_decimal(text, records.INTEGER_MAX)
         seconds = route.timeout_s
         if deadline_ms is not None:
             seconds = min(seconds, deadline_ms / 1000)
+        return self._arrived_at + seconds
+
+    def _client_call(self, route: Route) -> ClientCall:
         kept = tuple(
             (name, value)
             for name, value in self._headers
@@ -261,7 +305,7 @@
             self._host,
             kept,
             self._body,
-            self._arrived_at + seconds,
+            self._deadline(route),
             self._take_up(),
         )
 
