Let an exception end only the task that raised it

Cause: the kernel ran the tasks of all plug-ins in one task group, which ends all of them when one raises, and hardly any task had a bound of its own.

Plug-ins now start their tasks through a TaskRunner: a task that raises ends alone, and a loop is run again after a growing delay. The exception is logged with its traceback and counted. Items, batches, takeovers, migrations, loads and reward calls that raise are tried again where their state allows it. Listeners, signals and the queue of commits still end the process.

A test during which a task fails is red unless it is marked, so that contained exceptions do not go unseen.

--- a/plantainstack/adapters/plugin.py
+++ b/plantainstack/adapters/plugin.py
@@ -1,7 +1,5 @@
 """The plug-in `platform`: clients of the platform's services."""
 
-from anyio.abc import TaskGroup
-
 from plantainstack.adapters.http import HttpClient
 from plantainstack.adapters.instances import HttpInstances
 from plantainstack.adapters.objects import HttpObjects
@@ -13,6 +11,7 @@
 from plantainstack.plugins import Plugin
 from plantainstack.services.batching import BatchingTable
 from plantainstack.settings.options import Address
+from plantainstack.tasks import TaskRunner
 
 
 class PlatformPlugin(Plugin):
@@ -32,9 +31,9 @@
         self.weights = HttpWeights(self._service_client(addresses.weights))
         self.scorer = HttpScorer(self._service_client(addresses.scorer))
 
-    async def start(self, tasks: TaskGroup) -> None:
+    async def start(self, tasks: TaskRunner) -> None:
         """Start the background tasks of the table's group commit."""
-        self.table.start(tasks)
+        self.table.start(tasks.required)
 
     async def stop(self) -> None:
         """Close all idle connections."""
--- a/plantainstack/front/gateway.py
+++ b/plantainstack/front/gateway.py
@@ -30,7 +30,7 @@
             FrontServer(probes, options.metrics_listen),
         ]
         for server in self._servers:
-            tasks.start_soon(server.run_until_closed)
+            tasks.required.start_soon(server.run_until_closed)
 
     def on_drain(self) -> None:
         """Take only requests that can be answered before SIGKILL."""
--- a/plantainstack/front/middleware.py
+++ b/plantainstack/front/middleware.py
@@ -14,6 +14,7 @@
 from plantainstack.front.answers import ATTEMPTS_HEADER, error_response
 from plantainstack.requests import new_id
 from plantainstack.settings.instance import Tokens
+from plantainstack.tasks import record_exception
 
 HEADERS_MAX_BYTES = 32 * 1024
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
@@ -98,6 +99,7 @@
         except ClientDisconnect:
             return
         except Exception as exc:
+            record_exception("RequestMiddleware._run_app", exc)
             log.event(
                 "front.failed", request_id=sender.request_id, error=type(exc).__name__
             )
--- a/plantainstack/front/plugin.py
+++ b/plantainstack/front/plugin.py
@@ -47,7 +47,7 @@
         self.server = FrontServer(self.middleware, options.listen)
         self.operator_server = FrontServer(operator_middleware, options.operator_listen)
         for server in (self.server, self.operator_server):
-            tasks.start_soon(server.run_until_closed)
+            tasks.required.start_soon(server.run_until_closed)
 
     async def drain(self, deadline: float) -> None:
         """Wait for running requests; new ones get the error `draining`."""
--- a/plantainstack/kernel.py
+++ b/plantainstack/kernel.py
@@ -15,6 +15,7 @@
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.settings.instance import InstanceSettings
 from plantainstack.slo import BurnCounter
+from plantainstack.tasks import TaskRunner, contained
 from plantainstack.trace import TraceBuffer
 
 TICK_INTERVAL_S = 0.25
@@ -84,7 +85,8 @@
     def emit(self, event: str, *args) -> None:
         """Call the handler `on_<event>` of each plug-in, in start order."""
         for plugin in self._plugins.values():
-            getattr(plugin, f"on_{event}")(*args)
+            with contained(f"{plugin.name}.on_{event}"):
+                getattr(plugin, f"on_{event}")(*args)
 
     def apply_config(self, cfg: FleetConfig) -> bool:
         """Put a configuration in force; return False if its version is not higher."""
@@ -108,17 +110,18 @@
 
     async def run(self, handle_signals: bool = True) -> None:
         """Run until a signal or `request_stop`, then drain and stop."""
-        async with anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as group:
+            tasks = TaskRunner(group, self.clock)
             if handle_signals:
-                tasks.start_soon(self._watch_signals)
-            tasks.start_soon(self._tick)
+                group.start_soon(self._watch_signals)
+            tasks.start_loop(self._tick)
             for plugin in self._plugins.values():
                 await plugin.start(tasks)
             self.state = State.SERVING
             log.event("kernel.serving", incarnation=self.incarnation)
             await self._stop_requested.wait()
             await self._shut_down()
-            tasks.cancel_scope.cancel()
+            group.cancel_scope.cancel()
 
     async def _shut_down(self) -> None:
         self.state = State.DRAINING
@@ -126,9 +129,11 @@
         self.emit("drain")
         deadline = self.clock.now() + DRAIN_LIMIT_S
         for plugin in reversed(self._plugins.values()):
-            await plugin.drain(deadline)
+            with contained(f"{plugin.name}.drain"):
+                await plugin.drain(deadline)
         for plugin in reversed(self._plugins.values()):
-            await plugin.stop()
+            with contained(f"{plugin.name}.stop"):
+                await plugin.stop()
         self.state = State.STOPPED
         log.event("kernel.stopped")
 
@@ -152,7 +157,8 @@
         with anyio.open_signal_receiver(*watched) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    self.reload()
+                    with contained("kernel.reload"):
+                        self.reload()
                 else:
                     self.request_stop()
 
--- a/plantainstack/links/peer.py
+++ b/plantainstack/links/peer.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 from collections.abc import Awaitable, Callable, Mapping
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import anyio
 import msgspec
@@ -21,9 +21,7 @@
 from plantainstack.links.handshake import Handshake, Role, decode, encode
 from plantainstack.plugins import Plugin
 from plantainstack.settings.options import Address
-
-if TYPE_CHECKING:
-    from anyio.abc import TaskGroup
+from plantainstack.tasks import TaskRunner, record_exception
 
 Message = dict[str, Any]
 Handler = Callable[[str, Message], Awaitable[Message | None]]
@@ -145,7 +143,7 @@
         self._reopen_at: dict[str, tuple[float, float]] = {}
         self._random = random.Random(self._own.id)
         self._server: Server | None = None
-        self._tasks: TaskGroup | None = None
+        self._tasks: TaskRunner | None = None
         self._key = b""
 
     # Interface
@@ -194,7 +192,7 @@
 
     # Lifecycle
 
-    async def start(self, tasks: "TaskGroup") -> None:
+    async def start(self, tasks: TaskRunner) -> None:
         """Listen for peers and start the maintenance of links."""
         if not self._own.control:
             return
@@ -208,7 +206,7 @@
             max_size=FRAME_BYTES_MAX,
             server_header=None,
         )
-        tasks.start_soon(self._maintain)
+        tasks.start_loop(self._maintain)
 
     async def stop(self) -> None:
         """Close all links."""
@@ -254,7 +252,8 @@
                 link = await self._connect(peer_id, address)
         except _LINK_ERRORS as exc:
             self._open_failed(peer_id, exc)
-        self._opening.pop(peer_id).set()
+        finally:
+            self._opening.pop(peer_id).set()
         if link is not None:
             await self._run_link(link)
 
@@ -346,6 +345,7 @@
             raise PeerError(f"invalid {message['type']}: {exc}") from exc
         except Exception as exc:
             # An exception in one handler must not end the process.
+            record_exception("Peers._receive", exc, type=message["type"])
             raise PeerError(f"handler of {message['type']} failed: {exc!r}") from exc
         if message["type"] == "ping":
             link.enqueue({"type": "pong", **(reply or {})})
@@ -382,6 +382,7 @@
             return _failure_reply(number, failure)
         except Exception as exc:
             # An exception in one handler must not end the process.
+            record_exception("Peers._handle_request", exc, type=message["type"])
             log.event("peer.handler_failed", type=message["type"], reason=repr(exc))
             failure = Failure.of(ErrorKind.INTERNAL, "the handler of the peer failed")
             return _failure_reply(number, failure)
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -166,6 +166,12 @@
     ["answer"],
     registry=REGISTRY,
 )
+TASK_FAILURES = Counter(
+    "plantainstack_task_failures",
+    "Exceptions that nobody expected, by the task that raised them.",
+    ["task"],
+    registry=REGISTRY,
+)
 LINES_DROPPED = Counter(
     "plantainstack_log_lines_dropped",
     "Log lines left out because they came too fast or could not be written.",
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -21,6 +21,7 @@
 from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import RequestKind, Route, TakeUp
+from plantainstack.tasks import record_exception
 
 # Longest time for which a request for results may wait; the platform specifies 1 s.
 WAIT_MAX_S = 1.5
@@ -75,7 +76,13 @@
         handler = _RequestHandler(self, scope, body, arrived_at, send)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
-            await handler.handle()
+            try:
+                await handler.handle()
+            except StreamAborted:
+                raise
+            except Exception as exc:
+                record_exception("Ingress._serve", exc)
+                raise
             tasks.cancel_scope.cancel()
 
     async def _read_body(self, scope, receive) -> bytes | Failure | None:
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -5,10 +5,9 @@
 from typing import TYPE_CHECKING, ClassVar
 
 if TYPE_CHECKING:
-    from anyio.abc import TaskGroup
-
     from plantainstack.kernel import Kernel
     from plantainstack.settings.fleet import FleetConfig
+    from plantainstack.tasks import TaskRunner
 
 REGISTRY: dict[str, type["Plugin"]] = {}
 
@@ -61,8 +60,8 @@
     def __init__(self, kernel: "Kernel"):
         self.kernel = kernel
 
-    async def start(self, tasks: "TaskGroup") -> None:
-        """Start the plug-in; run its background tasks in the task group."""
+    async def start(self, tasks: "TaskRunner") -> None:
+        """Start the plug-in and its background tasks."""
 
     async def drain(self, deadline: float) -> None:
         """Finish running work until the deadline, a monotonic time in seconds."""
--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 import anyio
-from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
 from plantainstack import log, metrics
@@ -16,6 +15,7 @@
 from plantainstack.services.feeds import FeedReader
 from plantainstack.services.shared_calls import SharedCalls
 from plantainstack.serving import Batch, ItemResult
+from plantainstack.tasks import TaskRunner
 
 PAGE_RESULTS = 64
 # Timeout for confirming a state; after it, the read fails and the reader can try
@@ -51,7 +51,7 @@
     def __init__(
         self,
         clock: Clock,
-        tasks: TaskGroup,
+        tasks: TaskRunner,
         batch_store: BatchStore,
         cache: BatchCache,
         feed: FeedReader,
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -28,6 +28,7 @@
     Route,
     rate_limit_of,
 )
+from plantainstack.tasks import contained, record_exception, restart_delay_s
 
 # Items are started in groups of START_ITEMS with a pause in between. A small machine
 # needs 5 ms to open a stream; the pause lets the streams of the longest items, which
@@ -129,7 +130,8 @@
             # wait behind it.
             if not run.events():
                 since = self._clock.now()
-                endpoint = await self._placement.reserve(run, frozenset(), since)
+                with contained("BatchRun._start_items", item=item.id):
+                    endpoint = await self._placement.reserve(run, frozenset(), since)
             self._writer.begin(run)
             tasks.start_soon(self._run_item, run, endpoint)
 
@@ -142,10 +144,23 @@
     async def _run_item(self, run: ItemRun, endpoint: Endpoint | None) -> None:
         started = self._clock.now()
         tried: list[str] = []
-        result = await self._generate(run, endpoint, tried)
-        generated_at = self._clock.now()
-        if result.state is ItemState.COMPLETED and run.item.reward_call is not None:
-            result = await self._score(run)
+        failures = 0
+        while True:
+            try:
+                result = await self._generate(run, endpoint, tried)
+                generated_at = self._clock.now()
+                if self._needs_score(run, result):
+                    result = await self._score(run)
+                break
+            except Exception as exc:
+                record_exception("BatchRun._run_item", exc, item=run.item.id)
+            failures += 1
+            endpoint = None
+            if run.attempt_events():
+                # Whether all of them are sound is not known.
+                run.discard_attempt()
+            delay_s = restart_delay_s(failures)
+            await self._clock.sleep_until(self._clock.now() + delay_s)
         now = self._clock.now()
         metrics.BATCH_SECONDS.labels(result.state.value).observe(now - started)
         log.event(
@@ -166,15 +181,24 @@
         self._progress_of_group(run.item).unfinished -= 1
         self._writer.end(result)
 
+    @staticmethod
+    def _needs_score(run: ItemRun, result: ItemResult) -> bool:
+        completed = result.state is ItemState.COMPLETED
+        return completed and run.item.reward_call is not None
+
     async def _generate(
         self, run: ItemRun, endpoint: Endpoint | None, tried: list[str]
     ) -> ItemResult:
-        """Generate the text of an item; `tried` collects the endpoints used."""
+        """Generate the text of an item; `tried` collects the endpoints used.
+
+        Without an endpoint, one is reserved; if there is none in time, the item is
+        abandoned.
+        """
         if run.text_complete:
             return run.completed()
         result = None
         since = self._clock.now()
-        if endpoint is None and run.events():
+        if endpoint is None:
             endpoint = await self._placement.reserve(run, frozenset(), since)
         while result is None:
             if endpoint is None:
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -23,6 +23,7 @@
 from plantainstack.services.feeds import FeedReader, recent_rows
 from plantainstack.services.item_placement import batch_route
 from plantainstack.serving import Batch, ItemResult, ItemState, Route, RowsRead
+from plantainstack.tasks import contained, record_exception
 
 # Pause between reads of the feed, so that one read returns several state changes.
 # Readers poll about twice a second.
@@ -100,9 +101,9 @@
             self._feed,
             self._apply_row,
         )
-        tasks.start_soon(self._read_feed)
-        tasks.start_soon(self._read_full_table)
-        tasks.start_soon(self._supervise)
+        tasks.start_loop(self._read_feed)
+        tasks.start_loop(self._read_full_table)
+        tasks.start_loop(self._supervise)
 
     def _feed_pause_s(self) -> float:
         if self._reads.waiting:
@@ -127,15 +128,22 @@
         while True:
             await self._full_read_due.wait()
             self._full_read_due = anyio.Event()
-            found = await store.table_rows(STATE_TABLE)
-            if found.is_ok():
-                self._apply_rows(found.unwrap(), True)
-                continue
-            reason = found.unwrap_err().message
-            log.event("batches.table_not_read", reason=reason)
+            with contained("Batches._read_full_table"):
+                found = await store.table_rows(STATE_TABLE)
+                if found.is_ok():
+                    self._apply_table(found.unwrap())
+                    continue
+                reason = found.unwrap_err().message
+                log.event("batches.table_not_read", reason=reason)
             self._full_read_due.set()
             await clock.sleep_until(clock.now() + TABLE_RETRY_S)
 
+    def _apply_table(self, found: RowsRead) -> None:
+        """Apply each row of the table alone, so that one costs itself only."""
+        for row in found.split():
+            with contained("Batches._apply_table"):
+                self._apply_rows(row, True)
+
     def on_drain(self) -> None:
         """Stop taking over batches and start to release the owned ones."""
         self._draining = True
@@ -158,9 +166,14 @@
             await clock.sleep_until(clock.now() + DRAIN_CHECK_S)
         async with anyio.create_task_group() as tasks:
             for run in self._running():
-                tasks.start_soon(run.release)
+                tasks.start_soon(self._release, run)
         self._released.set()
 
+    @staticmethod
+    async def _release(run: BatchRun) -> None:
+        with contained("Batches._release", batch=run.batch.id):
+            await run.release()
+
     def _running(self) -> list[BatchRun]:
         runs = [entry.run for entry in self._entries.values()]
         return [run for run in runs if run is not None and not run.stopped]
@@ -344,8 +357,19 @@
         self._tasks.start_soon(self._run, entry.run)
 
     async def _run(self, run: BatchRun) -> None:
-        """Run a batch; the trainer's next one may be given to this instance."""
-        await run.run()
+        """Run a batch; the trainer's next one may be given to this instance.
+
+        After an exception, the batch is taken over from its stored state, here or by
+        another instance.
+        """
+        try:
+            await run.run()
+        except Exception as exc:
+            record_exception("Batches._run", exc, batch=run.batch.id)
+            run.stop()
+            entry = self._entries.get(run.batch.id)
+            if entry is not None:
+                self._delay_resume(entry)
         now = self.kernel.clock.now()
         self._next_step_until = now + batch_owners.PREVIOUS_STEP_MAX_AGE_S
 
@@ -358,16 +382,20 @@
                 continue
             now = clock.now()
             for batch_id, entry in list(self._entries.items()):
-                if self._orphaned(batch_id, entry):
-                    self._start_take_over(batch_id, entry)
-                elif not entry.pending and batch_scheduling.removal_due(
-                    entry.row.state.owner,
-                    self._instance_id,
-                    now - entry.known_since,
-                    is_final=entry.row.state.is_final(),
-                ):
-                    entry.pending = True
-                    self._tasks.start_soon(self._remove, batch_id, entry)
+                with contained("Batches._supervise", batch=batch_id):
+                    self._supervise_batch(batch_id, entry, now)
+
+    def _supervise_batch(self, batch_id: str, entry: BatchEntry, now: float) -> None:
+        if self._orphaned(batch_id, entry):
+            self._start_take_over(batch_id, entry)
+        elif not entry.pending and batch_scheduling.removal_due(
+            entry.row.state.owner,
+            self._instance_id,
+            now - entry.known_since,
+            is_final=entry.row.state.is_final(),
+        ):
+            entry.pending = True
+            self._tasks.start_soon(self._remove, batch_id, entry)
 
     def _start_take_over(self, batch_id: str, entry: BatchEntry) -> None:
         entry.pending = True
@@ -420,6 +448,9 @@
                 listed=row.state.listed,
             )
             await self._resume(batch_id, entry, row)
+        except Exception as exc:
+            record_exception("Batches._take_over", exc, batch=batch_id)
+            self._delay_resume(entry)
         finally:
             entry.pending = False
 
@@ -492,10 +523,12 @@
             self._apply_row(batch_id, row)
 
     async def _remove(self, batch_id: str, entry: BatchEntry) -> None:
-        outcome = await self._batch_store.remove(batch_id, entry.row)
+        try:
+            outcome = await self._batch_store.remove(batch_id, entry.row)
+        finally:
+            entry.pending = False
         if outcome.is_err():
             reason = outcome.unwrap_err().message
             log.event("batch.not_removed", batch_id, reason=reason)
-            entry.pending = False
             return
         self._cache.remove(batch_id)
--- a/plantainstack/services/batching.py
+++ b/plantainstack/services/batching.py
@@ -14,6 +14,7 @@
 from plantainstack.clock import Clock
 from plantainstack.errors import Failure
 from plantainstack.interfaces import Mutation, MutationOutcome, Row, TableService
+from plantainstack.tasks import record_exception
 
 BATCH_MUTATIONS_MAX = 128
 BATCH_KEYS_MAX = 512
@@ -116,6 +117,7 @@
                     unknown("the number of outcomes differs from the number of items")
                 )
         except Exception as exc:
+            record_exception("_Batcher._run_batch", exc)
             log.event("batching.failed", error=repr(exc))
         finally:
             _distribute(batch, outcome)
--- a/plantainstack/services/bookings.py
+++ b/plantainstack/services/bookings.py
@@ -41,6 +41,7 @@
 from plantainstack.requests import Deadline, RequestContext, new_id
 from plantainstack.services.dispatch import AttemptLog, CallResult
 from plantainstack.settings.fleet import Scope
+from plantainstack.tasks import record_exception
 
 # Larger answers go to the object store, which bounds the size of a row.
 INLINE_ANSWER_BYTES = 32 * 1024
@@ -166,8 +167,8 @@
         self._table = platform.table
         self._objects = platform.objects
         self.kernel.plugin("peers").register(CLAIM_QUERY, self._on_query)
-        tasks.start_soon(self._run_periodically, STORE_RETRY_S, self.store_outcomes)
-        tasks.start_soon(self._run_periodically, SWEEP_INTERVAL_S, self.sweep)
+        tasks.start_loop(self._run_periodically, STORE_RETRY_S, self.store_outcomes)
+        tasks.start_loop(self._run_periodically, SWEEP_INTERVAL_S, self.sweep)
 
     async def drain(self, deadline: float) -> None:
         """Wait for running calls, then up to 30 s for the storage of their outcomes."""
@@ -246,6 +247,7 @@
         try:
             pending.resolve(await self._claim_and_dispatch(pending))
         except Exception as exc:
+            record_exception("Bookings._run_pending", exc)
             log.event("bookings.failed", pending.ctx.request_id, error=repr(exc))
             message = "an internal error occurred"
             pending.resolve(Err(Failure.of(ErrorKind.INTERNAL, message)))
@@ -362,6 +364,7 @@
         try:
             await self._store_outcome(owned, answer)
         except Exception as exc:
+            record_exception("Bookings._store_and_notify", exc)
             log.event("bookings.task_failed", error=repr(exc))
         finally:
             stored.set()
@@ -552,6 +555,7 @@
             try:
                 await work()
             except Exception as exc:
+                record_exception("Bookings._run_periodically", exc)
                 log.event("bookings.task_failed", error=repr(exc))
 
 
--- a/plantainstack/services/configuration.py
+++ b/plantainstack/services/configuration.py
@@ -1,7 +1,7 @@
 """Plug-in `configuration`: changes and distributes the fleet's configuration."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
 import anyio
 import msgspec
@@ -30,9 +30,7 @@
     version_key,
 )
 from plantainstack.settings.fleet import FleetConfig, FleetContent, check_content
-
-if TYPE_CHECKING:
-    from anyio.abc import TaskGroup
+from plantainstack.tasks import TaskRunner
 
 CHECK_INTERVAL_S = 0.25
 READ_TIMEOUT_S = 1.0
@@ -78,7 +76,7 @@
         self._in_force = VersionInForce(0, kernel.clock.wall())
         self._previous = kernel.config
         self._fetching: dict[int, list[str]] = {}
-        self._tasks: TaskGroup | None = None
+        self._tasks: TaskRunner | None = None
 
     # Operations for operators
 
@@ -122,14 +120,14 @@
 
     # Lifecycle
 
-    async def start(self, tasks: "TaskGroup") -> None:
+    async def start(self, tasks: TaskRunner) -> None:
         """Read the configuration, and start to follow its changes."""
         self._tasks = tasks
         self._table: TableService = self.kernel.plugin("platform").table
         self._peers = self.kernel.plugin("peers")
         self._peers.register("config", self._on_announcement)
         self._peers.register("config_request", self._on_request)
-        tasks.start_soon(self._run)
+        tasks.start_loop(self._run)
 
     def unready_reason(self) -> str | None:
         """Return why the instance may not accept work, or None."""
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -81,9 +81,9 @@
             self._endpoint_pause_s,
             self._store_recovered,
         )
-        tasks.start_soon(self._operator_feed.run)
-        tasks.start_soon(self._endpoint_feed.run)
-        tasks.start_soon(self._expire)
+        tasks.start_loop(self._operator_feed.run)
+        tasks.start_loop(self._endpoint_feed.run)
+        tasks.start_loop(self._expire)
 
     def need_recent_endpoints(self) -> None:
         """Follow the endpoints closely for the next ACTIVE_FOR_S seconds."""
--- a/plantainstack/services/dispatch.py
+++ b/plantainstack/services/dispatch.py
@@ -137,7 +137,7 @@
     async def start(self, tasks) -> None:
         """Start the task that admits or refuses queued requests."""
         self._tasks = tasks
-        tasks.start_soon(self._process_queue_periodically)
+        tasks.start_loop(self._process_queue_periodically)
 
     async def drain(self, deadline: float) -> None:
         """Wait for the end of all requests and streams, at most until the deadline."""
--- a/plantainstack/services/endpoints.py
+++ b/plantainstack/services/endpoints.py
@@ -5,7 +5,6 @@
 
 import anyio
 import xxhash
-from anyio.abc import TaskGroup
 
 from plantainstack import log, metrics
 from plantainstack.interfaces import (
@@ -20,6 +19,7 @@
 from plantainstack.policy.retries import BudgetedRetries
 from plantainstack.policy.routing import LoadAwareRouter, Router
 from plantainstack.settings.fleet import FleetConfig, Scope
+from plantainstack.tasks import TaskRunner
 
 POLL_JITTER = 0.2
 LOAD_POLLS_MAX = 16
@@ -44,11 +44,11 @@
         self._limiter = anyio.Semaphore(LOAD_POLLS_MAX)
         self._polling: set[str] = set()
 
-    async def start(self, tasks: TaskGroup) -> None:
+    async def start(self, tasks: TaskRunner) -> None:
         """Read the list of instances once, then poll it and the load reports."""
         await self.poll_list()
-        tasks.start_soon(self._follow_list)
-        tasks.start_soon(self._follow_load, tasks)
+        tasks.start_loop(self._follow_list)
+        tasks.start_loop(self._follow_load, tasks)
 
     def unready_reason(self) -> str | None:
         """Return why the instance may not serve: drained, or without endpoints."""
@@ -144,7 +144,7 @@
             await self._wait(self.kernel.config.defaults().list_poll_interval)
             await self.poll_list()
 
-    async def _follow_load(self, tasks: TaskGroup) -> None:
+    async def _follow_load(self, tasks: TaskRunner) -> None:
         while True:
             for record in self.polled_engines():
                 tasks.start_soon(self.poll_load, record)
--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -12,6 +12,7 @@
 from plantainstack.decoding import REASON_CHARACTERS_MAX
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.serving import Cursor, HistoryLost, MetadataStore, RowsRead
+from plantainstack.tasks import record_exception
 
 # Usual maximum duration of a long poll. It is short so that a dead connection is
 # detected within 1.5 s.
@@ -102,7 +103,7 @@
         try:
             return await self._read(self._cursor, self._wait_s)
         except Exception as exc:
-            # An exception here would end the whole process.
+            record_exception("FeedReader._read", exc, feed=self._name)
             return Err(Failure.of(ErrorKind.INTERNAL, _reason(exc)))
 
     def read_now(self) -> None:
@@ -136,6 +137,7 @@
                 self._log_not_applied(exc)
 
     def _log_not_applied(self, exc: Exception) -> None:
+        record_exception("FeedReader._apply", exc, feed=self._name)
         metrics.FEED_FAILURES.labels(self._name).inc()
         log.event("feed.not_applied", feed=self._name, reason=_reason(exc))
 
--- a/plantainstack/services/item_migration.py
+++ b/plantainstack/services/item_migration.py
@@ -21,6 +21,7 @@
 )
 from plantainstack.services.item_placement import LOAD_MAX, ItemPlacement
 from plantainstack.serving import Endpoint
+from plantainstack.tasks import contained
 
 STREAM_CHECK_INTERVAL_S = 0.1
 
@@ -79,16 +80,20 @@
             await self._clock.sleep_until(planned)
             now = self._clock.now()
             lag.record(planned, now)
-            self._discovery.need_recent_endpoints()
-            self._placement.apply_current_route()
-            recent = self._placement.recent_endpoints()
-            best_latency = self._discovery.balancer.best_latency(recent, now)
-            usable = self._open_endpoints(recent, now)
-            for attempt in list(self._attempts.values()):
-                progress = attempt.progress(self._tokens_per_event())
-                if is_stalled(progress, best_latency, now, lag.seconds):
-                    self._migrate_stalled(attempt, usable, now)
-            self._migrate_slow(usable, now)
+            with contained("ItemMigration._check", batch=self._placement.batch.id):
+                self._check(lag, now)
+
+    def _check(self, lag: LoopLag, now: float) -> None:
+        self._discovery.need_recent_endpoints()
+        self._placement.apply_current_route()
+        recent = self._placement.recent_endpoints()
+        best_latency = self._discovery.balancer.best_latency(recent, now)
+        usable = self._open_endpoints(recent, now)
+        for attempt in list(self._attempts.values()):
+            progress = attempt.progress(self._tokens_per_event())
+            if is_stalled(progress, best_latency, now, lag.seconds):
+                self._migrate_stalled(attempt, usable, now)
+        self._migrate_slow(usable, now)
 
     def _open_endpoints(self, endpoints: list[Endpoint], now: float) -> list[Endpoint]:
         """Return the endpoints to which a stream may be moved without a new permit."""
--- a/plantainstack/services/leases.py
+++ b/plantainstack/services/leases.py
@@ -148,7 +148,7 @@
         tracker = LeaseTracker(holder, self._terms())
         table = self.kernel.plugin("platform").table
         self.client = LeaseClient(table, self.kernel.clock, tracker)
-        tasks.start_soon(self._renew)
+        tasks.start_loop(self._renew)
 
     def on_config(self, cfg) -> None:
         """Apply the lease durations, which take effect at the next renewal."""
--- a/plantainstack/services/membership.py
+++ b/plantainstack/services/membership.py
@@ -13,11 +13,11 @@
     MembershipView,
     Message,
 )
+from plantainstack.tasks import TaskRunner
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from anyio.abc import TaskGroup
 
 INTERVAL_S = 0.25
 
@@ -38,7 +38,7 @@
         """Return the members, with their configuration versions and loads."""
         return self._policy.view()
 
-    async def start(self, tasks: "TaskGroup") -> None:
+    async def start(self, tasks: TaskRunner) -> None:
         """Start to exchange messages with peers, if `control` is set."""
         if not self.kernel.settings.instance.control:
             return
@@ -48,7 +48,7 @@
         self._peers.register("update", self._on_gossip)
         self._peers.set_heartbeat(self._message)
         self._emit_changes()
-        tasks.start_soon(self._run)
+        tasks.start_loop(self._run)
 
     def on_config(self, cfg) -> None:
         """Apply the heartbeat interval and the number of links."""
--- a/plantainstack/services/request_losses.py
+++ b/plantainstack/services/request_losses.py
@@ -59,8 +59,8 @@
             lambda: FEED_PAUSE_S,
             wait_s=FEED_WAIT_S,
         )
-        tasks.start_soon(feed.run)
-        tasks.start_soon(self._expire)
+        tasks.start_loop(feed.run)
+        tasks.start_loop(self._expire)
 
     async def drain(self, deadline: float) -> None:
         """Wait until all losses are stored, at most until the deadline."""
--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -25,6 +25,7 @@
     RewardCall,
     Route,
 )
+from plantainstack.tasks import contained
 
 # Maximum wait for a free slot before the endpoints are checked again. Slots that other
 # instances free are not signalled to this one.
@@ -94,7 +95,7 @@
         self._discovery = self.kernel.plugin("discovery")
         self._permits = self.kernel.plugin("rate_permits")
         self._endpoints = self.kernel.plugin("store").endpoint_client
-        tasks.start_soon(self._assign_slots)
+        tasks.start_loop(self._assign_slots)
 
     async def score(self, request: RewardRequest) -> str | None:
         """Return the score of an item, or None if the item is to be abandoned."""
@@ -155,17 +156,21 @@
     def _grant_slots(self) -> None:
         full: set[str] = set()
         for waiting in sorted(self._waiting, key=_Waiting.rank):
-            route = self._route(waiting)
-            slot = self._choose(waiting.request, route, full) if route else None
-            if slot is None:
-                continue
-            self._permits.take(slot.endpoint, Priority.ROLLOUT)
-            self._discovery.balancer.request_started(slot.endpoint)
-            self._waiting.remove(waiting)
-            waiting.slot = slot
-            waiting.granted.set()
+            with contained("RewardCalls._grant_slot", item=waiting.request.item_id):
+                self._grant_slot(waiting, full)
         metrics.REWARD_CALLS_WAITING.set(len(self._waiting))
 
+    def _grant_slot(self, waiting: _Waiting, full: set[str]) -> None:
+        route = self._route(waiting)
+        slot = self._choose(waiting.request, route, full) if route else None
+        if slot is None:
+            return
+        self._permits.take(slot.endpoint, Priority.ROLLOUT)
+        self._discovery.balancer.request_started(slot.endpoint)
+        self._waiting.remove(waiting)
+        waiting.slot = slot
+        waiting.granted.set()
+
     def _route(self, waiting: _Waiting) -> Route | None:
         """Return the current route of a call, which may have been dropped."""
         call = waiting.request.call
--- a/plantainstack/services/shared_calls.py
+++ b/plantainstack/services/shared_calls.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import anyio
-from anyio.abc import TaskGroup
 from result import Result
 
 from plantainstack.errors import Failure
+from plantainstack.tasks import TaskRunner, contained
 
 Call = Callable[[str], Awaitable[Result[Any, Failure]]]
 
@@ -25,7 +25,7 @@
     for the others. It is given up after `timeout_s`.
     """
 
-    def __init__(self, tasks: TaskGroup, call: Call, timeout_s: float):
+    def __init__(self, tasks: TaskRunner, call: Call, timeout_s: float):
         self._tasks = tasks
         self._call = call
         self._timeout_s = timeout_s
@@ -44,8 +44,9 @@
     async def _run(self, key: str) -> None:
         try:
             while (shared := self._queued.pop(key, None)) is not None:
-                with anyio.move_on_after(self._timeout_s):
-                    shared.outcome = await self._call(key)
+                with contained("SharedCalls._run", call=key):
+                    with anyio.move_on_after(self._timeout_s):
+                        shared.outcome = await self._call(key)
                 shared.done.set()
         finally:
             self._running.discard(key)
--- a/plantainstack/services/steps.py
+++ b/plantainstack/services/steps.py
@@ -23,6 +23,7 @@
 from plantainstack.services.step_service import StepService
 from plantainstack.services.weights import live_members
 from plantainstack.settings.fleet import FleetOptions, Scope
+from plantainstack.tasks import record_exception
 
 SCANNERS = 3
 DISCOVERY_INTERVAL_S = 1.0
@@ -69,8 +70,8 @@
             may_hedge=self._may_hedge,
         )
         self.step_service = StepService(self._deps)
-        tasks.start_soon(self._discover)
-        tasks.start_soon(self._purge)
+        tasks.start_loop(self._discover)
+        tasks.start_loop(self._purge)
 
     async def overview(self, trainer: str) -> Result[list[dict[str, Any]], Failure]:
         """Describe a trainer's steps for operators, or all if `trainer` is empty."""
@@ -184,6 +185,7 @@
             # An uncaught exception would end the process, and then that of each
             # later owner. Without a release, the lease has to expire first, which
             # delays the next attempt.
+            record_exception("Steps._run", exc, key=key)
             log.event("step.failed", key=key, error=repr(exc))
             self._deps.leases.tracker.drop(key)
         finally:
--- a/plantainstack/services/stream_records.py
+++ b/plantainstack/services/stream_records.py
@@ -17,6 +17,7 @@
 from plantainstack.policy.stream_versions import Origin
 from plantainstack.requests import new_id
 from plantainstack.serving import MetadataStore, RowName, StoredRow, Transaction
+from plantainstack.tasks import contained
 
 RECORD_TABLE = "stream_records"
 # Partitions of the records, since the store carries out the writes of one in turn.
@@ -204,7 +205,8 @@
                 if not record.given_up:
                     group.append(record)
             if group:
-                await self._write_group(queue, group)
+                with contained("StreamRecords._write_group", part=part):
+                    await self._write_group(queue, group)
                 pause_s = self._write_pause_s * self._rng.uniform(0.7, 1.3)
                 await self._clock.sleep_until(self._clock.now() + pause_s)
         self._writing.discard(part)
--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -34,6 +34,7 @@
     TakeUp,
     Transaction,
 )
+from plantainstack.tasks import contained
 
 BASE_TABLE = "stream_bases"
 # Time after a failed write for which the store counts as lost.
@@ -94,10 +95,10 @@
         self._store = self.kernel.plugin("store").metadata_store
         self.records = StreamRecords(self._store, self._clock, tasks, self._rng)
         self._base_reads = SharedCalls(tasks, self._read_base_rows, BASE_READ_TIMEOUT_S)
-        tasks.start_soon(self._follow_bases)
-        tasks.start_soon(self._forget)
-        tasks.start_soon(self.records.run_expiry, self._life_s)
-        tasks.start_soon(self.records.run_sweep, self._is_used, self._life_s)
+        tasks.start_loop(self._follow_bases)
+        tasks.start_loop(self._forget)
+        tasks.start_loop(self.records.run_expiry, self._life_s)
+        tasks.start_loop(self.records.run_sweep, self._is_used, self._life_s)
 
     def may_begin(
         self, route: Route, origin: Origin, earlier: StreamRecord | None
@@ -256,7 +257,8 @@
             if routes:
                 await self._refresh(routes)
                 for route in routes:
-                    await self._update_base(route)
+                    with contained("StreamVersions._update_base", route=route.name):
+                        await self._update_base(route)
             wait_s = TICK_S * self._rng.uniform(0.7, 1.3)
             await self._clock.sleep_until(self._clock.now() + wait_s)
 
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -22,6 +22,7 @@
     TransactionResult,
     VersionOrder,
 )
+from plantainstack.tasks import contained, record_exception
 
 LEASE_TABLE = "order_leases"
 LEASE_KEY = "lease"
@@ -37,6 +38,8 @@
 REPORT_INTERVAL_S = 0.2
 # A load that has not been confirmed after this time is ordered again.
 LOAD_TIMEOUT_S = 6.0
+# Delay before an endpoint whose load raised an exception is ordered again.
+FAILED_LOAD_DELAY_S = 1.0
 # How long a version confirmed by a report overrides the registration, which lags behind
 # a load by up to a heartbeat interval (1.2 s) and its delay (0.8 s).
 CONFIRMATION_TTL_S = 4.0
@@ -64,7 +67,7 @@
         self._holders: dict[str, _LeaseHolder] = {}
         self._discovery = self.kernel.plugin("discovery")
         self._stopping = False
-        tasks.start_soon(self._watch)
+        tasks.start_loop(self._watch)
 
     def on_drain(self) -> None:
         """Send no more orders and release the leases to other instances."""
@@ -80,10 +83,11 @@
             for name, service in (cfg.services if cfg else {}).items():
                 if not service.models or name in self._active_services:
                     continue
-                holder = holders.setdefault(name, _LeaseHolder(self, name))
-                if holder.due_loads():
-                    self._active_services.add(name)
-                    self._tasks.start_soon(self._order_loads, name, holder)
+                with contained("VersionOrders._watch", service=name):
+                    holder = holders.setdefault(name, _LeaseHolder(self, name))
+                    if holder.due_loads():
+                        self._active_services.add(name)
+                        self._tasks.start_soon(self._order_loads, name, holder)
 
     async def _order_loads(self, name: str, holder: "_LeaseHolder") -> None:
         try:
@@ -290,6 +294,12 @@
             if await self._order(load, deadline):
                 self._in_flight.discard(endpoint.id)
                 await self._wait_for_confirmation(load, deadline)
+        except Exception as exc:
+            record_exception("_LeaseHolder._load", exc, endpoint=endpoint.id)
+            # An order may have been sent, so that the endpoint's count is uncertain.
+            self._orders_seen.pop(endpoint.incarnation(), None)
+            self._in_flight.discard(endpoint.id)
+            await self._clock.sleep_until(self._clock.now() + FAILED_LOAD_DELAY_S)
         finally:
             self._in_flight.discard(endpoint.id)
             self._loading.discard(endpoint.id)
--- a/plantainstack/services/weights.py
+++ b/plantainstack/services/weights.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple, TypeVar
 
 import anyio
-from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
 from plantainstack import log
@@ -28,6 +27,7 @@
 from plantainstack.policy.weights import SHARE_MAX, OrderGate, SwapPlan
 from plantainstack.services.leases import LeaseClient
 from plantainstack.settings.fleet import FleetConfig, FleetOptions, Scope
+from plantainstack.tasks import TaskRunner
 
 T = TypeVar("T")
 
@@ -139,7 +139,7 @@
         self._records = {record.id: record for record in live}
         self.plan.update_engines(self._records)
 
-    async def run_round(self, tasks: TaskGroup, may_acquire: bool) -> None:
+    async def run_round(self, tasks: TaskRunner, may_acquire: bool) -> None:
         """Acquire the lease if it is free, then start due polls and orders."""
         held = self.deps.leases.tracker.held(self.lease_key)
         if held is None and (not may_acquire or not await self._acquire_lease()):
@@ -163,7 +163,7 @@
             await self.deps.leases.release(held)
 
     def _start(
-        self, tasks: TaskGroup, call: Callable[[str], Awaitable[None]], id: str
+        self, tasks: TaskRunner, call: Callable[[str], Awaitable[None]], id: str
     ) -> bool:
         if id in self._active or self._releasing:
             return False
@@ -319,7 +319,7 @@
         for service, engines in services.items():
             if service not in self.coordinators:
                 self.coordinators[service] = SwapCoordinator(self._deps(), service)
-                self._tasks.start_soon(self._serve, service)
+                self._tasks.start_loop(self._serve, service)
             self.coordinators[service].update_engines(engines)
 
     async def drain(self, deadline: float) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,10 +4,13 @@
 these tests and prints their ids; `make known-red` runs only them.
 """
 
+from collections import Counter
 from pathlib import Path
 
 import pytest
 
+from plantainstack import metrics
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 ENTRY = "test: "
 
@@ -40,6 +43,28 @@
     return [line.removeprefix(ENTRY) for line in lines if line.startswith(ENTRY)]
 
 
+@pytest.fixture(autouse=True)
+def no_task_fails(request):
+    """Fail a test during which a task raised an exception that nobody expected."""
+    before = task_failures()
+    yield
+    if request.node.get_closest_marker("task_failures") is None:
+        after = task_failures()
+        assert after == before, f"tasks failed: {after - before}"
+
+
+def task_failures() -> Counter:
+    """Return the number of unexpected exceptions so far, by task."""
+    (metric,) = metrics.TASK_FAILURES.collect()
+    return Counter(
+        {
+            sample.labels["task"]: int(sample.value)
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+    )
+
+
 @pytest.fixture
 def anyio_backend():
     return "asyncio"
--- a/tests/links/test_peer.py
+++ b/tests/links/test_peer.py
@@ -20,6 +20,7 @@
 from plantainstack.settings.fleet import FleetConfig, FleetContent
 from plantainstack.settings.instance import InstanceOptions
 from plantainstack.settings.options import Address
+from plantainstack.tasks import TaskRunner
 
 pytestmark = pytest.mark.anyio
 
@@ -53,7 +54,7 @@
 async def running(*nodes):
     async with anyio.create_task_group() as tasks:
         for node in nodes:
-            await node.peers.start(tasks)
+            await node.peers.start(TaskRunner(tasks, node.kernel.clock))
         for node in nodes:
             node.peers.on_endpoints([record_of(other) for other in nodes])
         with anyio.fail_after(LIMIT_S):
--- a/tests/services/owners.py
+++ b/tests/services/owners.py
@@ -13,6 +13,7 @@
 from plantainstack.requests import RequestContext
 from plantainstack.services.bookings import Bookings
 from plantainstack.services.dispatch import AttemptLog, Dispatch
+from plantainstack.tasks import TaskRunner
 from tests.fakes import (
     PLATFORM_FAKES,
     FakeObjects,
@@ -45,7 +46,7 @@
     async def run(self, *, task_status):
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
-                await self.bookings.start(tasks)
+                await self.bookings.start(TaskRunner(tasks, self.fleet.clock))
                 self.fleet.network[self.name] = self.peers
                 task_status.started()
                 await anyio.sleep_forever()
--- a/tests/services/test_endpoints.py
+++ b/tests/services/test_endpoints.py
@@ -21,6 +21,7 @@
 from plantainstack.services.endpoints import Endpoints
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.settings.options import Address
+from plantainstack.tasks import TaskRunner
 
 pytestmark = pytest.mark.anyio
 
@@ -115,7 +116,7 @@
     kernel.plugins["platform"].answer = Ok(records)
     plugin = Endpoints(kernel)
     async with anyio.create_task_group() as tasks:
-        await plugin.start(tasks)
+        await plugin.start(TaskRunner(tasks, kernel.clock))
         await anyio.wait_all_tasks_blocked()
         tasks.cancel_scope.cancel()
     assert set(plugin.statuses) == {record.id for record in records}
@@ -143,7 +144,7 @@
     clock = kernel.clock
     times = []
     async with anyio.create_task_group() as tasks:
-        await plugin.start(tasks)
+        await plugin.start(TaskRunner(tasks, kernel.clock))
         await clock.advance(10)
         if not refuses:
             kernel.plugins["links"].reports["e1"] = make_status(leaving=True)
