Load other endpoints first while one gives no report

An endpoint whose report never ends kept the other endpoints of its service at old weights: it was asked again at once, and took the only place for a load each time (of two or three endpoints, one may load at a time).

Cause: the plan of loads looked at the need of endpoints only. Endpoints whose report or order failed now come last for 4 s.

Evidence: two tests fail without the change and pass with it: test_endpoint_that_gives_no_report_holds_up_no_other, and the endpoint whose load raises in tests/services/test_contained_exceptions.py.

--- a/plantainstack/policy/version_plan.py
+++ b/plantainstack/policy/version_plan.py
@@ -94,12 +94,15 @@
 
 
 def plan_loads(
-    endpoints: Sequence[Endpoint], wanted: Mapping[str, TargetVersion]
+    endpoints: Sequence[Endpoint],
+    wanted: Mapping[str, TargetVersion],
+    failed: Collection[str] = frozenset(),
 ) -> list[WeightLoad]:
     """Return the outstanding loads, starting with those that steps wait for.
 
     These are loads at endpoints whose version the newest step does not accept; models
-    with the fewest usable endpoints come first.
+    with the fewest usable endpoints come first. Endpoints whose ids are in `failed`
+    come last, since their next load may fail too.
     """
     staying = [end for end in endpoints if not end.leaving]
     replica_sets = assign_replicas(staying, wanted)
@@ -116,13 +119,14 @@
         target = cohort_size if at_once else cohort_size // COHORTS
         missing = max(0, target - len(current) - len(stale))
         older = [end for end in hosts if end.versions[model] == newest - 1]
+        older.sort(key=lambda end: end.id in failed)
         ahead += [WeightLoad(end, model, newest) for end in older[:missing]]
     usable = {
         model: sum(end.versions.get(model, 0) >= each.version - 1 for end in staying)
         for model, each in wanted.items()
     }
     urgent.sort(key=lambda load: (usable[load.model], -_behind(load)))
-    return urgent + ahead
+    return sorted(urgent + ahead, key=lambda load: load.endpoint.id in failed)
 
 
 def select_startable(
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -38,6 +38,8 @@
 REPORT_INTERVAL_S = 0.2
 # A load that has not been confirmed after this time is ordered again.
 LOAD_TIMEOUT_S = 6.0
+# How long the loads of other endpoints go before that of one which has failed.
+FAILURE_MEMORY_S = 4.0
 # Delay before an endpoint whose load raised an exception is ordered again.
 FAILED_LOAD_DELAY_S = 1.0
 # How long a version confirmed by a report overrides the registration, which lags behind
@@ -125,6 +127,8 @@
         self._in_flight: set[str] = set()
         self._orders_seen: dict[tuple[str, int], int] = {}
         self._confirmed: dict[tuple, _ConfirmedVersion] = {}
+        # Times of the last failures of loads, by endpoint id.
+        self._failed_at: dict[str, float] = {}
 
     def due_loads(self) -> list[WeightLoad]:
         """Return the loads that endpoints still need."""
@@ -137,7 +141,10 @@
             model: TargetVersion(announced.version, now - announced.seen_at, step_age_s)
             for model, announced in self._discovery.versions.items()
         }
-        return version_plan.plan_loads(endpoints, targets)
+        failed = {
+            id for id, at in self._failed_at.items() if now - at < FAILURE_MEMORY_S
+        }
+        return version_plan.plan_loads(endpoints, targets, failed)
 
     async def order_due_loads(self) -> None:
         """Acquire the lease and order all due loads; return early if it is not free."""
@@ -299,6 +306,7 @@
             # An order may have been sent, so that the endpoint's count is uncertain.
             self._orders_seen.pop(endpoint.incarnation(), None)
             self._in_flight.discard(endpoint.id)
+            self._record_failure(endpoint)
             await self._clock.sleep_until(self._clock.now() + FAILED_LOAD_DELAY_S)
         finally:
             self._in_flight.discard(endpoint.id)
@@ -345,12 +353,21 @@
             self._orders_seen[key] += 1
             self._close_order_window(endpoint)
             return True
+        if answer is None:
+            self._record_failure(endpoint)
         # The endpoint's order count is uncertain; read it again before the next
         # order.
         self._orders_seen.pop(key, None)
         await self._clock.sleep_until(self._clock.now() + REPORT_INTERVAL_S)
         return answer is None
 
+    def _record_failure(self, endpoint: Endpoint) -> None:
+        now = self._clock.now()
+        self._failed_at = {
+            id: at for id, at in self._failed_at.items() if now - at < FAILURE_MEMORY_S
+        }
+        self._failed_at[endpoint.id] = now
+
     def _close_order_window(self, endpoint: Endpoint) -> None:
         """Close the endpoint's order window, so that the next holder waits less."""
         if self._lease is not None:
@@ -372,6 +389,7 @@
         if outcome.is_err():
             reason = outcome.unwrap_err().message
             log.event("orders.no_report", endpoint=endpoint.id, reason=reason)
+            self._record_failure(endpoint)
             await self._clock.sleep_until(self._clock.now() + REPORT_INTERVAL_S)
             return False
         report = outcome.unwrap()
--- a/tests/services/test_contained_exceptions.py
+++ b/tests/services/test_contained_exceptions.py
@@ -166,18 +166,16 @@
     check_failed(before, "ItemMigration._check")
 
 
-async def test_endpoint_whose_load_raises_is_tried_again():
+async def test_endpoint_whose_load_raises_is_tried_again_and_delays_no_other():
     """Guards against one endpoint's report that ends the holder of the orders."""
     platform = new_platform()
     platform.client.raising_reports = {"e1"}
     before = task_failures()
     async with running(platform, "a") as (kernel,):
         platform.versions = {"m0": 2}
-        await until(lambda: task_failures() != before)
+        await until(lambda: platform.endpoints["e2"].versions["m0"] == 2)
         platform.client.raising_reports = set()
-        await until(
-            lambda: {end.versions["m0"] for end in platform.endpoints.values()} == {2}
-        )
+        await until(lambda: platform.endpoints["e1"].versions["m0"] == 2)
         assert kernel.state is State.SERVING
     check_failed(before, "_LeaseHolder._load")
 
--- a/tests/services/test_version_orders.py
+++ b/tests/services/test_version_orders.py
@@ -5,7 +5,9 @@
 import anyio
 import msgspec
 import pytest
+from result import Err
 
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.policy import order_lease, version_plan
 from plantainstack.services import version_orders
 from tests.policy.serving_samples import endpoint
@@ -165,3 +167,22 @@
         await until(lambda: loaded(platform, 3))
     assert len({order.holder for _, order, _ in platform.client.orders}) == 2
     check_order_gaps(platform)
+
+
+async def test_endpoint_that_gives_no_report_holds_up_no_other():
+    """Guards against one endpoint in trouble that keeps its service at old weights."""
+    platform = FakePlatform()
+    report = platform.client.report
+
+    async def no_report(endpoint, deadline):
+        if endpoint.id != "e1":
+            return await report(endpoint, deadline)
+        await anyio.sleep(0.1)
+        return Err(Failure.of(ErrorKind.ANSWER_TIMEOUT, "scripted"))
+
+    platform.client.report = no_report
+    async with running(platform, "a"):
+        platform.versions = {"m0": 3}
+        await until(lambda: platform.endpoints["e2"].versions["m0"] == 3)
+        platform.client.report = report
+        await until(lambda: platform.endpoints["e1"].versions["m0"] == 3)
