Bound the limits that endpoints name and the times of their buckets

An endpoint that names a limit of 1e308 requests a second made each instance that fetched permits raise OverflowError. A stored bucket whose times are not finite did the same or left its endpoint unused, and one whose end lies in the future made all instances forget its limit.

Cause: both were checked for their types only. Limits now count as at most 10,000 requests a second, impossible buckets as used up now, and an end counts only up to the present.

--- a/plantainstack/policy/rate_limits.py
+++ b/plantainstack/policy/rate_limits.py
@@ -27,6 +27,10 @@
 FETCH_S = {Priority.CALLER: 0.1, Priority.ROLLOUT: 0.5}
 # A limit of 0 still permits a request now and then, which shows when it has ended.
 RATE_MIN = 0.2
+# Higher limits restrict nothing.
+RATE_MAX = 10_000.0
+# A bucket is never used up further ahead, even if the store's time is known late.
+AHEAD_MAX_S = 2.0 * (BUCKET_REQUESTS / RATE_MIN + BUCKET_S)
 # A limit that was not confirmed for this long is checked by a request.
 RECHECK_S = 2.0
 
@@ -54,9 +58,12 @@
     bucket: RateBucket, limit: float, priority: Priority, wanted: int, store_now: float
 ) -> Grant:
     """Grant up to `wanted` permits from a bucket with a limit in requests a second."""
-    rate = max(limit, RATE_MIN)
+    rate = min(RATE_MAX, max(limit, RATE_MIN))
     size = BUCKET_REQUESTS + BUCKET_S * rate
     reserved = 0.0 if priority is Priority.CALLER else CALLER_SHARE * size
+    if not bucket.used_until - store_now <= AHEAD_MAX_S:
+        # No instance has written this: the bucket counts as used up now.
+        bucket = bucket._replace(used_until=store_now + size / rate)
     used = max(0.0, bucket.used_until - store_now) * rate
     free = size - reserved - used
     count = min(wanted, math.floor(free))
@@ -68,7 +75,7 @@
 
 def permits_per_fetch(limit: float, priority: Priority) -> int:
     """Return how many permits an instance fetches at once."""
-    return max(1, math.ceil(limit * FETCH_S[priority]))
+    return max(1, math.ceil(min(limit, RATE_MAX) * FETCH_S[priority]))
 
 
 class _LimitState:
@@ -115,6 +122,8 @@
         """
         key = endpoint.incarnation()
         state = self._states.get(key)
+        if limit is not None:
+            limit = min(limit, RATE_MAX)
         before = state.limit if state else None
         if limit is None:
             if state is None or sent_at < state.named_at:
--- a/plantainstack/services/rate_permits.py
+++ b/plantainstack/services/rate_permits.py
@@ -193,6 +193,10 @@
                 found.bucket, limit, priority, wanted, store_now
             )
             if not granted.count:
+                if granted.bucket != found.bucket:
+                    # The stored bucket cannot be right; without a write, its time
+                    # would move on with the present.
+                    await self._write(endpoint, found, granted.bucket)
                 return granted.wait_s
             written = await self._write(endpoint, found, granted.bucket)
             if written is None:
@@ -260,7 +264,7 @@
         """Return whether another instance has seen the end of a limit since."""
         now = self._clock.now()
         named_at = self._store_clock.latest(now) - self._limits.age_s(endpoint, now)
-        return bucket.ended_at > named_at
+        return named_at < bucket.ended_at <= self._store_clock.latest(now)
 
     def _forget_gone_endpoints(self) -> None:
         for incarnation, found in list(self._buckets.items()):
--- a/tests/policy/test_rate_limits.py
+++ b/tests/policy/test_rate_limits.py
@@ -1,12 +1,15 @@
 """Tests of the limits that endpoints name on their request rate."""
 
+import math
 import random
 
 import pytest
 
 from plantainstack.interfaces import Priority
 from plantainstack.policy.rate_limits import (
+    AHEAD_MAX_S,
     PERMIT_LIFETIME_S,
+    RATE_MAX,
     RECHECK_S,
     RateBucket,
     RateLimits,
@@ -124,3 +127,38 @@
     demands = [Priority.ROLLOUT] * 8 + [Priority.CALLER] * 3
     sent = simulate(2.0, demands)
     assert len(sent[Priority.CALLER]) >= 0.7 * 2.0 * 30.0
+
+
+@pytest.mark.parametrize("priority", list(Priority))
+@pytest.mark.parametrize("limit", [1e6, 1e300, 1.7e308])
+def test_limit_beyond_any_rate_is_bounded(limit, priority):
+    """Guards against an overflow, and against permits that fill the memory."""
+    bucket = RateBucket(1003.0, 0.0)
+    wanted = permits_per_fetch(limit, priority)
+    granted = grant_permits(bucket, limit, priority, wanted, 1000.0)
+    assert 0 <= granted.count <= wanted <= RATE_MAX
+    assert 0.0 <= granted.wait_s < 60.0
+    assert limited(limit).limit(A) == RATE_MAX
+
+
+@pytest.mark.parametrize("used_until", [math.nan, math.inf, 1e300, 1e9])
+@pytest.mark.parametrize("limit", [0.0, 2.0, 1e308])
+def test_bucket_with_an_impossible_time_is_used_up_for_a_while_only(limit, used_until):
+    """Guards against a stored bucket that blocks its endpoint, or raises."""
+    now = 1000.0
+    bucket = RateBucket(used_until, 0.0)
+    granted = grant_permits(bucket, limit, Priority.CALLER, 1, now)
+    assert granted.count == 0
+    later = now + granted.wait_s
+    assert later < now + AHEAD_MAX_S
+    again = grant_permits(granted.bucket, limit, Priority.CALLER, 1, later + 0.001)
+    assert again.count == 1
+
+
+def test_limit_that_has_risen_does_not_make_a_bucket_impossible():
+    """Guards against permits that are forgotten when a limit changes."""
+    now = 1000.0
+    bucket = RateBucket()
+    while (granted := grant_permits(bucket, 0.0, Priority.CALLER, 1, now)).count:
+        bucket = granted.bucket
+    assert grant_permits(bucket, 1000.0, Priority.CALLER, 1, now).bucket == bucket
--- a/tests/services/test_rate_permits.py
+++ b/tests/services/test_rate_permits.py
@@ -1,11 +1,16 @@
 """Tests of the limits of endpoints with several instances on one store."""
 
+import math
+
 import anyio
+import msgspec
 import pytest
 
 from plantainstack.errors import Outcome
 from plantainstack.policy import forwarding as forwarding_policy
+from plantainstack.policy.rate_limits import RateBucket
 from plantainstack.services.forwarding import ClientCall
+from plantainstack.services.rate_permits import BUCKET_TABLE
 from tests.policy.serving_samples import batch, endpoint, item, scored_item
 from tests.services.store_fleet import (
     BATCH_ROUTE,
@@ -184,3 +189,44 @@
         assert len(platform.client.calls) <= allowed(OBSERVED_S) + 4
         platform.client.rate_limits.clear()
         await all_results(batches, "b1", 40)
+
+
+def store_bucket(platform, endpoint_id, bucket):
+    name = (BUCKET_TABLE, endpoint_id, "1")
+    assert platform.rows.transact({}, {name: msgspec.msgpack.encode(bucket)}, [])
+
+
+@pytest.mark.parametrize("limit", [LIMIT, 1e300])
+@pytest.mark.parametrize(
+    "bucket",
+    [
+        RateBucket(math.nan, math.nan),
+        RateBucket(math.inf, 0.0),
+        RateBucket(1e300, -1e300),
+        RateBucket(-math.inf, 0.0),
+    ],
+)
+async def test_stored_bucket_with_impossible_times_blocks_nothing(bucket, limit):
+    """Guards against one stored row that ends the process or blocks an endpoint."""
+    platform = FakePlatform(LoopClock())
+    platform.client.rate_limits = {"e1": limit, "e2": limit}
+    for id in ("e1", "e2"):
+        store_bucket(platform, id, bucket)
+    async with running(platform, "a", "b") as kernels:
+        outcomes = await send_from_all(kernels)
+    assert sum(outcome.is_ok() for outcome in outcomes) > 2 + len(kernels)
+
+
+async def test_limit_is_kept_though_a_stored_end_lies_in_the_future():
+    """Guards against a row that says for good that a limit has ended."""
+    platform = FakePlatform(LoopClock())
+    platform.client.rate_limits = {"e1": LIMIT, "e2": LIMIT}
+    for id in ("e1", "e2"):
+        store_bucket(platform, id, RateBucket(0.0, math.inf))
+    async with running(platform, "a", "b") as kernels:
+        started = platform.clock.now()
+        await send_from_all(kernels)
+        seconds = platform.clock.now() - started
+    for id in ("e1", "e2"):
+        sent = [each for _, each in platform.client.calls if each == id]
+        assert len(sent) <= allowed(seconds) + len(kernels)
