--- a/plantainstack/policy/quarantine.py
+++ b/plantainstack/policy/quarantine.py
@@ -26,6 +26,7 @@
 # did not cause.
 QUARANTINE_MIN_S = 30.0
 QUARANTINE_MAX_S = 600.0
+QUARANTINE_DOUBLINGS_MAX = 10
 # An endpoint that crashed is mostly back after this time.
 RESTART_S = 3.0
 # Bound on the memory for requests with losses.
@@ -134,7 +135,8 @@
     """Return for how many seconds a request is refused, at least."""
     if losses < LOSSES_MAX:
         return 0.0
-    return min(QUARANTINE_MAX_S, QUARANTINE_MIN_S * 2 ** (losses - LOSSES_MAX))
+    doublings = min(losses - LOSSES_MAX, QUARANTINE_DOUBLINGS_MAX)
+    return min(QUARANTINE_MAX_S, QUARANTINE_MIN_S * 2**doublings)
 
 
 def allowed_endpoints(
--- a/plantainstack/policy/reward_calls.py
+++ b/plantainstack/policy/reward_calls.py
@@ -23,6 +23,7 @@
 RETRY_MAX_S = 0.8
 # 2 to the power of 1024 is too large for a float.
 RETRY_DOUBLINGS_MAX = 10
+WAIT_DOUBLINGS_MAX = 20
 
 
 class GroupProgress:
@@ -63,7 +64,8 @@
         """
         self.count += 1
         self.begun_at = now
-        wait_s = max(route.objective_s, RETRY_MIN_S) * 2**self._unanswered
+        doublings = min(self._unanswered, WAIT_DOUBLINGS_MAX)
+        wait_s = max(route.objective_s, RETRY_MIN_S) * 2**doublings
         if route.timeout_s > 0.0:
             wait_s = min(wait_s, route.timeout_s)
         return min(deadline, now + wait_s)
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -137,3 +137,8 @@
         records.add(f"r{number}", endpoint_key(A), float(number))
     assert records.count() == 2
     assert records.expired(QUARANTINE_MAX_S + 3.5) == ["r3"]
+
+
+def test_quarantine_is_bounded_however_many_endpoints_were_lost():
+    """Guards against a power that does not fit into a float."""
+    assert quarantine.quarantine_s(100_000) == QUARANTINE_MAX_S
--- a/tests/policy/test_reward_calls.py
+++ b/tests/policy/test_reward_calls.py
@@ -223,3 +223,12 @@
     for _ in range(2000):
         attempts.record_refusal()
     assert attempts.retry_delay_s() == reward_calls.RETRY_MAX_S
+
+
+def test_wait_is_bounded_however_many_calls_were_unanswered():
+    """Guards against a power that does not fit into a float."""
+    attempts = RewardAttempts()
+    for number in range(1100):
+        attempts.record_failure(f"e{number}", unanswered=True)
+    unlimited = REWARD_ROUTE._replace(timeout_s=0.0)
+    assert attempts.begin(unlimited, 10.0, 5000.0) == 5000.0
