Check the software of an endpoint before a stream goes on there

Cause: registrations come from a feed that is read with pauses, and requests name the id of an endpoint only. The registration is now read from the store after the head of a resumed stream has arrived and before its first event is passed on, and so are those of the endpoints that brought the earlier events.

--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -16,6 +16,7 @@
 from plantainstack.platform import records
 from plantainstack.serving import (
     Cursor,
+    Endpoint,
     EndpointChanges,
     HistoryLost,
     MetadataStore,
@@ -213,6 +214,16 @@
         found = await self._rows_since(ENDPOINT_TABLE, cursor, wait_s)
         return found.map(self._endpoint_changes)
 
+    async def endpoint(self, endpoint_id: str) -> Result[Endpoint | None, Failure]:
+        """Return the present registration of an endpoint, None if it has no valid one.
+
+        The registration is as of after the call began.
+        """
+        found = await self.read(ENDPOINT_TABLE, "", endpoint_id, f"{endpoint_id}\0")
+        return found.map(
+            lambda rows: self._endpoint_changes(rows).changed.get(endpoint_id)
+        )
+
     async def _rows_since(
         self, table: str, cursor: Cursor | None, wait_s: float
     ) -> Result[RowsRead | HistoryLost, Failure]:
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -8,6 +8,7 @@
 from plantainstack.policy.load_balancing import LoadBalancer
 from plantainstack.policy.rate_limits import RateLimits
 from plantainstack.services.feeds import ChangeNotifier, FeedReader
+from plantainstack.services.shared_calls import SharedCalls
 from plantainstack.serving import (
     ClientLimits,
     Endpoint,
@@ -26,6 +27,8 @@
 # An instance that ran a batch expects the next one within this time.
 ACTIVE_FOR_S = 5.0
 OPERATOR_PAUSE_S = 0.05
+# Timeout for reading one registration; a working store answers within 0.3 s.
+REGISTRATION_READ_TIMEOUT_S = 0.5
 # An instance that cannot reach the store for this long reports that it is not ready, so
 # that new clients go to other instances. If no instance can reach it, the platform uses
 # them all anyway. The time tolerates a single failed call.
@@ -81,6 +84,9 @@
             self._endpoint_pause_s,
             self._store_recovered,
         )
+        self._registrations = SharedCalls(
+            tasks, registry.endpoint, REGISTRATION_READ_TIMEOUT_S
+        )
         tasks.start_loop(self._operator_feed.run)
         tasks.start_loop(self._endpoint_feed.run)
         tasks.start_loop(self._expire)
@@ -125,6 +131,20 @@
         """Return whether an endpoint chosen earlier can still be given new requests."""
         return self.view.is_usable(endpoint)
 
+    async def present_registration(self, endpoint_id: str) -> Endpoint | None:
+        """Return an endpoint's registration as of after this call began.
+
+        None stands for no registration, and for a store that does not answer.
+        """
+        if self.store_is_lost():
+            return None
+        outcome = await self._registrations.call(endpoint_id)
+        if outcome is None or outcome.is_err():
+            reason = outcome.unwrap_err().message if outcome else "no answer in time"
+            log.event("endpoint.not_confirmed", endpoint=endpoint_id, reason=reason)
+            return None
+        return outcome.unwrap()
+
     def record_leaving(self, endpoint: Endpoint) -> None:
         """Record that an answer of an endpoint says that it leaves."""
         if self.view.record_leaving(endpoint, self.kernel.clock.now()):
--- a/plantainstack/services/stream_runs.py
+++ b/plantainstack/services/stream_runs.py
@@ -41,6 +41,7 @@
         # Endpoints that brought the events which the client has received, with the
         # wall-clock time of the first event of each.
         self._sources: list[tuple[Endpoint, float]] = []
+        self._in_doubt = False
         self._head_sent = False
 
     async def parts(self) -> AsyncIterator[Result[StreamHead | bytes, Failure]]:
@@ -84,7 +85,15 @@
 
     def _is_in_doubt(self) -> bool:
         """Return whether events may come from other software than recorded."""
-        return any(self._versions.is_in_doubt(*source) for source in self._sources)
+        return self._in_doubt or any(
+            self._versions.is_in_doubt(*source) for source in self._sources
+        )
+
+    async def _next_endpoint(self) -> Endpoint | None:
+        for source in self._sources:
+            if await self._versions.was_in_doubt(*source):
+                self._in_doubt = True
+        return await super()._next_endpoint()
 
     async def _find_start(self) -> Failure | None:
         """Find out where to go on, and at which origin; return why not."""
@@ -145,6 +154,18 @@
             self._origin = _origin(endpoint)
             if self._route.resumable:
                 self._versions.remember(self._call.request_id, self._origin)
+        elif not await self._versions.is_same_software(endpoint):
+            message = f"endpoint {endpoint.id} has restarted with other software"
+            self.failures.append(
+                Failure(ErrorKind.ANSWER_CROSSED, message, Outcome.MAY_HAVE_RUN)
+            )
+            log.event(
+                "stream.endpoint_restarted",
+                self._call.request_id,
+                endpoint=endpoint.id,
+                software=endpoint.software,
+            )
+            return False
         if self._route.resumable:
             self._sources.append((endpoint, self._clock.wall()))
         self._log_source(endpoint)
--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -12,6 +12,7 @@
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.plugins import Plugin
 from plantainstack.policy import route_table, stream_versions
+from plantainstack.policy.software_versions import software_of
 from plantainstack.policy.stream_versions import (
     UNKNOWN_ORIGIN,
     BaseOrigin,
@@ -158,9 +159,20 @@
         `first_event_at` is the wall-clock time of the first of the events.
         """
         known = self._discovery.view.known.get(endpoint.id)
-        if known is None or known.software == endpoint.software:
-            return False
-        return known.started_ms / 1000 <= first_event_at + CLOCK_SKEW_S
+        return _may_have_answered(known, endpoint, first_event_at)
+
+    async def was_in_doubt(self, endpoint: Endpoint, first_event_at: float) -> bool:
+        """Return what `is_in_doubt` does, by the present registration."""
+        known = await self._discovery.present_registration(endpoint.id)
+        return _may_have_answered(known, endpoint, first_event_at)
+
+    async def is_same_software(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint that has just answered has the software known.
+
+        Its registration is read, since this instance may not know of a restart yet.
+        """
+        found = await self._discovery.present_registration(endpoint.id)
+        return found is None or software_of(found) == software_of(endpoint)
 
     async def disown(self, stream_id: str, deadline: float) -> None:
         """Let nobody take up a stream of which the origin is in doubt."""
@@ -382,3 +394,15 @@
             horizon = self._clock.now() - self._life_s()
             while self._streams and next(iter(self._streams.values())).at < horizon:
                 self._streams.popitem(last=False)
+
+
+def _may_have_answered(
+    known: Endpoint | None, endpoint: Endpoint, first_event_at: float
+) -> bool:
+    """Return whether a process with other software may have sent an event.
+
+    `known` is the newest registration under the id of the endpoint.
+    """
+    if known is None or known.software == endpoint.software:
+        return False
+    return known.started_ms / 1000 <= first_event_at + CLOCK_SKEW_S
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -175,6 +175,13 @@
         Waits up to `wait_s` for a change.
         """
 
+    @abstractmethod
+    async def endpoint(self, endpoint_id: str) -> Result[Endpoint | None, Failure]:
+        """Return the present registration of an endpoint, None if it has no valid one.
+
+        The registration is as of after the call began.
+        """
+
 
 class RowName(NamedTuple):
     """Identify a row by table, partition and key.
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -205,6 +205,10 @@
             await self._platform.endpoints_released.wait()
         return Ok(EndpointChanges(dict(self._platform.endpoints), 1))
 
+    async def endpoint(self, endpoint_id):
+        await anyio.lowlevel.checkpoint()
+        return Ok(self._platform.endpoints.get(endpoint_id))
+
 
 class _Stream(OpenStream):
     def __init__(self, platform, request_id, endpoint_id, call):
--- a/tests/services/test_stream_interleavings.py
+++ b/tests/services/test_stream_interleavings.py
@@ -105,6 +105,11 @@
             self.seen = dict(self._platform.endpoints)
         return Ok(EndpointChanges(dict(self.seen), 1))
 
+    async def endpoint(self, endpoint_id):
+        if self.cut_off:
+            return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, "scripted"))
+        return await super().endpoint(endpoint_id)
+
 
 class Server:
     """A process of an endpoint, of one software version."""
--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -547,3 +547,79 @@
 
 async def read_into(parts, kernel, sent):
     parts += await read(kernel, sent)
+
+
+def restart(platform, id, software):
+    """Restart an endpoint under its id; instances learn of it when released."""
+    if platform.endpoints_released is None:
+        platform.endpoints_released = anyio.Event()
+    started_ms = int(platform.clock.wall() * 1000)
+    restarted = endpoint(id, software=software, started_ms=started_ms)
+    platform.endpoints[id] = restarted
+    platform.software[id] = software
+
+
+def passed_on(parts):
+    """Return the number of events that a client has received."""
+    return sum(part.is_ok() and isinstance(part.unwrap(), bytes) for part in parts)
+
+
+@pytest.mark.parametrize("other", [False, True])
+async def test_stream_is_not_resumed_at_an_endpoint_that_restarted_unnoticed(other):
+    """Guards against an instance out of step that joins two software versions."""
+    platform = platform_with(e1="V", e2="V", **({"e3": "V"} if other else {}))
+    gate = anyio.Event()
+    parts = []
+    async with settled(platform, "a") as (kernel,):
+        platform.client.blocked_events = {("r1", 3): gate}
+        platform.client.failing_events = [("r1", 3)]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read_into, parts, kernel, call(kernel, seconds=30.0))
+            await anyio.sleep(3.0)
+            assert platform.client.opened_streams == [("r1", "e1", None)]
+            restart(platform, "e2", "W")
+            await anyio.sleep(0.1)
+            gate.set()
+    assert opened(platform)[1] == ("r1", "W", 2)
+    assert opened(platform)[2:] == ([("r1", "V", 2)] if other else [])
+    assert parts[-1].is_ok() == other
+    assert passed_on(parts) == (3 if other else 2)
+
+
+async def test_stream_is_not_taken_up_at_an_endpoint_that_restarted_unnoticed():
+    """Guards against an instance that stood still and takes up what others began."""
+    platform = platform_with(e1="V", e2="V")
+    async with settled(platform, "a", "b") as (first, second):
+        await begin_at(platform, first, "V", "r1")
+        restart(platform, "e1", "W")
+        restart(platform, "e2", "W")
+        await anyio.sleep(0.1)
+        parts = await resume(second, "r2", "r1")
+        assert parts[-1].is_err()
+        assert passed_on(parts) == 0
+
+
+async def test_stream_of_an_endpoint_that_restarted_unnoticed_is_not_resumed():
+    """Guards against a stream that began at other software than its record says."""
+    platform = platform_with(e1="V")
+    gate = anyio.Event()
+    parts = []
+    async with settled(platform, "a") as (kernel,):
+        platform.client.blocked_events = {("r1", 3): gate}
+        platform.client.failing_events = [("r1", 3)]
+        set_versions(platform, e2="V")
+        await anyio.sleep(SETTLED_S)
+        restart(platform, "e2", "W")
+        await anyio.sleep(0.1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read_into, parts, kernel, call(kernel, seconds=30.0))
+            await anyio.sleep(0.1)
+            assert opened(platform) == [("r1", "W", None)]
+            # The instance learns of the other endpoint, not yet of the restart.
+            view = kernel.plugin("discovery").view
+            platform.endpoints["e1"] = endpoint("e1", software="V")
+            view.known["e1"] = platform.endpoints["e1"]
+            gate.set()
+        assert parts[-1].is_err()
+        assert passed_on(parts) == 2
+        assert opened(platform) == [("r1", "W", None)]
