Wait for a silent endpoint where no other can answer

Plain requests that may not be repeated got 504.

Cause: the limit on silence finds connections that are lost without a reset, so that a request goes on elsewhere. It applied to requests that cannot go on, too. An attempt is now given up for silence only if another one is allowed and another endpoint can take it.

--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -47,8 +47,8 @@
 # connections are reused.
 IDLE_LIMIT_S = 8.0
 # A stream pauses while weights are loaded: 0.9 s, and about twice that when several
-# loads run at once. A longer silence means that the connection or the endpoint is
-# lost.
+# loads run at once. After a longer silence, another endpoint is tried where one can
+# go on; the endpoint may still be sound.
 SILENCE_TIMEOUT_S = 2.5
 CONTROL_TIMEOUT_S = 1.0
 # Requests that an endpoint may report as running or waiting.
@@ -133,7 +133,8 @@
             if problem:
                 yield Err(exchange.crossed(problem))
                 return
-            yield Ok(_Stream(response, exchange, self._clock))
+            silence_s = math.inf if call.awaits_silent else SILENCE_TIMEOUT_S
+            yield Ok(_Stream(response, exchange, self._clock, silence_s))
 
     async def order(
         self, endpoint: Endpoint, order: VersionOrder, deadline: float
@@ -198,8 +199,9 @@
     async def _open(self, endpoint: Endpoint, call: EndpointCall):
         exchange = Exchange(self._clock, call.deadline)
         remaining = max(0.0, exchange.remaining())
+        silence_s = remaining if call.awaits_silent else SILENCE_TIMEOUT_S
         timeouts = Timeouts(
-            min(CONNECT_TIMEOUT_S, remaining), min(SILENCE_TIMEOUT_S, remaining)
+            min(CONNECT_TIMEOUT_S, remaining), min(silence_s, remaining)
         )
         pool = self._pools.setdefault(
             _connection_key(endpoint),
@@ -286,10 +288,17 @@
 
 
 class _Stream(OpenStream):
-    def __init__(self, response: httpcore.Response, exchange: Exchange, clock: Clock):
+    def __init__(
+        self,
+        response: httpcore.Response,
+        exchange: Exchange,
+        clock: Clock,
+        silence_s: float,
+    ):
         self._response = response
         self._exchange = exchange
         self._clock = clock
+        self._silence_s = silence_s
         self.head = StreamHead(
             response.status,
             _end_to_end_headers(response.headers),
@@ -310,8 +319,8 @@
                     yield Ok(_stream_event(event))
                 # The read time-out does not cover a stream that sends bytes without
                 # completing an event.
-                if now - silent_since > SILENCE_TIMEOUT_S:
-                    message = f"no event was completed for {SILENCE_TIMEOUT_S} s"
+                if now - silent_since > self._silence_s:
+                    message = f"no event was completed for {self._silence_s} s"
                     yield Err(self._exchange.failure(ErrorKind.ANSWER_TIMEOUT, message))
                     return
         except EventTooLarge as exc:
--- a/plantainstack/policy/forwarding.py
+++ b/plantainstack/policy/forwarding.py
@@ -39,6 +39,15 @@
     return counts.ran == 0 or route.repeatable()
 
 
+def awaits_silent(route: Route, counts: AttemptCounts, alternatives: int) -> bool:
+    """Return whether the running attempt is kept while its endpoint is silent.
+
+    Giving it up helps only if the request can go on at one of `alternatives` other
+    endpoints. `counts` include the running attempt.
+    """
+    return not alternatives or not may_start_attempt(route, counts)
+
+
 def hedge_delay(route: Route) -> float | None:
     """Return the seconds until the request is hedged, or None for no hedge."""
     if not route.repeatable() or route.endpoints_max < 2:
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -135,8 +135,15 @@
             call.deadline,
             resume_after,
             reuse_connection=reuse,
+            awaits_silent=self._awaits_silent(),
         )
 
+    def _awaits_silent(self) -> bool:
+        usable = self._plugin.discovery.usable(self.service)
+        others = [end for end in usable if end.id not in self.tried and self._fits(end)]
+        counts = AttemptCounts(len(self.tried), self.ran, self.running)
+        return forwarding.awaits_silent(self._route, counts, len(others))
+
     def _handle_failure(self, endpoint: Endpoint, failure: Failure) -> None:
         self.failures.append(failure)
         if failure.outcome is Outcome.NOT_RUN:
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -435,7 +435,9 @@
 class EndpointCall(NamedTuple):
     """Hold a request to one endpoint; the deadline is a time on the process's clock.
 
-    `resume_after` is the id of the last event received, for resuming a stream.
+    `resume_after` is the id of the last event received, for resuming a stream. An
+    endpoint that falls silent is given up after a time, or at the deadline if
+    `awaits_silent` is set.
     """
 
     request_id: str
@@ -447,6 +449,7 @@
     deadline: float
     resume_after: int | None = None
     reuse_connection: bool = True
+    awaits_silent: bool = False
 
 
 class OrderAnswer(StrEnum):
