Take over no batch before a configuration is known

An instance that had just started took a batch over which a reader had asked for, found no configuration to look its route up in, and raised AttributeError.

Cause: the feed of batches waits for a configuration, but requests of readers make batches known without it, and the periodic check took them over.

Evidence: the new test fails without the change.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -407,6 +407,9 @@
             return False
         if entry.pending or batch_id in self._accepting:
             return False
+        if self._discovery.serving is None:
+            # Without a configuration, no batch has a route.
+            return False
         now = self.kernel.clock.now()
         if entry.is_running() or now < entry.resume_at:
             return False
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -26,6 +26,7 @@
     FakePlatform,
     MemoryStore,
     all_results,
+    new_kernel,
     running,
     until,
 )
@@ -650,3 +651,26 @@
             assert {result.text for result in found} == {TEXT}
             stored = platform.rows.range(batch_store.RESULT_TABLE, f"b{number}", "", "")
             assert len(stored) == 4
+
+
+async def test_batch_is_not_taken_over_before_a_configuration_is_known():
+    """Guards against a takeover without routes, which ended a restarted instance."""
+    platform = FakePlatform()
+    platform.client.blocked_events["i0", 2] = gate = anyio.Event()
+    async with running(platform, "a") as (kernel,):
+        await kernel.plugin("batches").submit(four_items(), BATCH_ROUTE)
+    gate.set()
+    platform.config = None
+    async with anyio.create_task_group() as tasks:
+        kernel = new_kernel(platform, "b")
+        tasks.start_soon(kernel.run, False)
+        await until(lambda: kernel.state == "serving")
+        batches = kernel.plugin("batches")
+        # A reader makes the batch known.
+        await batches.results("b1", 0, 0.0)
+        await anyio.sleep(2 * batch_scheduling.OWNER_TIMEOUT_S)
+        assert batches._entries["b1"].row.state.owner == "a"
+        platform.config = CONFIG
+        results = await all_results(batches, "b1", 4)
+        tasks.cancel_scope.cancel()
+    assert {result.state for result in results} == {ItemState.COMPLETED}
