--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -143,7 +143,7 @@
 
 
 async def read_answer(conn, seconds=10):
-    """Return what a client reads until its connection ends, None if that is nothing."""
+    """Return what a client reads until its connection ends; it may be nothing."""
     raw, was_reset = b"", False
     with anyio.fail_after(seconds):
         try:
@@ -153,7 +153,7 @@
             pass
         except anyio.BrokenResourceError:
             was_reset = True
-    return Answer(raw, was_reset) if raw else None
+    return Answer(raw, was_reset)
 
 
 async def read_stream(*steps, version="1.1", resumable=True, count=3):
@@ -174,7 +174,7 @@
                 "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
             )
             answer = await read_answer(conn)
-    return answer or Answer(b"", was_reset=False), found
+    return answer, found
 
 
 BROKEN = {
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -91,7 +91,7 @@
                     assert (await ask(conn, "w000")).status == 200
             async with connected(kernel) as conn:
                 answer = await ask(conn, f"r{cut:03}")
-            if answer is not None and answer.status == 200 and answer.complete:
+            if answer.status == 200 and answer.complete:
                 found.append(cut)
     assert source.cuts >= len(cuts)
     return found
@@ -113,5 +113,5 @@
     framing, kind
 ):
     """Guards against a retry that hides how an answer was cut."""
-    cuts = range(1, len(framing("r000")), 5)
+    cuts = range(1, len(framing("r000")))
     assert await whole_answers(kind, framing, cuts, reuse=True) == []
