--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -11,6 +11,7 @@
 import anyio
 import httpcore
 
+from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.requests import Deadline
@@ -53,6 +54,11 @@
         if self._deadline.expired():
             raise DeadlineExceeded
         self.sent = True
+        metrics.ENDPOINT_SENDS.labels(self.connection()).inc()
+
+    def connection(self) -> str:
+        """Return whether the connection is a new one or was kept for reuse."""
+        return "kept" if self.reused else "new"
 
     def remaining(self) -> float:
         """Return the seconds until the deadline."""
@@ -152,17 +158,20 @@
         return remaining if timeout is None else min(timeout, remaining)
 
 
-class Connection(NamedTuple):
-    """A connection and its network stream."""
+class Connection:
+    """A connection, its network stream and the number of exchanges on it."""
 
-    http: httpcore.AsyncHTTP11Connection
-    stream: GuardedStream
+    def __init__(self, http: httpcore.AsyncHTTP11Connection, stream: GuardedStream):
+        self.http = http
+        self.stream = stream
+        self.exchanges = 0
 
 
 class OutgoingRequest(NamedTuple):
     """An HTTP request to send; the target is an absolute path.
 
-    If `host` is empty, the Host header holds the endpoint's address.
+    If `host` is empty, the Host header holds the endpoint's address. `id` is empty for
+    calls that carry none.
     """
 
     method: str
@@ -170,6 +179,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     host: str = ""
+    id: str = ""
 
 
 class Timeouts(NamedTuple):
@@ -211,7 +221,9 @@
         exchange.reused = conn is not None
         if conn is None:
             conn = await self._connect(timeouts.connect)
+        response = None
         try:
+            conn.exchanges += 1
             conn.stream.arm(exchange)
             prepared = self._request(request, timeouts.progress)
             response = await conn.http.handle_async_request(prepared)
@@ -219,8 +231,20 @@
             yield response
             await response.aclose()
         finally:
+            if request.id and exchange.sent:
+                self._log_send(request, exchange, conn, response)
             await self._release(conn, exchange)
 
+    def _log_send(self, request, exchange, conn, response) -> None:
+        log.event(
+            "endpoint.exchange",
+            request.id,
+            address=str(self._address),
+            connection=exchange.connection(),
+            earlier=conn.exchanges - 1,
+            status=response.status if response else None,
+        )
+
     async def close_idle(self) -> None:
         """Close all idle connections."""
         idle, self._idle = self._idle, []
--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -158,7 +158,9 @@
         ]
         headers.append((ATTEMPT_HEADER, req.attempt_id))
         headers.append(("X-Deadline-Ms", _wall_ms(self._clock, deadline)))
-        request = OutgoingRequest(req.method, req.path, headers, req.body)
+        request = OutgoingRequest(
+            req.method, req.path, headers, req.body, id=req.attempt_id
+        )
         return await self._read(request, self._exchange(deadline), req.attempt_id)
 
 
@@ -179,6 +181,7 @@
                 ("X-Deadline-Ms", _wall_ms(self._clock, deadline)),
             ],
             _completion_body(req),
+            id=req.attempt_id,
         )
         answering = False
         try:
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -16,6 +16,12 @@
     ["service"],
     registry=REGISTRY,
 )
+ENDPOINT_SENDS = Counter(
+    "plantainstack_endpoint_sends",
+    "Requests whose first byte was sent to an endpoint, by connection (new or kept).",
+    ["connection"],
+    registry=REGISTRY,
+)
 REQUEST_SECONDS = Histogram(
     "plantainstack_request_seconds",
     "Time from a request's arrival to the end of its answer, in seconds.",
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -264,7 +264,9 @@
                 headers.append((names.REQUEST_ID, call.request_id))
         if call.resume_after is not None:
             headers.append((names.LAST_EVENT_ID, str(call.resume_after)))
-        return OutgoingRequest(call.method, call.target, headers, call.body, call.host)
+        return OutgoingRequest(
+            call.method, call.target, headers, call.body, call.host, call.request_id
+        )
 
     def _answer(self, response, call, body: bytes, exchange: Exchange):
         not_run = (
