Send a request to an endpoint once

Callers of safe routes got a success where the endpoint had answered with a failure.

Cause: a protocol error on a kept connection was taken for a connection that the endpoint had closed while idle, and the request was sent to the same endpoint once more under its id, outside of all counts (ran, max_attempts, permits, losses, logs). The endpoint had run it; its answer was spoiled, cut, or came behind other bytes.

An exchange is now one send. A kept connection is used only where another endpoint can still take the request; the last one is asked on a new connection, so that a connection that is closed while idle costs no answer.

test_connection_that_was_closed_while_idle_is_replaced closed the connection after it had read the request, and demanded the second send. It now closes the connection while it is idle, and demands that the request arrives once.

--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -78,14 +78,6 @@
 )
 
 
-_CONNECTION_LOST_ERRORS = (
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-)
-
-
 class PlatformEndpointClient(EndpointClient):
     """Use the servers' HTTP interface, with one connection pool per server process."""
 
@@ -213,11 +205,16 @@
                 # The body is read by the caller. A cancel scope must not be open
                 # then: it would end the caller's block without a result.
                 with anyio.fail_after(remaining):
-                    response = await self._receive_head(
-                        stack, pool, request, exchange, timeouts, call.reuse_connection
+                    response = await stack.enter_async_context(
+                        pool.exchange(
+                            request, exchange, timeouts, not call.reuse_connection
+                        )
                     )
             except _TRANSPORT_ERRORS as exc:
-                if isinstance(exc, TimeoutError | httpcore.TimeoutException):
+                # Other kept connections may have gone the same way.
+                if exchange.reused or isinstance(
+                    exc, TimeoutError | httpcore.TimeoutException
+                ):
                     await pool.close_idle()
                 yield Err(exchange.failure_from_exception(exc, answering=False))
                 return
@@ -226,28 +223,6 @@
                     listener(endpoint)
             yield Ok((response, exchange))
 
-    @staticmethod
-    async def _receive_head(
-        stack: contextlib.AsyncExitStack,
-        pool: ConnectionPool,
-        request: OutgoingRequest,
-        exchange: Exchange,
-        timeouts: Timeouts,
-        reuse: bool,
-    ) -> httpcore.Response:
-        """Send a request and return the response, whose body is yet to be read."""
-        first = pool.exchange(request, exchange, timeouts, not reuse)
-        try:
-            return await stack.enter_async_context(first)
-        except _CONNECTION_LOST_ERRORS:
-            if not exchange.reused:
-                raise
-        # The server may have closed the idle connection, which is no failure of the
-        # server: retry on a new one.
-        await pool.close_idle()
-        again = pool.exchange(request, exchange, timeouts, True)
-        return await stack.enter_async_context(again)
-
     def _outgoing_request(
         self, endpoint: Endpoint, call: EndpointCall, exchange: Exchange
     ) -> OutgoingRequest:
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -123,8 +123,8 @@
 
     def _endpoint_call(self, resume_after: int | None = None) -> EndpointCall:
         call = self._call
-        # On a reused connection that breaks, the client sends the request once more.
-        reuse = self._route.repeatable() and not self._losses_of_request().lost
+        awaits_silent = self._awaits_silent()
+        reuse = not awaits_silent and not self._losses_of_request().lost
         return EndpointCall(
             call.request_id,
             call.method,
@@ -135,7 +135,7 @@
             call.deadline,
             resume_after,
             reuse_connection=reuse,
-            awaits_silent=self._awaits_silent(),
+            awaits_silent=awaits_silent,
         )
 
     def _awaits_silent(self) -> bool:
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -196,11 +196,14 @@
 
 async def test_connection_that_was_closed_while_idle_is_replaced():
     """Guards against failures that are reported for a closed idle connection."""
-    outcomes, script = await call_endpoint(
-        answer(), None, answer(body="again"), calls=2
-    )
-    assert outcomes[1].unwrap().answer.body == b"again"
+    script = Script(answer() + "CLOSE", answer(body="again"))
+    async with serving(script) as (client, target):
+        await client.call(target, call())
+        await anyio.sleep(0.05)
+        second = await client.call(target, call())
+    assert second.unwrap().answer.body == b"again"
     assert script.connections == 2
+    assert len(script.requests) == 2
 
 
 async def test_request_that_must_not_run_twice_uses_a_new_connection():
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -68,6 +68,17 @@
     assert outcome.unwrap().answer.status == 500
 
 
+async def test_last_endpoint_is_asked_on_a_new_connection():
+    """Guards against a request that is lost since its kept connection was closed."""
+    platform = FakePlatform()
+    platform.client.statuses = {"e1": 500, "e2": 500}
+    async with running(platform, "a") as kernels:
+        forwarding = kernels[0].plugin("forwarding")
+        await forwarding.plain(call(kernels[0]), SAFE_ROUTE)
+    reused = [sent.reuse_connection for sent in platform.client.sent_calls]
+    assert reused == [True, False]
+
+
 async def test_hedged_request_succeeds_while_the_first_endpoint_is_silent():
     """Guards against callers that wait for a silent endpoint until their deadline."""
     outcome, _calls = await answer({"e1": anyio.sleep_forever})
