Bind answers to requests at one point, before anything of them is used

Callers got "not run" for a request that ran: the late refusal of another request was returned as that of this one, and the request was sent to another endpoint while the first one ran it.

Cause: the id of an answer was compared field by field, in some cases after its status, its announcements or its limit had been used. Both clients took refusals without comparing; calls of the own interface that report, order or cancel carried no id, but shared connections with requests.

policy/answer_binding.py holds one rule for both clients, and the connection pool applies it before it passes an answer on. The id binds an answer to its request. Its place on the connection binds it only where the connection has carried nothing else: for calls without an id, for endpoints that return none, and for refusals. Control calls carry ids of their own; an endpoint that returns none gets a new connection for each. An answer with two ids belongs to neither request.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
@@ -14,6 +15,8 @@
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.policy import answer_binding
+from plantainstack.policy.answer_binding import AnswerRule
 from plantainstack.requests import Deadline
 from plantainstack.settings.options import Address
 
@@ -35,6 +38,10 @@
     """The deadline of an exchange passed before its first byte was sent."""
 
 
+class AnswerCrossed(httpcore.RemoteProtocolError):
+    """An answer belongs to another request, or to none."""
+
+
 class AnswerTooLarge(httpcore.RemoteProtocolError):
     """The head or the body of an answer exceeds its limit."""
 
@@ -46,8 +53,6 @@
         self._deadline = Deadline(clock, deadline)
         self.sent = False
         self.reused = False
-        # Whether the connection may carry another exchange afterwards.
-        self.connection_in_step = True
 
     def before_first_byte(self) -> None:
         """Record that bytes are sent; raise DeadlineExceeded after the deadline."""
@@ -69,15 +74,6 @@
         outcome = Outcome.MAY_HAVE_RUN if self.sent else Outcome.NOT_RUN
         return Failure(kind, message, outcome)
 
-    def crossed(self, message: str) -> Failure:
-        """Build the failure for an answer that belongs to another request.
-
-        The connection is closed afterwards: the next answer on it would be that to
-        this request.
-        """
-        self.connection_in_step = False
-        return self.failure(ErrorKind.ANSWER_CROSSED, message)
-
     def failure_from_exception(self, exc: Exception, answering: bool) -> Failure:
         """Build the failure for an exception raised by the connection.
 
@@ -93,6 +89,8 @@
             return self.failure(
                 ErrorKind.ANSWER_TIMEOUT, "the endpoint did not answer in time"
             )
+        if isinstance(exc, AnswerCrossed):
+            return self.failure(ErrorKind.ANSWER_CROSSED, str(exc))
         if isinstance(exc, AnswerTooLarge):
             return self.failure(ErrorKind.ENDPOINT_FAILED, str(exc))
         if answering:
@@ -167,19 +165,50 @@
         self.exchanges = 0
 
 
+class AnswerCheck(ABC):
+    """Checks an answer before anything of it is used."""
+
+    def __init__(self, rule: AnswerRule, id_header: str):
+        self.rule = rule
+        self._id_header = id_header.lower().encode()
+
+    def mismatch(self, response: httpcore.Response, alone: bool) -> str | None:
+        """Return why an answer does not belong to the request, or None if it does.
+
+        `alone` states that the connection has carried no other request.
+        """
+        return answer_binding.mismatch(
+            self.rule, self._ids(response), alone, self.is_refusal(response)
+        )
+
+    def may_keep_connection(self, response: httpcore.Response) -> bool:
+        """Return whether the connection of an answer may carry another request."""
+        return answer_binding.may_keep_connection(self.rule, self._ids(response))
+
+    def _ids(self, response: httpcore.Response) -> list[str]:
+        return [
+            value.decode("latin-1")
+            for name, value in response.headers
+            if name.lower() == self._id_header
+        ]
+
+    @abstractmethod
+    def is_refusal(self, response: httpcore.Response) -> bool:
+        """Return whether the answer declares that the request was not run."""
+
+
 class OutgoingRequest(NamedTuple):
     """An HTTP request to send; the target is an absolute path.
 
-    If `host` is empty, the Host header holds the endpoint's address. `id` is empty for
-    calls that carry none.
+    If `host` is empty, the Host header holds the endpoint's address.
     """
 
     method: str
     target: str
     headers: list[tuple[str, str]]
     body: bytes
+    check: AnswerCheck
     host: str = ""
-    id: str = ""
 
 
 class Timeouts(NamedTuple):
@@ -215,30 +244,38 @@
         """Send a request on an exclusive connection and yield the response.
 
         With `fresh`, a new connection is opened. The connection is reused later only
-        if the response was read completely.
+        if the response was read completely. Raises AnswerCrossed if the response does
+        not belong to the request.
         """
+        check = request.check
+        fresh = fresh or not check.rule.id
         conn = None if fresh else await self._acquire_idle()
         exchange.reused = conn is not None
         if conn is None:
             conn = await self._connect(timeouts.connect)
         response = None
+        keep = False
         try:
             conn.exchanges += 1
             conn.stream.arm(exchange)
             prepared = self._request(request, timeouts.progress)
             response = await conn.http.handle_async_request(prepared)
             conn.stream.head_received()
+            problem = check.mismatch(response, not exchange.reused)
+            if problem:
+                raise AnswerCrossed(problem)
             yield response
             await response.aclose()
+            keep = check.may_keep_connection(response)
         finally:
-            if request.id and exchange.sent:
+            if check.rule.id and exchange.sent:
                 self._log_send(request, exchange, conn, response)
-            await self._release(conn, exchange)
+            await self._release(conn, keep)
 
     def _log_send(self, request, exchange, conn, response) -> None:
         log.event(
             "endpoint.exchange",
-            request.id,
+            request.check.rule.id,
             address=str(self._address),
             connection=exchange.connection(),
             earlier=conn.exchanges - 1,
@@ -267,9 +304,8 @@
         http = httpcore.AsyncHTTP11Connection(self._origin, stream, self._idle_limit_s)
         return Connection(http, stream)
 
-    async def _release(self, conn: Connection, exchange: Exchange) -> None:
-        reusable = exchange.connection_in_step and conn.http.is_idle()
-        if reusable and len(self._idle) < IDLE_CONNECTIONS_MAX:
+    async def _release(self, conn: Connection, keep: bool) -> None:
+        if keep and conn.http.is_idle() and len(self._idle) < IDLE_CONNECTIONS_MAX:
             self._idle.append(conn)
         else:
             await _close(conn)
--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -27,6 +27,7 @@
 from plantainstack.links.connections import (
     ANSWER_BYTES_MAX,
     ATTEMPT_HEADER,
+    AnswerCheck,
     ConnectionPool,
     DeadlineExceeded,
     Exchange,
@@ -36,12 +37,15 @@
 )
 from plantainstack.links.events import EventTooLarge, SseDecoder
 from plantainstack.plugins import Plugin
+from plantainstack.policy.answer_binding import AnswerRule
+from plantainstack.requests import new_id
 from plantainstack.settings.fleet import FleetOptions, Scope
 
 CONTROL_TIMEOUT_S = 2.0
 BODY_DRAIN_TIMEOUT_S = 0.05
 # The KV cache of a completion is the largest answer to a control call.
 CONTROL_BYTES_MAX = 64 * 1024 * 1024
+REFUSED_STATUS = 503
 DONE = "[DONE]"
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -85,6 +89,11 @@
 _CHUNK_DECODER = msgspec.json.Decoder(_Chunk)
 
 
+class _AttemptCheck(AnswerCheck):
+    def is_refusal(self, response: httpcore.Response) -> bool:
+        return response.status == REFUSED_STATUS
+
+
 class _Endpoint:
     """Base class of the clients for one endpoint."""
 
@@ -111,20 +120,14 @@
         )
         return self._pool.exchange(request, exchange, timeouts, self._fresh)
 
-    def _check_id(self, sent: str, headers, exchange: Exchange) -> Failure | None:
-        returned = _header(headers, ATTEMPT_HEADER)
-        if returned == sent:
-            return None
-        if returned is None and not self._options.echoes_request_id:
-            return None
-        message = "the answer has the id of another attempt, or none"
-        return exchange.crossed(message)
+    def _check(self, attempt_id: str) -> AnswerCheck:
+        rule = AnswerRule(attempt_id, not self._options.echoes_request_id)
+        return _AttemptCheck(rule, ATTEMPT_HEADER)
 
     async def _read(
         self,
         request: OutgoingRequest,
         exchange: Exchange,
-        attempt_id: str | None,
         bytes_max: int = ANSWER_BYTES_MAX,
     ):
         answering = False
@@ -132,10 +135,6 @@
             with anyio.fail_after(max(0.0, exchange.remaining())):
                 async with self._open(request, exchange) as response:
                     answering = True
-                    if attempt_id is not None:
-                        crossed = self._check_id(attempt_id, response.headers, exchange)
-                        if crossed:
-                            return Err(crossed)
                     return Ok(PlainAnswer(*await _read_answer(response, bytes_max)))
         except _CONNECTION_ERRORS as exc:
             failure = exchange.failure_from_exception(exc, answering)
@@ -158,10 +157,9 @@
         ]
         headers.append((ATTEMPT_HEADER, req.attempt_id))
         headers.append(("X-Deadline-Ms", _wall_ms(self._clock, deadline)))
-        request = OutgoingRequest(
-            req.method, req.path, headers, req.body, id=req.attempt_id
-        )
-        return await self._read(request, self._exchange(deadline), req.attempt_id)
+        check = self._check(req.attempt_id)
+        request = OutgoingRequest(req.method, req.path, headers, req.body, check)
+        return await self._read(request, self._exchange(deadline))
 
 
 class HttpEngine(_Endpoint, Engine):
@@ -181,13 +179,13 @@
                 ("X-Deadline-Ms", _wall_ms(self._clock, deadline)),
             ],
             _completion_body(req),
-            id=req.attempt_id,
+            self._check(req.attempt_id),
         )
         answering = False
         try:
             async with self._open(request, exchange) as response:
                 answering = True
-                rejected = self._check_response(req, response, exchange)
+                rejected = self._rejection(response, exchange)
                 if rejected:
                     yield Err(rejected)
                     return
@@ -200,13 +198,12 @@
                 await self._pool.close_idle()
             yield Err(failure)
 
-    def _check_response(self, req, response, exchange: Exchange) -> Failure | None:
-        if response.status == 503:
+    def _rejection(self, response, exchange: Exchange) -> Failure | None:
+        if response.status == 200:
+            return None
+        if response.status == REFUSED_STATUS:
             message = "the engine refused the request with status 503"
             return Failure.of(ErrorKind.ENDPOINT_REFUSED, message)
-        crossed = self._check_id(req.attempt_id, response.headers, exchange)
-        if crossed or response.status == 200:
-            return crossed
         message = f"the engine answered with status {response.status}"
         if 400 <= response.status < 500:
             return Failure.of(ErrorKind.BAD_REQUEST, message)
@@ -274,9 +271,12 @@
     ) -> Result[bytes, Failure]:
         body = content if isinstance(content, bytes) else msgspec.json.encode(content)
         kind = "application/octet-stream" if content is body else "application/json"
-        request = OutgoingRequest(method, target, [("Content-Type", kind)], body)
+        call_id = new_id()
+        headers = [("Content-Type", kind), (ATTEMPT_HEADER, call_id)]
+        check = _AttemptCheck(AnswerRule(call_id, id_optional=True), ATTEMPT_HEADER)
+        request = OutgoingRequest(method, target, headers, body, check)
         exchange = self._exchange(self._clock.now() + CONTROL_TIMEOUT_S)
-        answer = await self._read(request, exchange, None, CONTROL_BYTES_MAX)
+        answer = await self._read(request, exchange, CONTROL_BYTES_MAX)
         return answer.and_then(_control_answer)
 
 
@@ -347,13 +347,6 @@
             pass
 
 
-def _header(headers, name: str) -> str | None:
-    wanted = name.lower().encode()
-    found = (value for key, value in headers if key.lower() == wanted)
-    value = next(found, None)
-    return None if value is None else value.decode("latin-1")
-
-
 def _wall_ms(clock: Clock, deadline: float) -> str:
     return str(int(clock.wall_from_deadline(deadline) * 1000))
 
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -16,6 +16,7 @@
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.interfaces import PlainAnswer
 from plantainstack.links.connections import (
+    AnswerCheck,
     ConnectionPool,
     DeadlineExceeded,
     Exchange,
@@ -25,6 +26,7 @@
 )
 from plantainstack.links.events import EventTooLarge, SseDecoder, SseEvent
 from plantainstack.platform import names, records
+from plantainstack.policy.answer_binding import AnswerRule
 from plantainstack.serving import (
     Endpoint,
     EndpointAnswer,
@@ -103,7 +105,7 @@
                 body = await read_body(response)
             except _TRANSPORT_ERRORS as exc:
                 return Err(exchange.failure_from_exception(exc, answering=True))
-            return self._answer(response, call, body, exchange)
+            return Ok(_answer(response, body))
 
     @contextlib.asynccontextmanager
     async def stream(self, endpoint: Endpoint, call: EndpointCall):
@@ -119,11 +121,7 @@
                 except _TRANSPORT_ERRORS as exc:
                     yield Err(exchange.failure_from_exception(exc, answering=True))
                     return
-                yield self._answer(response, call, body, exchange)
-                return
-            problem = _answer_mismatch(response, call)
-            if problem:
-                yield Err(exchange.crossed(problem))
+                yield Ok(_answer(response, body))
                 return
             silence_s = math.inf if call.awaits_silent else SILENCE_TIMEOUT_S
             yield Ok(_Stream(response, exchange, self._clock, silence_s))
@@ -218,7 +216,7 @@
                     await pool.close_idle()
                 yield Err(exchange.failure_from_exception(exc, answering=False))
                 return
-            if _says_leaving(response, call):
+            if _says_leaving(response):
                 for listener in self._leaving_listeners:
                     listener(endpoint)
             yield Ok((response, exchange))
@@ -239,29 +237,26 @@
                 headers.append((names.REQUEST_ID, call.request_id))
         if call.resume_after is not None:
             headers.append((names.LAST_EVENT_ID, str(call.resume_after)))
+        check = _PlatformCheck(AnswerRule(call.request_id), names.REQUEST_ID)
         return OutgoingRequest(
-            call.method, call.target, headers, call.body, call.host, call.request_id
+            call.method, call.target, headers, call.body, check, call.host
         )
 
-    def _answer(self, response, call, body: bytes, exchange: Exchange):
-        not_run = (
-            names.header(response.headers, names.NOT_EXECUTED) is not None
-            or response.status == HTTPStatus.MISDIRECTED_REQUEST
-        )
-        problem = None if not_run else _answer_mismatch(response, call)
-        if problem:
-            return Err(exchange.crossed(problem))
-        return Ok(
-            EndpointAnswer(
-                PlainAnswer(
-                    response.status, _end_to_end_headers(response.headers), body
-                ),
-                not_run,
-                _load_report(response.headers),
-                names.header(response.headers, names.SEAL),
-                _rate_limit(response.headers),
-            )
-        )
+
+class _PlatformCheck(AnswerCheck):
+    def mismatch(self, response: httpcore.Response, alone: bool) -> str | None:
+        problem = super().mismatch(response, alone)
+        if problem or not self.rule.id or self.is_refusal(response):
+            return problem
+        sealed = names.header(response.headers, names.SEAL) is not None
+        if 200 <= response.status < 300 and not sealed:
+            return "the answer has no Plantainstack-Server-Seal header"
+        if names.header(response.headers, "content-encoding") is not None:
+            return "the answer has a Content-Encoding header"
+        return None
+
+    def is_refusal(self, response: httpcore.Response) -> bool:
+        return _is_refusal(response)
 
 
 class _Stream(OpenStream):
@@ -323,32 +318,32 @@
     return response.status == HTTPStatus.OK and media_type == EVENT_STREAM
 
 
-def _answer_mismatch(response: httpcore.Response, call: EndpointCall) -> str | None:
-    """Return why an answer does not belong to the request, or None if it does."""
-    if not call.request_id:
-        return None
-    returned = names.header(response.headers, names.REQUEST_ID)
-    if returned != call.request_id:
-        return f"the answer has the request id {returned!r}"
-    sealed = names.header(response.headers, names.SEAL) is not None
-    if 200 <= response.status < 300 and not sealed:
-        return "the answer has no Plantainstack-Server-Seal header"
-    if names.header(response.headers, "content-encoding") is not None:
-        return "the answer has a Content-Encoding header"
-    return None
+def _answer(response: httpcore.Response, body: bytes) -> EndpointAnswer:
+    return EndpointAnswer(
+        PlainAnswer(response.status, _end_to_end_headers(response.headers), body),
+        _is_refusal(response),
+        _load_report(response.headers),
+        names.header(response.headers, names.SEAL),
+        _rate_limit(response.headers),
+    )
 
 
-def _says_leaving(response: httpcore.Response, call: EndpointCall) -> bool:
-    """Return whether an answer to this request says that its endpoint leaves.
+def _is_refusal(response: httpcore.Response) -> bool:
+    """Return whether an answer declares that the request was not run."""
+    return (
+        names.header(response.headers, names.NOT_EXECUTED) is not None
+        or response.status == HTTPStatus.MISDIRECTED_REQUEST
+    )
+
+
+def _says_leaving(response: httpcore.Response) -> bool:
+    """Return whether an answer says that its endpoint leaves.
 
     Status 421 comes from another endpoint than the one that was asked.
     """
     text = names.header(response.headers, names.LEAVING)
     if text is None or response.status == HTTPStatus.MISDIRECTED_REQUEST:
         return False
-    returned = names.header(response.headers, names.REQUEST_ID)
-    if call.request_id and returned not in (None, call.request_id):
-        return False
     if text.strip() != "1":
         log.event("endpoint.leaving_unreadable", value=text[:40])
         return False
--- a/tests/links/test_endpoint.py
+++ b/tests/links/test_endpoint.py
@@ -22,6 +22,7 @@
     _engine_status,
 )
 from plantainstack.links.events import SseDecoder
+from plantainstack.settings.fleet import FleetConfig, FleetContent
 from tests.fakes import ScriptedBackend, record
 
 pytestmark = pytest.mark.anyio
@@ -165,7 +166,7 @@
         b'"leaving":false,"fence":2,"more":1}'
     )
     head = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n"
-    plugin, _, _ = links([head % len(body) + body, head % 2 + b"{}"])
+    plugin, _, _ = links([head % len(body) + body], [head % 2 + b"{}"])
     engine = plugin.engine(record("e1"))
     assert (await engine.status()).ok_value == EngineStatus(
         "m", 3, None, 1, 0, False, 2
@@ -173,6 +174,47 @@
     assert (await engine.status()).err_value.kind is ErrorKind.ENDPOINT_FAILED
 
 
+REPORT = (
+    b'{"model":"m","version":%d,"loading":null,"running":0,"queued":0,'
+    b'"leaving":false,"fence":0}'
+)
+
+
+async def test_late_answer_is_not_read_as_a_report():
+    """Guards against a second answer to a call that is taken for the next one's."""
+    late = answer(REPORT % 9, attempt="a1")
+
+    def twice(sent):
+        return answer(REPORT % 3)(sent) + late(sent)
+
+    plugin, _, _ = links([twice, late], [answer(REPORT % 4)])
+    engine = plugin.engine(record("e1"))
+    assert (await engine.status()).ok_value.version == 3
+    second = await engine.status()
+    assert second.is_err() or second.ok_value.version == 4
+
+
+async def test_late_refusal_of_another_attempt_is_not_that_of_this_one():
+    """Guards against "not run" for a completion that runs."""
+    refusal = answer(status=503, attempt="b2")
+    plugin, _, clock = links([answer(REPORT % 3), refusal])
+    await plugin.engine(record("e1")).status()
+    [chunk] = await chunks_of(plugin, clock)
+    assert chunk.err_value.kind is ErrorKind.ANSWER_CROSSED
+    assert chunk.err_value.outcome is Outcome.MAY_HAVE_RUN
+
+
+async def test_endpoint_without_ids_gets_one_request_a_connection():
+    """Guards against a late answer where endpoints return no ids."""
+    nameless = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok"
+    plugin, backend, clock = links([nameless, nameless], [nameless])
+    content = FleetContent(defaults={"echoes_request_id": "no"}, exceptions=[])
+    plugin.kernel.apply_config(FleetConfig(1, content))
+    assert (await call(plugin, clock)).is_ok()
+    assert (await call(plugin, clock)).is_ok()
+    assert [stream.closed for stream in backend.streams] == [True, True]
+
+
 @pytest.mark.parametrize("size", [1, 3, 100])
 def test_events_are_decoded_from_chunks_of_any_size(size):
     data = b": ping\n\ndata: a\ndata: b\r\n\r\ndata: \xc3\xa6\n\n"
--- a/tests/proofs/test_guards.py
+++ b/tests/proofs/test_guards.py
@@ -16,12 +16,13 @@
 from plantainstack.interfaces import Mutation, Row, Write
 from plantainstack.kernel import Kernel, PauseDetector, State
 from plantainstack.links.connections import (
+    AnswerCheck,
     Connection,
     ConnectionPool,
     Exchange,
     GuardedStream,
 )
-from plantainstack.links.endpoint import HttpEngine, _Endpoint
+from plantainstack.links.endpoint import HttpEngine
 from plantainstack.policy.claims import (
     AttemptStage,
     ClaimAction,
@@ -95,7 +96,7 @@
     return second.ok_value.body != b"second"
 
 
-async def naive_release(pool, conn, exchange):
+async def naive_release(pool, conn, keep):
     """Reuse a connection even if its answer has not been read."""
     stream = GuardedStream(conn.stream._stream)
     http = httpcore.AsyncHTTP11Connection(pool._origin, stream, None)
@@ -375,7 +376,7 @@
     """Replace a check by one that finds no fault, or a write by none."""
 
 
-ID_CHECK = (_Endpoint, "_check_id", do_nothing)
+ID_CHECK = (AnswerCheck, "mismatch", do_nothing)
 DISPATCH_CHECK = (Bookings, "_dispatch_refusal", do_nothing)
 PAUSE_CHECK = (PauseDetector, "check", lambda pause: False)
 DEADLINE = (Deadline, "remaining", lambda guard: 9.0)
