Close a connection on which bytes came behind an answer

A second copy of an answer, or bytes that are no answer, stayed in the connection's buffer for the next request. Since answers are bound to requests, that request could not be given them, but it had run in vain: a safe request was run once more elsewhere, and a call to the store got the answer of the call before it.

A connection is kept only if nothing came behind the last answer; this holds for endpoints of both deployments and for the platform's services. Bytes that come while the connection is idle already made it unfit.

Not covered: a second answer of the store that comes after the next call has been sent. Calls to the store carry no id, and their answers none.

--- a/plantainstack/adapters/http.py
+++ b/plantainstack/adapters/http.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from plantainstack.clock import Clock
+from plantainstack.links.connections import surplus_bytes
 from plantainstack.settings.options import Address
 
 REQUEST_TIMEOUT_S = 2.0
@@ -115,7 +116,7 @@
             await response.aclose()
             complete = True
         finally:
-            if complete and conn.is_available():
+            if complete and _is_reusable(conn):
                 self._idle.append(conn)
             else:
                 await _close(conn)
@@ -152,6 +153,11 @@
         )
 
 
+def _is_reusable(conn: httpcore.AsyncHTTPConnection) -> bool:
+    """Return whether the next answer on a connection will be that to its request."""
+    return conn.is_available() and not surplus_bytes(conn._connection)
+
+
 async def _close(conn: httpcore.AsyncHTTPConnection) -> None:
     with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
         await conn.aclose()
--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -164,6 +164,15 @@
         self.stream = stream
         self.exchanges = 0
 
+    def is_reusable(self) -> bool:
+        """Return whether the last answer is complete and nothing came behind it."""
+        if not self.http.is_idle():
+            return False
+        surplus = surplus_bytes(self.http)
+        if surplus:
+            metrics.SURPLUS_ANSWERS.inc()
+        return not surplus
+
 
 class AnswerCheck(ABC):
     """Checks an answer before anything of it is used."""
@@ -263,6 +272,7 @@
             conn.stream.head_received()
             problem = check.mismatch(response, not exchange.reused)
             if problem:
+                metrics.CROSSED_ANSWERS.inc()
                 raise AnswerCrossed(problem)
             yield response
             await response.aclose()
@@ -280,6 +290,7 @@
             connection=exchange.connection(),
             earlier=conn.exchanges - 1,
             status=response.status if response else None,
+            surplus=surplus_bytes(conn.http) if conn.http.is_idle() else 0,
         )
 
     async def close_idle(self) -> None:
@@ -305,7 +316,7 @@
         return Connection(http, stream)
 
     async def _release(self, conn: Connection, keep: bool) -> None:
-        if keep and conn.http.is_idle() and len(self._idle) < IDLE_CONNECTIONS_MAX:
+        if keep and conn.is_reusable() and len(self._idle) < IDLE_CONNECTIONS_MAX:
             self._idle.append(conn)
         else:
             await _close(conn)
@@ -332,6 +343,13 @@
         )
 
 
+def surplus_bytes(http: httpcore.AsyncHTTP11Connection) -> int:
+    """Return the number of bytes that were received behind the last answer."""
+    # httpcore keeps them for the next answer and offers no access to them.
+    data, _ = http._h11_state.trailing_data
+    return len(data)
+
+
 async def read_body(response: httpcore.Response, limit=ANSWER_BYTES_MAX) -> bytes:
     """Return the body of an answer; raise AnswerTooLarge above `limit` bytes."""
     chunks: list[bytes] = []
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -22,6 +22,16 @@
     ["connection"],
     registry=REGISTRY,
 )
+SURPLUS_ANSWERS = Counter(
+    "plantainstack_surplus_answers",
+    "Answers with bytes behind them that belong to no request.",
+    registry=REGISTRY,
+)
+CROSSED_ANSWERS = Counter(
+    "plantainstack_crossed_answers",
+    "Answers that did not belong to the request that awaited them.",
+    registry=REGISTRY,
+)
 REQUEST_SECONDS = Histogram(
     "plantainstack_request_seconds",
     "Time from a request's arrival to the end of its answer, in seconds.",
--- a/tests/adapters/test_service_client.py
+++ b/tests/adapters/test_service_client.py
@@ -1,11 +1,14 @@
 """Tests of what the HTTP clients of platform services share."""
 
+import anyio
 import msgspec
 import pytest
 
-from plantainstack.adapters.http import Answer
+from plantainstack.adapters.http import Answer, HttpClient
 from plantainstack.adapters.service_client import decode
+from plantainstack.clock import SystemClock
 from plantainstack.errors import Outcome
+from plantainstack.settings.options import Address
 
 
 class Sized(msgspec.Struct):
@@ -17,3 +20,30 @@
     """Guards against an exception for an answer that may belong to a change."""
     failure = decode(Answer(200, {}, body), Sized).unwrap_err()
     assert failure.outcome is Outcome.MAY_HAVE_RUN
+
+
+@pytest.mark.anyio
+async def test_second_answer_of_a_service_is_not_that_to_the_next_call():
+    """Guards against results that are one call late."""
+    numbers = iter(range(1, 9))
+
+    async def serve(stream):
+        async with stream:
+            while True:
+                try:
+                    await stream.receive()
+                except anyio.EndOfStream:
+                    return
+                text = f"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{next(numbers)}"
+                await stream.send(2 * text.encode())
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = listener.extra(anyio.abc.SocketAttribute.local_address)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        client = HttpClient(Address(*address), SystemClock())
+        found = [(await client.exchange("GET", "/")).unwrap().body for _ in range(3)]
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+    assert found == [b"1", b"2", b"3"]
