Send an id once on a connection

An item that is sent to the same endpoint again has the id of its earlier run. A late second copy of an earlier 500 was counted as the answer of the new run, so that an item could be abandoned after fewer failures than its route demands. Reward calls had a rule of their own against this: a new connection for each id that had been sent in the last 120 s.

The connection remembers the ids that it has carried, at most 256, and carries none of them again.

Evidence: test_repeated_request_uses_a_new_connection failed before.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -24,6 +24,8 @@
 # a connection that the endpoint is closing.
 IDLE_LIMIT_S = 4.0
 IDLE_CONNECTIONS_MAX = 64
+# Requests on one connection, whose ids are kept as long as it is.
+EXCHANGES_MAX = 256
 ATTEMPT_HEADER = "X-Attempt-Id"
 # Bytes read until the head of an answer is complete, with interim answers. The limit
 # includes the part of the body that arrives in the same read.
@@ -157,16 +159,17 @@
 
 
 class Connection:
-    """A connection, its network stream and the number of exchanges on it."""
+    """A connection, its network stream, and the requests that it has carried."""
 
     def __init__(self, http: httpcore.AsyncHTTP11Connection, stream: GuardedStream):
         self.http = http
         self.stream = stream
+        self.ids: set[str] = set()
         self.exchanges = 0
 
     def is_reusable(self) -> bool:
         """Return whether the last answer is complete and nothing came behind it."""
-        if not self.http.is_idle():
+        if not self.http.is_idle() or self.exchanges >= EXCHANGES_MAX:
             return False
         surplus = surplus_bytes(self.http)
         if surplus:
@@ -258,13 +261,14 @@
         """
         check = request.check
         fresh = fresh or not check.rule.id
-        conn = None if fresh else await self._acquire_idle()
+        conn = None if fresh else await self._acquire_idle(check.rule.id)
         exchange.reused = conn is not None
         if conn is None:
             conn = await self._connect(timeouts.connect)
         response = None
         keep = False
         try:
+            conn.ids.add(check.rule.id)
             conn.exchanges += 1
             conn.stream.arm(exchange)
             prepared = self._request(request, timeouts.progress)
@@ -299,9 +303,15 @@
         for conn in idle:
             await _close(conn)
 
-    async def _acquire_idle(self) -> Connection | None:
-        while self._idle:
-            conn = self._idle.pop()
+    async def _acquire_idle(self, id: str) -> Connection | None:
+        """Return an idle connection that has not carried a request of this id.
+
+        A late copy of the answer to that one would have the same id.
+        """
+        for conn in reversed(self._idle.copy()):
+            if conn not in self._idle or id in conn.ids:
+                continue
+            self._idle.remove(conn)
             if not conn.http.has_expired():
                 return conn
             await _close(conn)
--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -30,9 +30,6 @@
 # Maximum wait for a free slot before the endpoints are checked again. Slots that other
 # instances free are not signalled to this one.
 SLOT_RETRY_S = 0.05
-# A late copy of an answer can arrive for this long after its call; calls whose id is
-# sent again in that time use a new connection.
-SENT_IDS_KEPT_S = 120.0
 
 
 class RewardRequest(NamedTuple):
@@ -88,7 +85,6 @@
         self._rng = random.Random()
         self._waiting: list[_Waiting] = []
         self._arrived = anyio.Event()
-        self._sent_ids: dict[str, float] = {}
 
     async def start(self, tasks) -> None:
         """Start to assign slots to waiting calls."""
@@ -243,24 +239,8 @@
             (),
             call.body,
             request.deadline,
-            reuse_connection=not self._sent_before(call.id),
         )
 
-    def _sent_before(self, call_id: str) -> bool:
-        """Record that a call is sent; return whether that has happened lately.
-
-        A late copy of its earlier answer would have the same id as the new answer, so
-        the two must not share a connection.
-        """
-        now = self._clock.now()
-        before = self._sent_ids.pop(call_id, None)
-        self._sent_ids[call_id] = now
-        while (oldest := next(iter(self._sent_ids))) != call_id:
-            if now - self._sent_ids[oldest] < SENT_IDS_KEPT_S:
-                break
-            del self._sent_ids[oldest]
-        return before is not None
-
     def _record_attempt(self, request, slot, outcome, started, answer_by) -> None:
         now = self._clock.now()
         failure = outcome.err()
--- a/tests/platform/test_answer_binding.py
+++ b/tests/platform/test_answer_binding.py
@@ -106,6 +106,19 @@
     assert left == []
 
 
+async def test_repeated_request_uses_a_new_connection():
+    """Guards against a late copy of an earlier answer, which has the same id."""
+    second = answer(headers=SECOND_ID + SEAL)
+    late = answer("500 Failed", ID)
+    script = Script(late, second, answer(body="mine"), late, second)
+    async with serving(script) as (client, target):
+        await client.call(target, call())
+        await client.call(target, call(request_id="r2"))
+        outcome = await client.call(target, call())
+    assert outcome.unwrap().answer.body == b"mine"
+    assert script.connections == 2
+
+
 async def test_report_is_not_read_from_the_answer_to_a_request():
     """Guards against a late second answer that is taken for a report."""
     late = answer(body='{"models":[],"busy":false,"seq":9}')
--- a/tests/services/test_reward_calls.py
+++ b/tests/services/test_reward_calls.py
@@ -165,20 +165,6 @@
         assert found[0].score == "receipt of reward-i0"
 
 
-async def test_repeated_call_uses_a_new_connection():
-    """Guards against a late copy of an earlier answer, which has the same id."""
-    platform = new_platform()
-    platform.client.scripts["reward-i0"] = [500]
-    async with running(platform, "a") as kernels:
-        batches = kernels[0].plugin("batches")
-        assert (await batches.submit(scored_batch(), BATCH_ROUTE)).is_ok()
-        await all_results(batches, "b1", 1)
-        assert [call.reuse_connection for call in platform.client.sent_calls] == [
-            True,
-            False,
-        ]
-
-
 async def test_silent_endpoint_is_given_up_for_another():
     """Guards against a step that waits for an endpoint that never answers."""
     platform = new_platform()
