Keep to the idle time that an endpoint names

An endpoint that closes idle connections after less than 8 s (4 s in the own interface) lost requests that were on their way at that moment. Since a request is sent once, that costs it an attempt. The Keep-Alive header of an answer now limits how long its connection is kept, less 0.5 s.

Evidence: three cases of test_idle_limit_of_an_endpoint_is_kept failed before.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+import math
+import re
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from typing import NamedTuple
@@ -24,6 +26,9 @@
 # a connection that the endpoint is closing.
 IDLE_LIMIT_S = 4.0
 IDLE_CONNECTIONS_MAX = 64
+# An endpoint that names the time after which it closes an idle connection may get the
+# next request this much before.
+KEEP_ALIVE_MARGIN_S = 0.5
 # Requests on one connection, whose ids are kept as long as it is.
 EXCHANGES_MAX = 256
 ATTEMPT_HEADER = "X-Attempt-Id"
@@ -36,6 +41,11 @@
 ANSWER_BYTES_MAX = 8 * 1024 * 1024
 
 
+_KEEP_ALIVE_TIMEOUT = re.compile(
+    rb"(?:^|[\s,])timeout\s*=\s*(\d{1,9})\b", re.IGNORECASE
+)
+
+
 class DeadlineExceeded(Exception):
     """The deadline of an exchange passed before its first byte was sent."""
 
@@ -52,6 +62,7 @@
     """State of one HTTP exchange: its deadline, and whether a byte was sent."""
 
     def __init__(self, clock: Clock, deadline: float):
+        self.clock = clock
         self._deadline = Deadline(clock, deadline)
         self.sent = False
         self.reused = False
@@ -166,6 +177,8 @@
         self.stream = stream
         self.ids: set[str] = set()
         self.exchanges = 0
+        # Time on the process's clock until which the endpoint keeps it open.
+        self.kept_until = math.inf
 
     def is_reusable(self) -> bool:
         """Return whether the last answer is complete and nothing came behind it."""
@@ -261,7 +274,7 @@
         """
         check = request.check
         fresh = fresh or not check.rule.id
-        conn = None if fresh else await self._acquire_idle(check.rule.id)
+        conn = None if fresh else await self._acquire_idle(check.rule.id, exchange)
         exchange.reused = conn is not None
         if conn is None:
             conn = await self._connect(timeouts.connect)
@@ -281,6 +294,7 @@
             yield response
             await response.aclose()
             keep = check.may_keep_connection(response)
+            conn.kept_until = exchange.clock.now() + _idle_limit_s(response)
         finally:
             if check.rule.id and exchange.sent:
                 self._log_send(request, exchange, conn, response)
@@ -303,16 +317,17 @@
         for conn in idle:
             await _close(conn)
 
-    async def _acquire_idle(self, id: str) -> Connection | None:
+    async def _acquire_idle(self, id: str, exchange: Exchange) -> Connection | None:
         """Return an idle connection that has not carried a request of this id.
 
         A late copy of the answer to that one would have the same id.
         """
+        now = exchange.clock.now()
         for conn in reversed(self._idle.copy()):
             if conn not in self._idle or id in conn.ids:
                 continue
             self._idle.remove(conn)
-            if not conn.http.has_expired():
+            if now < conn.kept_until and not conn.http.has_expired():
                 return conn
             await _close(conn)
         return None
@@ -353,6 +368,17 @@
         )
 
 
+def _idle_limit_s(response: httpcore.Response) -> float:
+    """Return the seconds for which a connection may be idle, as an answer states."""
+    found = [
+        _KEEP_ALIVE_TIMEOUT.search(value)
+        for name, value in response.headers
+        if name.lower() == b"keep-alive"
+    ]
+    stated = [int(match[1]) - KEEP_ALIVE_MARGIN_S for match in found if match]
+    return min(stated, default=math.inf)
+
+
 def surplus_bytes(http: httpcore.AsyncHTTP11Connection) -> int:
     """Return the number of bytes that were received behind the last answer."""
     # httpcore keeps them for the next answer and offers no access to them.
--- a/tests/links/test_endpoint.py
+++ b/tests/links/test_endpoint.py
@@ -96,6 +96,32 @@
     assert len(backend.streams) == 1
 
 
+@pytest.mark.parametrize(
+    ("header", "idle_s", "connections"),
+    [
+        ("Keep-Alive: timeout=2", 1.4, 1),
+        ("Keep-Alive: timeout=2", 1.6, 2),
+        ("keep-alive: max=9, TIMEOUT = 2", 1.6, 2),
+        ("Keep-Alive: timeout=0", 0.0, 2),
+        ("Keep-Alive: timeout=soon", 1.6, 1),
+        ("Keep-Alive: max=100", 1.6, 1),
+        ("X-Timeout: timeout=0", 1.6, 1),
+    ],
+)
+async def test_idle_limit_of_an_endpoint_is_kept(header, idle_s, connections):
+    """Guards against requests that are lost since the endpoint closes in between."""
+
+    def step(sent):
+        head, end, body = answer()(sent).partition(b"\r\n\r\n")
+        return head + b"\r\n" + header.encode() + end + body
+
+    plugin, backend, clock = links([step, step], [step])
+    assert (await call(plugin, clock)).is_ok()
+    clock.jump(idle_s)
+    assert (await call(plugin, clock, CALL._replace(attempt_id="a2"))).is_ok()
+    assert len(backend.streams) == connections
+
+
 async def test_timeout_closes_idle_connections_to_the_endpoint():
     """Guards against reusing connections whose state an intermediary has lost."""
     plugin, backend, clock = links(
