Use another id in tests of connections that must not be reused

Tests that send one id twice got a new connection for that reason alone: they pass with the detection of closed connections and the flag reuse_connection removed. The new ones fail then.

--- a/tests/platform/test_review_answers.py
+++ b/tests/platform/test_review_answers.py
@@ -111,6 +111,47 @@
     assert outcome.is_err()
 
 
+async def test_connection_that_was_closed_while_idle_carries_no_other_request():
+    """Guards against failures that are reported for a closed idle connection."""
+    steps = [answer() + "CLOSE", answer(headers=SECOND_ID + SEAL)]
+    outcome, script = await call_twice(*steps, pause_s=0.05)
+    assert outcome.is_ok()
+    assert script.connections == 2
+
+
+async def test_connection_with_bytes_while_idle_carries_no_other_request():
+    """Guards against requests that are lost to a late second answer."""
+    connections = []
+
+    async def serve(stream):
+        connections.append(stream)
+        id = ID if len(connections) == 1 else SECOND_ID
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while await stream.receive():
+                    await stream.send(answer(headers=id + SEAL).encode())
+                    await anyio.sleep(0.02)
+                    await stream.send(answer(headers=id + SEAL).encode())
+
+    script = Script()
+    script.serve = serve
+    async with serving(script) as (client, target):
+        await client.call(target, call())
+        await anyio.sleep(0.05)
+        outcome = await client.call(target, call(request_id="r2"))
+    assert outcome.is_ok()
+    assert len(connections) == 2
+
+
+async def test_other_request_that_must_not_run_twice_uses_a_new_connection():
+    """Guards against a request that is lost on a stale connection."""
+    script = Script(answer(), answer(headers=SECOND_ID + SEAL))
+    async with serving(script) as (client, target):
+        await client.call(target, call())
+        await client.call(target, call(request_id="r2", reuse_connection=False))
+    assert script.connections == 2
+
+
 async def test_connection_is_not_reused_beyond_its_keep_alive_timeout():
     """Guards against requests that are lost on a connection about to be closed."""
     first = answer(headers=ID + SEAL + "Keep-Alive: timeout=1\r\n")
