Pass on no stream that says it was not run

Clients could get a stream without seal or id as a success. Since an answer that declares the request not run is exempt from these checks, but a 200 with the type of an event stream was opened as a stream before that declaration was looked at.

--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -115,7 +115,7 @@
                 yield opened
                 return
             response, exchange = opened.unwrap()
-            if not _is_event_stream(response):
+            if _is_refusal(response) or not _is_event_stream(response):
                 try:
                     body = await read_body(response)
                 except _TRANSPORT_ERRORS as exc:
