Take an answer with an impossible status for none

A status of 600 or more of an endpoint raised in the server of the ingress, and the client's connection closed without an answer. Such an answer, and one that switches protocols, belongs to no request.

Evidence: two cases of test_status_that_does_not_exist_is_a_failure_of_the_endpoint failed before.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -31,6 +31,9 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 # Requests on one connection, whose ids are kept as long as it is.
 EXCHANGES_MAX = 256
+# Statuses that an answer to a request may have.
+STATUS_MIN = 200
+STATUS_MAX = 599
 ATTEMPT_HEADER = "X-Attempt-Id"
 # Bytes read until the head of an answer is complete, with interim answers. The limit
 # includes the part of the body that arrives in the same read.
@@ -202,6 +205,8 @@
 
         `alone` states that the connection has carried no other request.
         """
+        if not STATUS_MIN <= response.status <= STATUS_MAX:
+            return f"the answer has the status {response.status}"
         return answer_binding.mismatch(
             self.rule, self._ids(response), alone, self.is_refusal(response)
         )
