Keep no connection whose last answer had no id

The connections of reports and orders went back to the pool, and a late second report cost the next request on them its attempt.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -213,7 +213,7 @@
 
     def may_keep_connection(self, response: httpcore.Response) -> bool:
         """Return whether the connection of an answer may carry another request."""
-        return answer_binding.may_keep_connection(self.rule, self._ids(response))
+        return answer_binding.may_keep_connection(self._ids(response))
 
     def _ids(self, response: httpcore.Response) -> list[str]:
         return [
--- a/plantainstack/policy/answer_binding.py
+++ b/plantainstack/policy/answer_binding.py
@@ -37,9 +37,9 @@
     return None
 
 
-def may_keep_connection(rule: AnswerRule, returned: Sequence[str]) -> bool:
+def may_keep_connection(returned: Sequence[str]) -> bool:
     """Return whether the connection of an answer may carry another request.
 
-    Where ids are optional, one is expected later only if it was returned before.
+    A late copy of an answer without id could not be told from the next answer.
     """
-    return bool(returned) or not rule.id_optional
+    return bool(returned)
--- a/tests/policy/test_answer_binding.py
+++ b/tests/policy/test_answer_binding.py
@@ -42,6 +42,5 @@
 
 def test_connection_without_ids_carries_one_request():
     """Guards against nameless answers that are one request late."""
-    assert not may_keep_connection(AnswerRule("r1", id_optional=True), [])
-    assert may_keep_connection(AnswerRule("r1", id_optional=True), ["r1"])
-    assert may_keep_connection(AnswerRule("r1"), ["r1"])
+    assert not may_keep_connection([])
+    assert may_keep_connection(["r1"])
