Send each request under the id that binds its answer

An item whose own headers hold a request id was sent under that one, and all its answers were taken for those of another request.

Evidence: test_request_is_sent_under_the_id_that_binds_its_answer failed before.

--- a/plantainstack/platform/names.py
+++ b/plantainstack/platform/names.py
@@ -43,7 +43,8 @@
 # Headers that this service sets on requests to endpoints; values sent by clients are
 # dropped.
 OWN_HEADERS = frozenset(
-    name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, RESUMES)
+    name.lower()
+    for name in (REQUEST_ID, DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, RESUMES)
 )
 
 
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -233,8 +233,7 @@
         if call.request_id:
             left_ms = max(1, int(exchange.remaining() * 1000))
             headers.append((names.DEADLINE_MS, str(left_ms)))
-            if names.header(headers, names.REQUEST_ID) is None:
-                headers.append((names.REQUEST_ID, call.request_id))
+            headers.append((names.REQUEST_ID, call.request_id))
         if call.resume_after is not None:
             headers.append((names.LAST_EVENT_ID, str(call.resume_after)))
         check = _PlatformCheck(AnswerRule(call.request_id), names.REQUEST_ID)
