Demand a seal of each success, for requests without id too

A client's request without an id got an unsealed success. Only control calls have answers without a seal.

Evidence: test_answer_to_a_request_without_id_needs_a_seal failed before.

--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -179,11 +179,7 @@
     ) -> EndpointCall:
         limit = min(deadline, self._clock.now() + CONTROL_TIMEOUT_S)
         headers = (("Content-Type", "application/json"),) if body else ()
-        # The network may have dropped the state of a reused connection; an order
-        # would then wait on it without an answer.
-        return EndpointCall(
-            "", method, target, "", headers, body, limit, reuse_connection=False
-        )
+        return EndpointCall("", method, target, "", headers, body, limit, control=True)
 
     @contextlib.asynccontextmanager
     async def _open(self, endpoint: Endpoint, call: EndpointCall):
@@ -236,16 +232,20 @@
             headers.append((names.REQUEST_ID, call.request_id))
         if call.resume_after is not None:
             headers.append((names.LAST_EVENT_ID, str(call.resume_after)))
-        check = _PlatformCheck(AnswerRule(call.request_id), names.REQUEST_ID)
+        check = _PlatformCheck(AnswerRule(call.request_id), call.control)
         return OutgoingRequest(
             call.method, call.target, headers, call.body, check, call.host
         )
 
 
 class _PlatformCheck(AnswerCheck):
+    def __init__(self, rule: AnswerRule, control: bool):
+        super().__init__(rule, names.REQUEST_ID)
+        self._control = control
+
     def mismatch(self, response: httpcore.Response, alone: bool) -> str | None:
         problem = super().mismatch(response, alone)
-        if problem or not self.rule.id or self.is_refusal(response):
+        if problem or self._control or self.is_refusal(response):
             return problem
         sealed = names.header(response.headers, names.SEAL) is not None
         if 200 <= response.status < 300 and not sealed:
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -437,7 +437,7 @@
 
     `resume_after` is the id of the last event received, for resuming a stream. An
     endpoint that falls silent is given up after a time, or at the deadline if
-    `awaits_silent` is set.
+    `awaits_silent` is set. Answers to `control` calls have neither id nor receipt.
     """
 
     request_id: str
@@ -450,6 +450,7 @@
     resume_after: int | None = None
     reuse_connection: bool = True
     awaits_silent: bool = False
+    control: bool = False
 
 
 class OrderAnswer(StrEnum):
