Count no endpoint without a permit as an alternative

A request on a kept connection, or at a silent endpoint, was given up though the only other endpoint had named a limit and no permit was to be had. Its loss was the caller's failure.

Evidence: test_kept_connection_is_used_only_if_a_permit_is_to_be_had_elsewhere failed before.

--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -139,9 +139,13 @@
         )
 
     def _awaits_silent(self) -> bool:
-        usable = self._plugin.discovery.usable(self.service)
+        discovery = self._plugin.discovery
+        now = self._clock.now()
         has_alternative = any(
-            end.id not in self.tried and self._fits(end) for end in usable
+            end.id not in self.tried
+            and self._fits(end)
+            and discovery.rate_limits.may_send(end, Priority.CALLER, now)
+            for end in discovery.usable(self.service)
         )
         counts = AttemptCounts(len(self.tried), self.ran, self.running)
         return forwarding.awaits_silent(self._route, counts, has_alternative)
