Send no request on a connection on which bytes came before it

On a new connection, a refusal that had arrived before the request was written counted as its answer. The connection is closed before anything is sent, and the request goes on elsewhere as not run; the same holds for a connection that the endpoint has closed by then, as it does with those beyond its limit.

Evidence: test_answer_sent_before_the_request_is_not_used failed before.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -341,6 +341,9 @@
         inner = await self._backend.connect_tcp(
             self._address.host, self._address.port, timeout
         )
+        if inner.get_extra_info("is_readable"):
+            await inner.aclose()
+            raise httpcore.ConnectError("bytes or an end came before the request")
         stream = GuardedStream(inner)
         http = httpcore.AsyncHTTP11Connection(self._origin, stream, self._idle_limit_s)
         return Connection(http, stream)
