Let a quiet feed wait for as long as it asked the store to

Instances logged `feed.lost` of the feed of losses whenever no request had crashed an endpoint for 2 s, though the store answered. Losses at other instances were then read after a back-off of up to 0.5 s, each such read closed the idle connections of the other feeds, and the failure counter of the feed rose without end. Since the cursor stayed where it was, the store may drop the history behind it, after which the whole table is read again.

Cause: the feed asks the store to wait 2.0 s for a change, and the HTTP client ended each exchange after 2.0 s at the latest, before the store's answer could arrive. The client of the feeds now has a limit of its own, the longest wait of the store plus the margin; calls keep the limit of 2.0 s.

Evidence: test_quiet_feed_is_answered_at_the_end_of_its_wait failed before.

--- a/plantainstack/adapters/http.py
+++ b/plantainstack/adapters/http.py
@@ -60,13 +60,21 @@
 
 
 class HttpClient:
-    """HTTP client that reuses a limited number of connections to one address."""
+    """HTTP client that reuses a limited number of connections to one address.
+
+    `timeout_s` limits each request, REQUEST_TIMEOUT_S by default.
+    """
 
     def __init__(
-        self, address: Address, clock: Clock, connections: int = CONNECTIONS_MAX
+        self,
+        address: Address,
+        clock: Clock,
+        connections: int = CONNECTIONS_MAX,
+        timeout_s: float | None = None,
     ):
         self._address = address
         self._clock = clock
+        self._timeout_s = timeout_s
         self._origin = httpcore.Origin(b"http", address.host.encode(), address.port)
         self._connection_limit = anyio.Semaphore(connections)
         self._idle: list[httpcore.AsyncHTTPConnection] = []
@@ -81,10 +89,11 @@
     ) -> Result[Answer, IncompleteExchange]:
         """Send one request and return its complete answer.
 
-        The deadline is a monotonic time in seconds and at most REQUEST_TIMEOUT_S from
-        now.
+        The deadline is a monotonic time in seconds and at most the client's timeout
+        from now.
         """
-        limit = self._clock.now() + REQUEST_TIMEOUT_S
+        timeout_s = REQUEST_TIMEOUT_S if self._timeout_s is None else self._timeout_s
+        limit = self._clock.now() + timeout_s
         deadline = limit if deadline is None else min(deadline, limit)
         flag = _SentFlag()
         message = "no complete answer before the deadline"
--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -35,6 +35,8 @@
 # Added to the wait of a feed request; if the store stays silent for longer, the
 # connection is closed.
 FEED_MARGIN_S = 0.8
+# The longest wait that the store accepts.
+FEED_WAIT_MAX_S = 30.0
 CALL_CONNECTIONS = 16
 FEED_CONNECTIONS = 4
 OPERATOR_TABLE = "op"
@@ -78,7 +80,9 @@
         self._clock = clock
         self._invalid_rows = UnreadableRows("store.row_not_valid")
         self._calls = HttpClient(address, clock, CALL_CONNECTIONS)
-        self._feeds = HttpClient(address, clock, FEED_CONNECTIONS)
+        self._feeds = HttpClient(
+            address, clock, FEED_CONNECTIONS, FEED_WAIT_MAX_S + FEED_MARGIN_S
+        )
         self._newest_version = 0
 
     async def aclose(self) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 from plantainstack.errors import Outcome
 from plantainstack.platform import store as store_module
 from plantainstack.platform.store import PlatformStore
+from plantainstack.services.request_losses import FEED_WAIT_S
 from plantainstack.serving import HistoryLost, RowName, Transaction
 from standins.faults import Action, Fault
 from standins.metadata_store import MetadataStoreStandin
@@ -104,6 +105,15 @@
         await store.aclose()
 
 
+async def test_quiet_feed_is_answered_at_the_end_of_its_wait():
+    """Guards against long polls that are cut before the store can answer them."""
+    async with serving(MetadataStoreStandin()) as address:
+        store = PlatformStore(address, SystemClock())
+        found = (await store.rows_changed("t", 0, FEED_WAIT_S)).unwrap()
+        assert found.rows == ()
+        await store.aclose()
+
+
 async def test_silent_feed_times_out(monkeypatch):
     """Guards against a feed that waits forever on a lost connection."""
     monkeypatch.setattr(store_module, "FEED_MARGIN_S", 0.1)
