Send samples to the scorer on connections of their own

A late second answer of the scorer was taken for the scores of the next samples, since only the number of scores was compared.

The same remains for the store and the other services of the platform, whose answers carry no id either; a connection for each call would cost them a round trip.

Evidence: test_late_second_scores_are_not_those_of_the_next_samples failed before.

--- a/plantainstack/adapters/http.py
+++ b/plantainstack/adapters/http.py
@@ -62,7 +62,8 @@
 class HttpClient:
     """HTTP client that reuses a limited number of connections to one address.
 
-    `timeout_s` limits each request, REQUEST_TIMEOUT_S by default.
+    `timeout_s` limits each request, REQUEST_TIMEOUT_S by default. Without `reuse`, each
+    request has a connection of its own.
     """
 
     def __init__(
@@ -71,10 +72,12 @@
         clock: Clock,
         connections: int = CONNECTIONS_MAX,
         timeout_s: float | None = None,
+        reuse: bool = True,
     ):
         self._address = address
         self._clock = clock
         self._timeout_s = timeout_s
+        self._reuse = reuse
         self._origin = httpcore.Origin(b"http", address.host.encode(), address.port)
         self._connection_limit = anyio.Semaphore(connections)
         self._backend = httpcore.AnyIOBackend()
@@ -126,7 +129,7 @@
             await response.aclose()
             complete = True
         finally:
-            if complete and conn.is_reusable():
+            if complete and self._reuse and conn.is_reusable():
                 self._idle.append(conn)
             else:
                 await _close(conn)
--- a/plantainstack/adapters/plugin.py
+++ b/plantainstack/adapters/plugin.py
@@ -29,7 +29,9 @@
         self.objects = HttpObjects(self._service_client(addresses.objects))
         self.instances = HttpInstances(self._service_client(addresses.instances))
         self.weights = HttpWeights(self._service_client(addresses.weights))
-        self.scorer = HttpScorer(self._service_client(addresses.scorer))
+        # Scores carry no id by which a late second answer could be told.
+        scorer = self._http_client(addresses.scorer, reuse=False)
+        self.scorer = HttpScorer(ServiceClient(scorer))
 
     async def start(self, tasks: TaskRunner) -> None:
         """Start the background tasks of the table's group commit."""
@@ -40,8 +42,8 @@
         for client in self._clients:
             await client.aclose()
 
-    def _http_client(self, address: Address) -> HttpClient:
-        client = HttpClient(address, self.kernel.clock)
+    def _http_client(self, address: Address, reuse: bool = True) -> HttpClient:
+        client = HttpClient(address, self.kernel.clock, reuse=reuse)
         self._clients.append(client)
         return client
 
--- a/tests/adapters/test_service_client.py
+++ b/tests/adapters/test_service_client.py
@@ -1,10 +1,14 @@
 """Tests of what the HTTP clients of platform services share."""
 
+from itertools import count
+from types import SimpleNamespace
+
 import anyio
 import msgspec
 import pytest
 
 from plantainstack.adapters.http import Answer, HttpClient
+from plantainstack.adapters.plugin import PlatformPlugin
 from plantainstack.adapters.service_client import decode
 from plantainstack.clock import SystemClock
 from plantainstack.errors import Outcome
@@ -47,3 +51,45 @@
         tasks.cancel_scope.cancel()
     await listener.aclose()
     assert found == [b"1", b"2", b"3"]
+
+
+SERVICES = ("table", "objects", "instances", "weights", "scorer")
+
+
+class LateService:
+    """Send each answer of a connection again, just before the next one on it."""
+
+    def __init__(self):
+        self._numbers = count(1)
+
+    async def serve(self, stream):
+        late = b""
+        async with stream:
+            while True:
+                try:
+                    await stream.receive()
+                except anyio.EndOfStream:
+                    return
+                body = b'{"scores":[%d]}' % next(self._numbers)
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                await stream.send(late + head + body)
+                late = head + body
+
+
+@pytest.mark.anyio
+async def test_late_second_scores_are_not_those_of_the_next_samples():
+    """Guards against samples that are trained on with the scores of others."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = listener.extra(anyio.abc.SocketAttribute.local_address)
+    platform = SimpleNamespace(**dict.fromkeys(SERVICES, Address(*address)))
+    settings = SimpleNamespace(platform=platform)
+    kernel = SimpleNamespace(settings=settings, clock=SystemClock())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, LateService().serve)
+        plugin = PlatformPlugin(kernel)
+        deadline = kernel.clock.now() + 5.0
+        found = [(await plugin.scorer.score([{}], deadline)).unwrap() for _ in range(3)]
+        await plugin.stop()
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+    assert found == [[1], [2], [3]]
