Return no "not run" of an endpoint for a request that it ran

An endpoint may answer 503, 429 or 408 without Plantainstack-Not-Executed, which means that it has run the request. For clients these statuses promise that it has not run and will not, and they send it again. On routes whose requests must not run twice the client gets 502 now, without the endpoint's seal.

In the own interface, a failure on a kept connection closes the other kept ones too, as in the client of the platform's endpoints.

--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -138,7 +138,7 @@
                     return Ok(PlainAnswer(*await _read_answer(response, bytes_max)))
         except _CONNECTION_ERRORS as exc:
             failure = exchange.failure_from_exception(exc, answering)
-            if failure.kind is ErrorKind.ANSWER_TIMEOUT:
+            if exchange.reused or failure.kind is ErrorKind.ANSWER_TIMEOUT:
                 await self._pool.close_idle()
             return Err(failure)
 
@@ -194,7 +194,7 @@
                         yield chunk
         except _CONNECTION_ERRORS as exc:
             failure = exchange.failure_from_exception(exc, answering)
-            if failure.kind is ErrorKind.ANSWER_TIMEOUT:
+            if exchange.reused or failure.kind is ErrorKind.ANSWER_TIMEOUT:
                 await self._pool.close_idle()
             yield Err(failure)
 
--- a/plantainstack/policy/forwarding.py
+++ b/plantainstack/policy/forwarding.py
@@ -16,6 +16,8 @@
 ATTEMPTS_MAX = 6
 # Lowest status of an endpoint's error.
 ERROR_STATUS = 500
+# Statuses that tell a client that its request has not run and will not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # A full endpoint finishes a request in about this time.
 RETRY_AFTER_S = 0.25
 
@@ -64,6 +66,15 @@
     return answer.answer.status < ERROR_STATUS or not route.repeatable()
 
 
+def denies_run(answer: EndpointAnswer, route: Route) -> bool:
+    """Return whether an answer would tell a client that a request which ran has not.
+
+    The client of a request that must not run twice would send it again.
+    """
+    claims_not_run = answer.answer.status in NOT_RUN_STATUSES
+    return claims_not_run and not answer.not_run and not route.repeatable()
+
+
 def final_failure(failures: list[Failure], ran: int) -> Failure:
     """Return the failure to report when no endpoint gave an answer.
 
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -212,6 +212,8 @@
         self._plugin.permits.record_answer(endpoint, answer.rate_limit, started)
         if answer.not_run:
             self._handle_refusal(endpoint, answer.answer.status)
+        elif forwarding.denies_run(answer, self._route):
+            self._handle_denied_run(endpoint, answer.answer.status)
         elif forwarding.is_final(answer, self._route):
             self._balancer.record_latency(endpoint, now - started, now)
             self._answer = answer
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -169,6 +169,11 @@
             reason=failure.message,
         )
 
+    def _handle_denied_run(self, endpoint: Endpoint, status: int) -> None:
+        message = f"endpoint {endpoint.id} ran the request and answered with {status}"
+        failure = Failure(ErrorKind.ANSWER_UNAVAILABLE, message, Outcome.RAN)
+        self._handle_failure(endpoint, failure)
+
     def _deadline_passed(self) -> bool:
         """Return whether the deadline ended an attempt, which is no one's failure."""
         return self._clock.now() >= self._call.deadline
--- a/plantainstack/services/stream_runs.py
+++ b/plantainstack/services/stream_runs.py
@@ -187,6 +187,9 @@
                 self._handle_refusal(endpoint, stream.answer.status)
                 return
             answer = stream.answer
+            if forwarding.denies_run(stream, self._route):
+                self._handle_denied_run(endpoint, answer.status)
+                return
             if self._head_sent:
                 message = f"the answer with status {answer.status} is no stream"
                 failure = Failure(ErrorKind.ENDPOINT_REFUSED, message, Outcome.RAN)
--- a/tests/platform/test_answer_binding.py
+++ b/tests/platform/test_answer_binding.py
@@ -5,6 +5,9 @@
 
 from plantainstack.clock import SystemClock
 from plantainstack.errors import ErrorKind, Outcome
+from plantainstack.serving import RequestKind
+from tests.platform.test_answer_deadlines import front
+from tests.platform.test_ingress import connected
 from tests.platform.test_servers import (
     ID,
     NOT_EXECUTED,
@@ -128,3 +131,20 @@
         found = await client.report(target, SystemClock().now() + 1.0)
     assert found.unwrap().orders_seen == 1
     assert script.connections == 2
+
+
+@pytest.mark.parametrize("status", ["503 Full", "429 Many", "408 Late"])
+@pytest.mark.parametrize("kind", [RequestKind.UNSAFE, RequestKind.STREAM])
+async def test_status_that_promises_not_to_run_is_kept_from_a_request_that_ran(
+    status, kind
+):
+    """Guards against a client that sends a request again which has run."""
+    script = Script(answer(status, ID + SEAL))
+    async with front(kind, 5.0, script.serve, resumable=False) as kernel:
+        async with connected(kernel) as conn:
+            found, headers, _ = await conn.request(
+                "GET", "/t/x", Plantainstack_Request_Id="r1"
+            )
+    assert found == 502
+    assert "plantainstack-server-seal" not in headers
+    assert len(script.requests) == 1
--- a/tests/platform/test_answer_deadlines.py
+++ b/tests/platform/test_answer_deadlines.py
@@ -95,11 +95,12 @@
 
 
 @contextlib.asynccontextmanager
-async def front(kind, timeout_s, serve):
+async def front(kind, timeout_s, serve, **options):
     """Run an instance and one endpoint; yields the instance, which has one route."""
     async with endpoints(count=1) as (found, platform):
         found.serve = serve
-        tested = route(kind, name="r-t", prefix="/t/", timeout_s=timeout_s)
+        options = {"name": "r-t", "prefix": "/t/", "timeout_s": timeout_s, **options}
+        tested = route(kind, **options)
         platform.config = CONFIG._replace(routes=(*CONFIG.routes, tested))
         (target,) = platform.endpoints.values()
         async with anyio.create_task_group() as tasks:
