Bound the memory that the answers of all endpoints take in a process

Cause: an answer has a limit of 8 MiB, but nothing limited all answers of a process together, and a body was held twice while its chunks were joined.

Change: `policy/answer_memory.py` divides a number of bytes between all answers, with a share for each endpoint. A reservation belongs to each exchange of both clients. It grows with the head, the body or the undecoded rest of a stream, goes on with a complete answer (`PlainAnswer.held`), and is released when the last holder drops the answer, or at once if the exchange fails or is cancelled. When the bytes do not suffice, the largest answer of the endpoint that takes the most is given up: its buffer is freed, the wait for its next bytes ends, the connection is closed, and the call fails with `endpoint_failed`, outcome `may_have_run`. Line `answer.given_up`, metrics `plantainstack_answer_bytes` and `plantainstack_answers_given_up_total`. Bodies are gathered in a BytesIO, whose `getvalue` makes no copy. The sizes follow from the new setting `memory.limit`, which the template takes from the platform; 24 MB and 10 MB on 128 MB.

An answer is counted between head and body, but not given up for others there, so the bytes stay below the limits at any time.

--- a/plantainstack/interfaces.py
+++ b/plantainstack/interfaces.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from plantainstack.errors import Failure
+from plantainstack.policy.answer_memory import Reservation
 from plantainstack.settings.options import Address
 
 RowValue = dict[str, Any]
@@ -240,11 +241,15 @@
 
 
 class PlainAnswer(NamedTuple):
-    """The complete answer of a plain service."""
+    """The complete answer of a plain service.
+
+    `held` keeps the memory of the body reserved.
+    """
 
     status: int
     headers: list[tuple[str, str]]
     body: bytes
+    held: Reservation | None = None
 
 
 class PlainService(ABC):
--- a/plantainstack/kernel.py
+++ b/plantainstack/kernel.py
@@ -8,12 +8,15 @@
 
 import anyio
 
-from plantainstack import log
+from plantainstack import answer_reports, log, metrics
 from plantainstack.clock import Clock, SystemClock
 from plantainstack.errors import ConfigurationError, KernelError
 from plantainstack.plugins import Plugin
+from plantainstack.policy import answer_memory
+from plantainstack.policy.answer_memory import AnswerMemory, BodyMemory
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.settings.instance import InstanceSettings
+from plantainstack.settings.memory import MemoryOptions
 from plantainstack.slo import BurnCounter
 from plantainstack.tasks import TaskRunner, contained
 from plantainstack.trace import TraceBuffer
@@ -72,6 +75,14 @@
         self.pause = PauseDetector(self.clock)
         self.trace = TraceBuffer(self.clock)
         self.burn = BurnCounter()
+        options = getattr(settings, "memory", None) or MemoryOptions(limit=0)
+        sizes = answer_memory.divide(options.limit)
+        self.answer_memory = AnswerMemory(
+            sizes.answers, sizes.endpoint, answer_reports.answer_given_up
+        )
+        self.body_memory = BodyMemory(sizes.bodies)
+        metrics.ANSWER_BYTES.set_function(lambda: self.answer_memory.held)
+        metrics.BODY_BYTES.set_function(lambda: self.body_memory.held)
         self._stop_requested = anyio.Event()
         self._plugins = {kind.name: kind(self) for kind in self._sorted(plugin_types)}
 
--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -5,8 +5,9 @@
 """
 
 import contextlib
+import io
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import NamedTuple
 
 import anyio
@@ -17,6 +18,7 @@
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy import answer_binding
 from plantainstack.policy.answer_binding import AnswerRule
+from plantainstack.policy.answer_memory import AnswerMemory, Reservation
 from plantainstack.requests import Deadline
 from plantainstack.settings.options import Address
 
@@ -34,6 +36,8 @@
 HEAD_READS_MAX = 512
 # A complete answer is held in memory, of which the smallest instances have 128 MB.
 ANSWER_BYTES_MAX = 8 * 1024 * 1024
+# Memory that a decoded header takes besides its text.
+HEADER_OVERHEAD_BYTES = 256
 
 
 class DeadlineExceeded(Exception):
@@ -48,10 +52,18 @@
     """The head or the body of an answer exceeds its limit."""
 
 
+class AnswerGivenUp(AnswerTooLarge):
+    """An answer is given up, since the answers of a process take too much memory."""
+
+
 class Exchange:
-    """State of one HTTP exchange: its deadline, and whether a byte was sent."""
+    """State of one HTTP exchange: its deadline, and whether a byte was sent.
+
+    `held` is the memory that the answer takes.
+    """
 
-    def __init__(self, clock: Clock, deadline: float):
+    def __init__(self, clock: Clock, deadline: float, held: Reservation | None = None):
+        self.held = held or AnswerMemory().reserve("")
         self._deadline = Deadline(clock, deadline)
         self.sent = False
         self.reused = False
@@ -137,6 +149,9 @@
         if self._awaiting_head:
             self._head_bytes += len(data)
             self._head_reads += 1
+            self._exchange.held.grow(len(data))
+            if self._exchange.held.reason:
+                raise AnswerGivenUp(self._exchange.held.reason)
             if self._head_bytes > HEAD_BYTES_MAX or self._head_reads > HEAD_READS_MAX:
                 message = f"the head did not end within {self._head_bytes} bytes"
                 raise AnswerTooLarge(message)
@@ -266,22 +281,27 @@
         if conn is None:
             conn = await self._connect(timeouts.connect)
         response = None
-        keep = False
+        complete = keep = False
         try:
             conn.ids.add(check.rule.id)
             conn.exchanges += 1
             conn.stream.arm(exchange)
             prepared = self._request(request, timeouts.progress)
-            response = await conn.http.handle_async_request(prepared)
-            conn.stream.head_received()
+            with giving_up(exchange.held):
+                response = await conn.http.handle_async_request(prepared)
+                conn.stream.head_received()
+                exchange.held.resize(_head_bytes(response))
             problem = check.mismatch(response, not exchange.reused)
             if problem:
                 metrics.CROSSED_ANSWERS.inc()
                 raise AnswerCrossed(problem)
             yield response
             await response.aclose()
+            complete = True
             keep = check.may_keep_connection(response)
         finally:
+            if not complete:
+                exchange.held.release()
             if check.rule.id and exchange.sent:
                 self._log_send(request, exchange, conn, response)
             await self._release(conn, keep)
@@ -360,16 +380,66 @@
     return len(data)
 
 
-async def read_body(response: httpcore.Response, limit=ANSWER_BYTES_MAX) -> bytes:
+@contextlib.contextmanager
+def giving_up(
+    held: Reservation, free: Callable[[], None] | None = None
+) -> Iterator[None]:
+    """End the block with AnswerGivenUp as soon as its answer is given up.
+
+    `free` frees what the answer takes, now and after the block.
+    """
+    with anyio.CancelScope() as scope:
+
+        def give_up() -> None:
+            scope.cancel()
+            if free:
+                free()
+
+        if not held.reason:
+            held.give_up = give_up
+            try:
+                yield
+            finally:
+                held.give_up = free
+    if held.reason:
+        raise AnswerGivenUp(held.reason)
+
+
+async def read_chunks(
+    response: httpcore.Response, held: Reservation, free: Callable[[], None]
+) -> AsyncIterator[bytes]:
+    """Yield the chunks of a body until its answer is given up."""
+    body = aiter(response.stream)
+    chunk: bytes | None = b""
+    while chunk is not None:
+        yield chunk
+        with giving_up(held, free):
+            chunk = await anext(body, None)
+
+
+async def read_body(
+    response: httpcore.Response, held: Reservation, limit=ANSWER_BYTES_MAX
+) -> bytes:
     """Return the body of an answer; raise AnswerTooLarge above `limit` bytes."""
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in response.stream:
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > limit:
-            raise AnswerTooLarge(f"the body of the answer exceeds {limit} bytes")
-    return b"".join(chunks)
+    # `getvalue` returns the buffer itself and makes no copy.
+    buffer = io.BytesIO()
+    with giving_up(held, buffer.close):
+        async for chunk in response.stream:
+            held.grow(len(chunk))
+            if held.reason:
+                break
+            buffer.write(chunk)
+            if buffer.tell() > limit:
+                raise AnswerTooLarge(f"the body of the answer exceeds {limit} bytes")
+    held.give_up = None
+    return buffer.getvalue()
+
+
+def _head_bytes(response: httpcore.Response) -> int:
+    return sum(
+        len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        for name, value in response.headers
+    )
 
 
 async def _close(conn: Connection) -> None:
--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -34,10 +34,12 @@
     OutgoingRequest,
     Timeouts,
     read_body,
+    read_chunks,
 )
 from plantainstack.links.events import EventTooLarge, SseDecoder
 from plantainstack.plugins import Plugin
 from plantainstack.policy.answer_binding import AnswerRule
+from plantainstack.policy.answer_memory import AnswerMemory
 from plantainstack.requests import new_id
 from plantainstack.settings.fleet import FleetOptions, Scope
 
@@ -102,15 +104,20 @@
         pool: ConnectionPool,
         clock: Clock,
         options: FleetOptions,
+        memory: AnswerMemory,
+        endpoint_id: str,
         fresh: bool = False,
     ):
         self._pool = pool
         self._clock = clock
         self._options = options
+        self._memory = memory
+        self._endpoint_id = endpoint_id
         self._fresh = fresh
 
     def _exchange(self, deadline: float) -> Exchange:
-        return Exchange(self._clock, deadline)
+        held = self._memory.reserve(self._endpoint_id)
+        return Exchange(self._clock, deadline, held)
 
     def _open(self, request: OutgoingRequest, exchange: Exchange):
         remaining = max(0.0, exchange.remaining())
@@ -135,8 +142,10 @@
             with anyio.fail_after(max(0.0, exchange.remaining())):
                 async with self._open(request, exchange) as response:
                     answering = True
-                    return Ok(PlainAnswer(*await _read_answer(response, bytes_max)))
+                    body = await read_body(response, exchange.held, bytes_max)
+                    return Ok(_answer(response, body, exchange.held))
         except _CONNECTION_ERRORS as exc:
+            exchange.held.release()
             failure = exchange.failure_from_exception(exc, answering)
             if failure.kind is ErrorKind.ANSWER_TIMEOUT:
                 await self._pool.close_idle()
@@ -211,7 +220,7 @@
 
     async def _chunks(self, response, exchange: Exchange):
         decoder = SseDecoder()
-        body = aiter(response.stream)
+        body = read_chunks(response, exchange.held, decoder.clear)
         while True:
             try:
                 with anyio.fail_after(max(0.0, exchange.remaining())):
@@ -225,6 +234,7 @@
             except EventTooLarge as exc:
                 yield Err(exchange.failure(ErrorKind.ENDPOINT_FAILED, str(exc)))
                 return
+            exchange.held.resize(decoder.held_bytes())
             for event in events:
                 text = event.data()
                 if text is None:
@@ -326,18 +336,16 @@
             self._pools[key] = ConnectionPool(record.address, self._backend)
         scope = Scope(record.service, record.data_centre, record.id)
         options = self.kernel.config.scoped(scope)
-        return self._pools[key], self.kernel.clock, options
+        memory = self.kernel.answer_memory
+        return self._pools[key], self.kernel.clock, options, memory, record.id
 
 
-async def _read_answer(
-    response, limit: int
-) -> tuple[int, list[tuple[str, str]], bytes]:
-    body = await read_body(response, limit)
+def _answer(response, body: bytes, held) -> PlainAnswer:
     headers = [
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in response.headers
     ]
-    return response.status, headers, body
+    return PlainAnswer(response.status, headers, body, held)
 
 
 async def _drain(body) -> None:
--- a/plantainstack/links/events.py
+++ b/plantainstack/links/events.py
@@ -9,6 +9,8 @@
 
 # Limit on the bytes of one event, and of bytes that belong to no event.
 EVENT_BYTES_MAX = 1024 * 1024
+# Memory that a line of an incomplete event takes besides its text.
+LINE_OVERHEAD_BYTES = 64
 
 
 class EventTooLarge(Exception):
@@ -41,6 +43,16 @@
         self._lines: list[bytes] = []
         self._size = 0
 
+    def held_bytes(self) -> int:
+        """Return about how much memory the incomplete event takes."""
+        return self._size + LINE_OVERHEAD_BYTES * len(self._lines)
+
+    def clear(self) -> None:
+        """Forget the incomplete event."""
+        self._unended.clear()
+        self._lines.clear()
+        self._size = 0
+
     def feed(self, chunk: bytes) -> Iterator[SseEvent]:
         """Decode the next bytes and yield each event that they complete.
 
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -32,6 +32,22 @@
     "Answers that did not belong to the request that awaited them.",
     registry=REGISTRY,
 )
+ANSWER_BYTES = Gauge(
+    "plantainstack_answer_bytes",
+    "Bytes that the answers of endpoints take in this process.",
+    registry=REGISTRY,
+)
+ANSWERS_GIVEN_UP = Counter(
+    "plantainstack_answers_given_up",
+    "Answers given up for their memory, by limit (share of an endpoint, or total).",
+    ["cause"],
+    registry=REGISTRY,
+)
+BODY_BYTES = Gauge(
+    "plantainstack_body_bytes",
+    "Bytes that the bodies of clients' requests take in this process.",
+    registry=REGISTRY,
+)
 REQUEST_SECONDS = Histogram(
     "plantainstack_request_seconds",
     "Time from a request's arrival to the end of its answer, in seconds.",
--- a/plantainstack/platform/plugin.py
+++ b/plantainstack/platform/plugin.py
@@ -14,7 +14,9 @@
         super().__init__(kernel)
         self.metadata_store = PlatformStore(kernel.settings.store.address, kernel.clock)
         self.registry = self.metadata_store
-        self.endpoint_client = PlatformEndpointClient(kernel.clock)
+        self.endpoint_client = PlatformEndpointClient(
+            kernel.clock, kernel.answer_memory
+        )
 
     async def stop(self) -> None:
         """Close all connections."""
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -23,10 +23,12 @@
     OutgoingRequest,
     Timeouts,
     read_body,
+    read_chunks,
 )
 from plantainstack.links.events import EventTooLarge, SseDecoder, SseEvent
 from plantainstack.platform import names, records
 from plantainstack.policy.answer_binding import AnswerRule
+from plantainstack.policy.answer_memory import AnswerMemory, Reservation
 from plantainstack.serving import (
     Endpoint,
     EndpointAnswer,
@@ -83,8 +85,9 @@
 class PlatformEndpointClient(EndpointClient):
     """Use the servers' HTTP interface, with one connection pool per server process."""
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, memory: AnswerMemory | None = None):
         self._clock = clock
+        self._memory = memory or AnswerMemory()
         self._backend = httpcore.AnyIOBackend()
         self._pools: dict[tuple, ConnectionPool] = {}
         self._leaving_listeners: list[Callable[[Endpoint], None]] = []
@@ -102,10 +105,11 @@
                 return opened
             response, exchange = opened.unwrap()
             try:
-                body = await read_body(response)
+                body = await read_body(response, exchange.held)
             except _TRANSPORT_ERRORS as exc:
+                exchange.held.release()
                 return Err(exchange.failure_from_exception(exc, answering=True))
-            return Ok(_answer(response, body))
+            return Ok(_answer(response, body, exchange.held))
 
     @contextlib.asynccontextmanager
     async def stream(self, endpoint: Endpoint, call: EndpointCall):
@@ -117,11 +121,12 @@
             response, exchange = opened.unwrap()
             if not _is_event_stream(response):
                 try:
-                    body = await read_body(response)
+                    body = await read_body(response, exchange.held)
                 except _TRANSPORT_ERRORS as exc:
+                    exchange.held.release()
                     yield Err(exchange.failure_from_exception(exc, answering=True))
                     return
-                yield Ok(_answer(response, body))
+                yield Ok(_answer(response, body, exchange.held))
                 return
             silence_s = math.inf if call.awaits_silent else SILENCE_TIMEOUT_S
             yield Ok(_Stream(response, exchange, self._clock, silence_s))
@@ -187,7 +192,8 @@
 
     @contextlib.asynccontextmanager
     async def _open(self, endpoint: Endpoint, call: EndpointCall):
-        exchange = Exchange(self._clock, call.deadline)
+        held = self._memory.reserve(endpoint.id)
+        exchange = Exchange(self._clock, call.deadline, held)
         remaining = max(0.0, exchange.remaining())
         silence_s = remaining if call.awaits_silent else SILENCE_TIMEOUT_S
         timeouts = Timeouts(
@@ -282,13 +288,15 @@
     async def events(self) -> AsyncIterator[Result[StreamEvent, Failure]]:
         """Yield complete events, and a failure last if the stream ends early."""
         decoder = SseDecoder()
+        held = self._exchange.held
         silent_since = self._clock.now()
         try:
-            async for chunk in self._response.stream:
+            async for chunk in read_chunks(self._response, held, decoder.clear):
                 now = self._clock.now()
                 for event in decoder.feed(chunk):
                     silent_since = now
                     yield Ok(_stream_event(event))
+                held.resize(decoder.held_bytes())
                 # The read time-out does not cover a stream that sends bytes without
                 # completing an event.
                 if now - silent_since > self._silence_s:
@@ -318,9 +326,12 @@
     return response.status == HTTPStatus.OK and media_type == EVENT_STREAM
 
 
-def _answer(response: httpcore.Response, body: bytes) -> EndpointAnswer:
+def _answer(
+    response: httpcore.Response, body: bytes, held: Reservation
+) -> EndpointAnswer:
+    headers = _end_to_end_headers(response.headers)
     return EndpointAnswer(
-        PlainAnswer(response.status, _end_to_end_headers(response.headers), body),
+        PlainAnswer(response.status, headers, body, held),
         _is_refusal(response),
         _load_report(response.headers),
         names.header(response.headers, names.SEAL),
--- /dev/null
+++ b/plantainstack/policy/answer_memory.py
@@ -0,0 +1,199 @@
+"""Bound the memory that answers and the bodies of requests take in one process."""
+
+import weakref
+from collections.abc import Callable
+from typing import NamedTuple
+
+SMALLEST_LIMIT_BYTES = 128 * 10**6
+# Memory of a process without requests, and the sizes below which nothing is served.
+BASE_BYTES = 48 * 10**6
+ANSWERS_BYTES_MIN = 24 * 10**6
+ENDPOINT_BYTES_MIN = 10 * 10**6
+BODIES_BYTES_MIN = 16 * 10**6
+
+
+class Sizes(NamedTuple):
+    """The bytes for all answers, for those of one endpoint, and for all bodies."""
+
+    answers: int
+    endpoint: int
+    bodies: int
+
+
+def divide(limit: int) -> Sizes:
+    """Divide the memory of an instance, in bytes; 0 if its size is not known.
+
+    Half of what the process itself leaves is for the buffers of connections.
+    """
+    free = (limit or SMALLEST_LIMIT_BYTES) - BASE_BYTES
+    return Sizes(
+        max(ANSWERS_BYTES_MIN, free * 3 // 10),
+        max(ENDPOINT_BYTES_MIN, free // 8),
+        max(BODIES_BYTES_MIN, free // 5),
+    )
+
+
+class GivenUp(NamedTuple):
+    """An answer that was given up, and why."""
+
+    endpoint: str
+    size: int
+    cause: str
+    message: str
+
+
+class Reservation:
+    """The bytes that one answer takes; released with the object at the latest.
+
+    `give_up`, if set, frees what the answer takes. While it is not set, the answer is
+    not given up for others. `reason` is set once it was given up.
+    """
+
+    def __init__(self, memory: "AnswerMemory", endpoint: str):
+        self._memory = memory
+        self.endpoint = endpoint
+        self.size = 0
+        self.give_up: Callable[[], None] | None = None
+        self.reason: str | None = None
+
+    def grow(self, size: int) -> None:
+        """Add bytes; `reason` is set if the answer is given up for them."""
+        self.resize(self.size + size)
+
+    def resize(self, size: int) -> None:
+        """Set the number of bytes; `reason` is set if the answer is given up."""
+        if self.reason is None:
+            self._memory.resize(self, size)
+
+    def release(self) -> None:
+        """Release all bytes."""
+        self._memory.release(self)
+
+    def __del__(self):
+        self.release()
+
+
+class AnswerMemory:
+    """Divides a number of bytes between the answers of all endpoints.
+
+    If they do not suffice, the largest answer of the endpoint that takes the most is
+    given up, so that an endpoint cannot displace the small answers of others.
+    """
+
+    def __init__(
+        self,
+        total: int = ANSWERS_BYTES_MIN,
+        share: int = ENDPOINT_BYTES_MIN,
+        report: Callable[[GivenUp], None] | None = None,
+    ):
+        self.total = total
+        self.share = min(share, total)
+        self.held = 0
+        self._report = report
+        self._by_endpoint: dict[str, int] = {}
+        self._open: dict[str, weakref.WeakSet[Reservation]] = {}
+
+    def reserve(self, endpoint: str) -> Reservation:
+        """Return an empty reservation for one answer of an endpoint."""
+        return Reservation(self, endpoint)
+
+    def held_by(self, endpoint: str) -> int:
+        """Return the bytes that the answers of an endpoint take."""
+        return self._by_endpoint.get(endpoint, 0)
+
+    def resize(self, reservation: Reservation, size: int) -> None:
+        """Set the bytes of an answer, and give up answers until all fit."""
+        endpoint = reservation.endpoint
+        extra = size - reservation.size
+        while extra > 0 and reservation.reason is None:
+            if self.held_by(endpoint) + extra > self.share:
+                self._give_up([endpoint], reservation, size, "share")
+            elif self.held + extra > self.total:
+                self._give_up(self._open, reservation, size, "total")
+            else:
+                break
+        if reservation.reason is None:
+            self._add(reservation, extra)
+
+    def release(self, reservation: Reservation) -> None:
+        """Release the bytes of an answer."""
+        if reservation.size:
+            self._add(reservation, -reservation.size)
+
+    def _add(self, reservation: Reservation, extra: int) -> None:
+        endpoint = reservation.endpoint
+        reservation.size += extra
+        self.held += extra
+        self._by_endpoint[endpoint] = self.held_by(endpoint) + extra
+        if reservation.size:
+            self._open.setdefault(endpoint, weakref.WeakSet()).add(reservation)
+        elif endpoint in self._open:
+            self._open[endpoint].discard(reservation)
+        if not self._by_endpoint[endpoint]:
+            del self._by_endpoint[endpoint]
+            self._open.pop(endpoint, None)
+
+    def _give_up(self, endpoints, growing: Reservation, size: int, cause: str) -> None:
+        """Give up the largest answer of the endpoint that takes the most."""
+        sizes: dict[str, int] = {growing.endpoint: size - growing.size}
+        candidates = [(growing, size)]
+        for endpoint in list(endpoints):
+            sizes[endpoint] = sizes.get(endpoint, 0) + self.held_by(endpoint)
+            candidates += [
+                (each, each.size)
+                for each in self._open.get(endpoint, ())
+                if each is not growing and each.give_up
+            ]
+        found, taken = max(
+            candidates, key=lambda pair: (sizes[pair[0].endpoint], pair[1])
+        )
+        limit = self.share if cause == "share" else self.total
+        whose = (
+            f"of endpoint {found.endpoint}" if cause == "share" else "of all endpoints"
+        )
+        found.reason = f"the answers {whose} exceed {limit} bytes"
+        self.release(found)
+        if found.give_up:
+            found.give_up()
+        if self._report:
+            self._report(GivenUp(found.endpoint, taken, cause, found.reason))
+
+
+class BodyMemory:
+    """Limits the bytes that the bodies of all clients' requests take.
+
+    A body that is larger than the limit is taken while there is no other.
+    """
+
+    def __init__(self, total: int = BODIES_BYTES_MIN):
+        self.total = total
+        self.held = 0
+
+    def reserve(self) -> "BodyReservation":
+        """Return an empty reservation for one body."""
+        return BodyReservation(self)
+
+
+class BodyReservation:
+    """The bytes that one body takes, until the context ends."""
+
+    def __init__(self, memory: BodyMemory):
+        self._memory = memory
+        self.size = 0
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self._memory.held -= self.size
+        self.size = 0
+
+    def raise_to(self, size: int) -> bool:
+        """Reserve at least `size` bytes; return whether they are to be had."""
+        extra = max(0, size - self.size)
+        others = self._memory.held - self.size
+        if extra and others and self._memory.held + extra > self._memory.total:
+            return False
+        self._memory.held += extra
+        self.size += extra
+        return True
--- a/plantainstack/settings/instance.py
+++ b/plantainstack/settings/instance.py
@@ -5,6 +5,7 @@
 
 from plantainstack.errors import ConfigurationError
 from plantainstack.settings.ini import IniFile, parse_sections, read_ini
+from plantainstack.settings.memory import MemoryOptions
 from plantainstack.settings.options import (
     AddressOption,
     Boolean,
@@ -66,6 +67,7 @@
     platform: PlatformOptions
     credentials: CredentialOptions
     log: LogOptions
+    memory: MemoryOptions
 
     def log_path(self) -> Path | None:
         """Return the path of the log file, or None for standard output."""
@@ -89,6 +91,7 @@
     "platform": PlatformOptions,
     "credentials": CredentialOptions,
     "log": LogOptions,
+    "memory": MemoryOptions,
 }
 
 
--- a/plantainstack/settings/node.py
+++ b/plantainstack/settings/node.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from plantainstack.settings.ini import parse_sections
+from plantainstack.settings.memory import MemoryOptions
 from plantainstack.settings.options import AddressOption, Duration, Options, Text
 
 
@@ -41,6 +42,7 @@
     instance: NodeOptions
     store: StoreOptions
     bounds: BoundOptions
+    memory: MemoryOptions
 
     def log_path(self) -> Path | None:
         """Return None, since the log goes to standard output."""
@@ -51,6 +53,7 @@
     "instance": NodeOptions,
     "store": StoreOptions,
     "bounds": BoundOptions,
+    "memory": MemoryOptions,
 }
 
 
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -1,5 +1,6 @@
 """Tests of the settings of an instance that uses a metadata store."""
 
+import re
 from pathlib import Path
 
 import pytest
@@ -18,12 +19,18 @@
     "bounds.grace_s": "8",
     "bounds.lease_ms": "3000",
     "bounds.drain_ms": "4000",
+    "limits.memory_mb": "380",
 }
+SECTION = re.compile(r"{{#([a-z_.]+)}}(.*?){{/\1}}")
 
 
-def filled_template():
-    text = TEMPLATE.read_text()
-    for name, value in VALUES.items():
+def filled_template(values=VALUES):
+    def filled(match):
+        value = values.get(match[1])
+        return match[2].replace("{{.}}", value) if value else ""
+
+    text = SECTION.sub(filled, TEMPLATE.read_text())
+    for name, value in values.items():
         text = text.replace("{{" + name + "}}", value)
     return text
 
@@ -35,6 +42,14 @@
     assert str(settings.store.address) == "10.0.0.9:8002"
     assert (settings.bounds.grace, settings.bounds.order_gap) == (8.0, 3.0)
     assert settings.bounds.endpoint_notice == 4.0
+    assert settings.memory.limit == 380_000_000
+
+
+def test_memory_limit_may_be_missing_in_the_deployment():
+    """Guards against a deployment without this limit that cannot start."""
+    values = {name: text for name, text in VALUES.items() if "memory" not in name}
+    settings = parse_node(filled_template(values), "node.ini")
+    assert settings.memory.limit == 128_000_000
 
 
 def test_all_problems_are_reported_at_once():
