Bound the memory that the bodies of requests take in a process

Cause: a body has a limit for itself, up to 32 MiB by configuration, but a burst of long bodies was read without any limit for all of them, and each was held twice while its chunks were joined.

Change: `BodyMemory` counts the bodies of a process, in both deployments, until their requests end. A request that does not fit is refused before it is passed on, by its declared length or by its bytes so far: `overloaded`, 503, not run, with Retry-After; the connection stays usable, as after other refusals. Only bytes that came are counted, so that a client that declares a length and sends nothing takes nothing. A body that is larger than the limit is taken while there is no other, so that no request is told to come back that never fits. The ingress logs early refusals (`request.refused`).

`tests/front/test_trainers.py` builds its own kernel, which gets the new attribute.

What remains: a body that an endpoint is slow to read is copied once into the buffer of its connection, which is not counted. The operators' address reads its bodies as before.

--- a/plantainstack/front/callers.py
+++ b/plantainstack/front/callers.py
@@ -1,5 +1,6 @@
 """HTTP API for callers: chat completions and calls to plain services."""
 
+import io
 import time
 from collections.abc import AsyncIterator
 from contextlib import aclosing
@@ -379,17 +380,23 @@
     message = f"the body is limited to {limit} bytes"
     too_large = Err(Failure.of(ErrorKind.BODY_TOO_LARGE, message))
     discard_limit = limit + DISCARD_MAX_BYTES
-    if int(request.headers.get("content-length", "0")) > discard_limit:
+    declared = int(request.headers.get("content-length", "0"))
+    if declared > discard_limit:
         return too_large
-    chunks = []
+    held = request.state.body_memory
+    if not held.may_grow_to(min(declared, limit)):
+        return Err(held.refusal())
+    buffer = io.BytesIO()
     size = 0
     async for chunk in request.stream():
         size += len(chunk)
         if size > discard_limit:
             return too_large
         if size <= limit:
-            chunks.append(chunk)
-    return Ok(b"".join(chunks)) if size <= limit else too_large
+            if not held.grow_to(size):
+                return Err(held.refusal())
+            buffer.write(chunk)
+    return Ok(buffer.getvalue()) if size <= limit else too_large
 
 
 def _parse_completion(body: bytes) -> Result[CompletionRequest, Failure]:
--- a/plantainstack/front/middleware.py
+++ b/plantainstack/front/middleware.py
@@ -87,7 +87,9 @@
             if failure:
                 metrics.REQUESTS.labels("", failure.kind, failure.outcome).inc()
             app = error_response(failure) if failure else self._app
-            await self._run_app(app, scope, receive, sender)
+            with self._kernel.body_memory.reserve() as held:
+                scope["state"]["body_memory"] = held
+                await self._run_app(app, scope, receive, sender)
         finally:
             self.in_flight -= 1
             if not self.in_flight:
--- a/plantainstack/front/trainers.py
+++ b/plantainstack/front/trainers.py
@@ -1,5 +1,6 @@
 """HTTP API for trainers."""
 
+import io
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -180,13 +181,16 @@
 
 
 async def _body(request: Request) -> Result[bytes, Failure]:
-    data = bytearray()
+    held = request.state.body_memory
+    buffer = io.BytesIO()
     async for chunk in request.stream():
-        data += chunk
-        if len(data) > BODY_MAX_BYTES:
+        buffer.write(chunk)
+        if buffer.tell() > BODY_MAX_BYTES:
             message = f"the body is larger than {BODY_MAX_BYTES} bytes"
             return Err(Failure.of(ErrorKind.BODY_TOO_LARGE, message))
-    return Ok(bytes(data))
+        if not held.grow_to(buffer.tell()):
+            return Err(held.refusal())
+    return Ok(buffer.getvalue())
 
 
 def _bad_request(message: str) -> Err[Failure]:
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -1,5 +1,6 @@
 """HTTP interface for the platform's clients and trainers."""
 
+import io
 import math
 from contextlib import aclosing
 from http import HTTPStatus
@@ -15,6 +16,7 @@
 from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
 from plantainstack.platform import names, records
 from plantainstack.policy import draining
+from plantainstack.policy.answer_memory import BodyReservation
 from plantainstack.policy.draining import StopTimes
 from plantainstack.policy.forwarding import RETRY_AFTER_S
 from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
@@ -70,10 +72,13 @@
 
     async def _serve(self, scope, receive, send) -> None:
         arrived_at = self._kernel.clock.now()
-        body = await self._read_body(scope, receive)
-        if body is None:
-            return
-        handler = _RequestHandler(self, scope, body, arrived_at, send)
+        with self._kernel.body_memory.reserve() as held:
+            body = await self._read_body(scope, receive, held)
+            if body is not None:
+                handler = _RequestHandler(self, scope, body, arrived_at, send)
+                await self._handle(handler, receive)
+
+    async def _handle(self, handler: "_RequestHandler", receive) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
             try:
@@ -85,14 +90,17 @@
                 raise
             tasks.cancel_scope.cancel()
 
-    async def _read_body(self, scope, receive) -> bytes | Failure | None:
+    async def _read_body(
+        self, scope, receive, held: BodyReservation
+    ) -> bytes | Failure | None:
         limits = self._discovery.limits()
         head = sum(len(name) + len(value) + 4 for name, value in scope["headers"])
         if head > limits.header_bytes:
             text = f"headers are limited to {limits.header_bytes} bytes"
             return Failure.of(ErrorKind.HEADERS_TOO_LARGE, text)
-        chunks: list[bytes] = []
-        size = 0
+        if not held.may_grow_to(min(_declared_size(scope), limits.body_bytes)):
+            return held.refusal()
+        buffer = io.BytesIO()
         while True:
             message = None
             with anyio.move_on_after(limits.idle_timeout_s):
@@ -102,13 +110,14 @@
                 return Failure.of(ErrorKind.REQUEST_TIMEOUT, text)
             if message["type"] == "http.disconnect":
                 return None
-            chunks.append(message.get("body", b""))
-            size += len(chunks[-1])
-            if size > limits.body_bytes:
+            buffer.write(message.get("body", b""))
+            if buffer.tell() > limits.body_bytes:
                 text = f"the body is limited to {limits.body_bytes} bytes"
                 return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
+            if not held.grow_to(buffer.tell()):
+                return held.refusal()
             if not message.get("more_body"):
-                return b"".join(chunks)
+                return buffer.getvalue()
 
 
 class _RequestHandler:
@@ -138,6 +147,7 @@
     async def handle(self) -> None:
         """Route the request and send the response."""
         if isinstance(self._body, Failure):
+            self._log_refusal(self._body)
             await self._respond(_failure_response(self._body))
             return
         method = self._scope["method"]
@@ -384,6 +394,12 @@
         await send({"type": "http.response.body", "body": body})
 
 
+def _declared_size(scope) -> int:
+    """Return the length that the head of a request declares, or 0."""
+    text = names.header(scope["headers"], "content-length")
+    return parse_decimal(text, records.INTEGER_MAX) or 0
+
+
 async def _cancel_on_disconnect(receive, scope: anyio.CancelScope) -> None:
     while True:
         message = await receive()
--- a/plantainstack/policy/answer_memory.py
+++ b/plantainstack/policy/answer_memory.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from plantainstack.errors import ErrorKind, Failure
+
 SMALLEST_LIMIT_BYTES = 128 * 10**6
 # Memory of a process without requests, and the sizes below which nothing is served.
 BASE_BYTES = 48 * 10**6
@@ -188,12 +190,20 @@
         self._memory.held -= self.size
         self.size = 0
 
-    def raise_to(self, size: int) -> bool:
-        """Reserve at least `size` bytes; return whether they are to be had."""
-        extra = max(0, size - self.size)
+    def may_grow_to(self, size: int) -> bool:
+        """Return whether `size` bytes are to be had now."""
         others = self._memory.held - self.size
-        if extra and others and self._memory.held + extra > self._memory.total:
+        return size <= self.size or not others or others + size <= self._memory.total
+
+    def grow_to(self, size: int) -> bool:
+        """Reserve `size` bytes; return False if they are not to be had."""
+        if not self.may_grow_to(size):
             return False
-        self._memory.held += extra
-        self.size += extra
+        self._memory.held += max(0, size - self.size)
+        self.size = max(size, self.size)
         return True
+
+    def refusal(self) -> Failure:
+        """Return the failure of a request whose body does not fit."""
+        message = f"the bodies of other requests take {self._memory.held} bytes"
+        return Failure.of(ErrorKind.OVERLOADED, message)
--- a/tests/front/test_bad_input.py
+++ b/tests/front/test_bad_input.py
@@ -139,6 +139,29 @@
     assert reply.status == 413
 
 
+@pytest.mark.parametrize("path", [PLAIN, PATH])
+async def test_body_that_does_not_fit_beside_others_is_refused(tmp_path, path):
+    """Guards against a burst of bodies that takes the memory of an instance."""
+    async with running(tmp_path) as client:
+        memory = client.kernel.body_memory
+        calls = client.kernel.plugin("links").fake_plain.calls
+        with memory.reserve() as held:
+            held.grow_to(memory.total - 5000)
+            whole = await client.send("POST", path, b"x" * 5001)
+            headers = [("Authorization", "Bearer caller-token")]
+            part = await client.pool.request(
+                "POST", client.url(path), headers=headers, content=chunks(1)
+            )
+        after = await client.send("POST", path, BODY)
+    for status, text in ((whole.status, whole.body), (part.status, part.content)):
+        error = json.loads(text)["error"]
+        assert (status, error["kind"]) == (503, "overloaded")
+        assert error["outcome"] == "not_run"
+    assert whole.headers["retry-after"]
+    assert (after.status, len(calls)) == (200, 1 if path == PLAIN else 0)
+    assert memory.held == 0
+
+
 async def test_service_can_require_an_idempotency_key(tmp_path):
     async with running(tmp_path) as client:
         content = FleetContent(defaults={"require_key": "yes"}, exceptions=[])
--- a/tests/front/test_trainers.py
+++ b/tests/front/test_trainers.py
@@ -8,6 +8,7 @@
 
 from plantainstack.front.middleware import RequestMiddleware, TokenRegistry
 from plantainstack.front.trainers import routes
+from plantainstack.policy.answer_memory import BodyMemory
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.settings.instance import Tokens
 from tests.services.fleet import MODEL, TRAINER, Fleet
@@ -32,6 +33,7 @@
         instance=SimpleNamespace(id="entry-1"),
     )
     kernel = SimpleNamespace(
+        body_memory=BodyMemory(),
         settings=settings,
         config=FleetConfig.builtin(),
         clock=fleet.clock,
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -208,6 +208,49 @@
             assert (await conn.request("GET", "/s/x", X_Long="y" * 3000))[0] == 431
 
 
+async def test_burst_of_long_bodies_is_refused_as_not_run_beyond_its_memory():
+    """Guards against bodies, each within its limit, that take all memory together."""
+    platform = FakePlatform()
+    body = b"x" * 1000
+    async with gateway(platform) as kernel, anyio.create_task_group() as tasks:
+        memory = kernel.body_memory
+        memory.total = 5500
+        platform.client.statuses = dict.fromkeys(("e1", "e2"), anyio.Event())
+        answers = []
+
+        async def one():
+            async with connected(kernel) as conn:
+                answers.append(await conn.request("POST", "/s/x", body))
+                answers.append(await conn.request("GET", "/s/x"))
+
+        for _ in range(12):
+            tasks.start_soon(one)
+        await until(lambda: len(answers) == 7)
+        assert memory.held == 5000
+        assert [status for status, _, _ in answers] == [503] * 7
+        assert all("retry-after" in headers for _, headers, _ in answers)
+        await until(lambda: len(platform.client.sent_calls) >= 12)
+        assert sum(call.body == body for call in platform.client.sent_calls) == 5
+        for event in platform.client.statuses.values():
+            event.set()
+    assert [status for status, _, _ in answers[7:]] == [200] * 17
+    assert memory.held == 0
+
+
+async def test_declared_body_without_memory_is_refused_before_it_is_sent():
+    """Guards against a long body that is received only to be refused."""
+    async with gateway(FakePlatform()) as kernel, connected(kernel) as conn:
+        kernel.body_memory.total = 5000
+        with kernel.body_memory.reserve() as held:
+            held.grow_to(4000)
+            head = (
+                "POST /s/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 1001\r\n"
+            )
+            await conn.stream.send(f"{head}\r\n".encode())
+            status, headers, _ = await conn.answer()
+    assert (status, "retry-after" in headers) == (503, True)
+
+
 @pytest.mark.parametrize(
     ("sent", "status"),
     [(b"GET /s/x HT", 408), (b"POST /s/x HTTP/1.1\r\nHost: a\r\n", 408)],
--- a/tests/policy/test_answer_memory.py
+++ b/tests/policy/test_answer_memory.py
@@ -125,11 +125,11 @@
 def test_bodies_are_refused_above_the_limit_and_released():
     memory = BodyMemory(100)
     with memory.reserve() as first:
-        assert first.raise_to(60)
+        assert first.grow_to(60)
         with memory.reserve() as second:
-            assert second.raise_to(40)
-            assert not second.raise_to(41)
-            assert first.raise_to(50)
+            assert second.grow_to(40)
+            assert not second.grow_to(41)
+            assert first.grow_to(50)
             assert memory.held == 100
         assert memory.held == 60
     assert memory.held == 0
@@ -139,9 +139,9 @@
     """Guards against a request that is told to come back, and never fits."""
     memory = BodyMemory(100)
     with memory.reserve() as first:
-        assert first.raise_to(150)
+        assert first.grow_to(150)
         with memory.reserve() as second:
-            assert not second.raise_to(1)
+            assert not second.grow_to(1)
     assert memory.held == 0
 
 
