--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,18 @@
 
 def pytest_addoption(parser):
     parser.addoption("--known-red", action="store_true", help="run known failures only")
+    parser.addoption(
+        "--stutter-seeds",
+        type=int,
+        default=2,
+        help="seeds of the tests with servers that stutter",
+    )
+
+
+def pytest_generate_tests(metafunc):
+    if "stutter_seed" in metafunc.fixturenames:
+        count = metafunc.config.getoption("--stutter-seeds")
+        metafunc.parametrize("stutter_seed", range(1, count + 1))
 
 
 def pytest_collection_modifyitems(config, items):
