Show that control calls believe a success without an id

docs/platform.md says that endpoints return X-Attempt-Id. Control calls of the own interface accept an answer without one on a new connection also where the options say that endpoints return ids (AnswerRule with id_optional in HttpEngine._control). From a server that sends such a success before or in place of its answer, an engine's client returns these bytes as the KV cache of a completion.

It is not fixed here, since test_engine_report_is_validated holds the present rule on purpose.

--- a/tests/links/test_stuttering_endpoints.py
+++ b/tests/links/test_stuttering_endpoints.py
@@ -151,6 +151,12 @@
     assert found == []
 
 
+async def test_control_call_gets_no_answer_without_an_id():
+    """Guards against bytes of an endpoint that returns ids, but none with these."""
+    _, found = await play_calls(1, troubles=(NamelessSuccess,))
+    assert found == []
+
+
 async def test_completion_has_its_own_text(stutter_seed):
     """Guards against the text of another completion."""
     assert await play_completions(stutter_seed) == []
