Send large answers no faster than the client reads

Cause: a complete answer was handed to the server's connection at once. The request ended there, while the connection kept what the client had not read, counted by nobody and without a time limit.

Change: the ingress of the store deployment sends answers above 64 KiB in pieces, so that the answer stays counted until the client has got it. While it is sent it may be given up for others like one that is read; the client's connection is then closed in the middle of the answer. A client that takes no piece for its idle time-out is cut off, too; such a request counts as open until then.

What remains: `front/callers.py` of the other deployment still hands over answers at once; a slow client there can hold them beyond the count.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -14,6 +14,7 @@
 from plantainstack import log, metrics
 from plantainstack.decoding import parse_decimal
 from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
+from plantainstack.links.connections import AnswerGivenUp, giving_up
 from plantainstack.platform import names, records
 from plantainstack.policy import draining
 from plantainstack.policy.answer_memory import BodyReservation
@@ -30,6 +31,8 @@
 RESULTS_MAX_BYTES = 900_000
 # Time after the deadline of a stream for which its last bytes may still be sent.
 SEND_GRACE_S = 0.25
+# Part of a body that is sent at once.
+PIECE_BYTES = 64 * 1024
 # Keys of the rows of results have eight digits.
 POSITION_MAX = 99_999_999
 # Statuses that tell the client that the request was not and will not be executed.
@@ -211,7 +214,15 @@
             await self._respond(_failure_response(outcome.unwrap_err()))
             return
         answer = outcome.unwrap().answer
-        await self._respond(_Response(answer.status, answer.headers, answer.body))
+        response = _Response(answer.status, answer.headers, answer.body)
+        if answer.held is None:
+            await self._respond(response)
+            return
+        try:
+            with giving_up(answer.held):
+                await self._respond(response)
+        except AnswerGivenUp as exc:
+            raise StreamAborted(str(exc)) from None
 
     async def _stream(self, route: Route) -> None:
         call = self._client_call(route)
@@ -350,7 +361,23 @@
         if names.header(headers, names.REQUEST_ID) is None and self._request_id:
             headers.append((names.REQUEST_ID, self._request_id))
         await self._send_headers(response.status, headers)
-        await self._send_body(response.body, more=False)
+        if len(response.body) > PIECE_BYTES:
+            await self._send_pieces(response.body)
+        else:
+            await self._send_body(response.body, more=False)
+
+    async def _send_pieces(self, body: bytes) -> None:
+        """Send a body no faster than the client reads it.
+
+        The server would keep a copy of what the client has not read.
+        """
+        limit_s = self._ingress._discovery.limits().idle_timeout_s
+        for start in range(0, len(body), PIECE_BYTES):
+            with anyio.move_on_after(limit_s) as scope:
+                await self._send_body(body[start : start + PIECE_BYTES], more=True)
+            if scope.cancelled_caught:
+                raise StreamAborted(f"the client read nothing for {limit_s} s")
+        await self._send_body(b"", more=False)
 
     async def _send_headers(self, status: int, headers) -> None:
         if self._kernel.unready_reason() == "draining":
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,17 +1,22 @@
 """Tests of the HTTP interface for the platform's clients, over loopback."""
 
+import asyncio
 import contextlib
 import itertools
+import socket
+import tracemalloc
 
 import anyio
 import msgspec
 import pytest
+from result import Err, Ok
 
-from plantainstack.errors import ErrorKind, Failure
+from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.front import gateway as gateway_module
 from plantainstack.front.gateway import Gateway
+from plantainstack.interfaces import PlainAnswer
 from plantainstack.platform import ingress, names
-from plantainstack.serving import ClientLimits, RequestKind
+from plantainstack.serving import ClientLimits, EndpointAnswer, RequestKind
 from plantainstack.settings.options import Address
 from tests.platform.samples import lot
 from tests.policy.serving_samples import route
@@ -237,6 +242,77 @@
     assert memory.held == 0
 
 
+@contextlib.asynccontextmanager
+async def slow_reader(kernel):
+    """Yield a connection of which the kernel keeps only little that is not read."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, kernel.plugin("gateway")._servers[0].address)
+        await loop.sock_sendall(
+            sock, b"GET /s/x HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+        )
+        yield lambda: loop.sock_recv(sock, 65536)
+
+
+async def test_large_answers_that_clients_do_not_read_keep_to_their_memory():
+    """Guards against complete answers that pile up in the buffers of connections."""
+    platform = FakePlatform()
+    size = 4_000_000
+    clients = 24
+
+    async def call(endpoint, call):
+        held = kernel.answer_memory.reserve(endpoint.id)
+        held.grow(size)
+        if held.reason:
+            return Err(Failure(ErrorKind.ENDPOINT_FAILED, "", Outcome.MAY_HAVE_RUN))
+        return Ok(EndpointAnswer(PlainAnswer(200, [], bytes(size), held), False, None))
+
+    platform.client.call = call
+    async with gateway(platform) as kernel, contextlib.AsyncExitStack() as stack:
+        memory = kernel.answer_memory
+        memory.total = memory.share = 10_000_000
+        tracemalloc.start()
+        readers = []
+        for _ in range(clients):
+            readers.append(await stack.enter_async_context(slow_reader(kernel)))
+            await anyio.sleep(0.03)
+        now, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert now < memory.total + clients * 150_000
+        assert peak < memory.total + clients * 150_000 + size
+        assert memory.held == 2 * size
+        complete = 0
+        for read in readers:
+            received = 0
+            with anyio.fail_after(20.0), contextlib.suppress(ConnectionError):
+                while received < size and (data := await read()):
+                    received += len(data)
+            complete += received >= size
+        assert complete == 2
+        await until(lambda: memory.held == 0)
+
+
+async def test_large_answer_to_a_client_that_stops_reading_is_ended():
+    """Guards against clients that keep answers in memory for as long as they like."""
+    platform = FakePlatform()
+    platform.config = CONFIG._replace(limits=LIMITS)
+
+    async def call(endpoint, call):
+        answer = PlainAnswer(200, [], bytes(20_000_000))
+        return Ok(EndpointAnswer(answer, False, None))
+
+    platform.client.call = call
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        await conn.send("GET", "/s/x")
+        await conn.stream.receive()
+        await until(lambda: kernel.plugin("gateway").ingress.open_requests == 1)
+        await until(lambda: kernel.plugin("gateway").ingress.open_requests == 0, 5.0)
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            await conn.answer()
+
+
 async def test_declared_body_without_memory_is_refused_before_it_is_sent():
     """Guards against a long body that is received only to be refused."""
     async with gateway(FakePlatform()) as kernel, connected(kernel) as conn:
