Limit one answer of a platform service

Cause: the client of the store and of the other platform services read an answer without a limit, until its time-out of 2 s.

Change: an answer above 32 MiB ends its exchange, which then counts as one without an answer; the connection is closed. The body is gathered without a second copy.

What remains: these answers do not count against the memory of all answers, since a share for the store would have to hold the largest objects, and up to four calls run at once for each service (more for the store).

--- a/plantainstack/adapters/http.py
+++ b/plantainstack/adapters/http.py
@@ -8,7 +8,8 @@
 from result import Err, Ok, Result
 
 from plantainstack.clock import Clock
-from plantainstack.links.connections import surplus_bytes
+from plantainstack.links.connections import read_body, surplus_bytes
+from plantainstack.policy.answer_memory import AnswerMemory
 from plantainstack.settings.options import Address
 
 REQUEST_TIMEOUT_S = 2.0
@@ -16,6 +17,8 @@
 # Each exchange in flight has its own connection object, because the connection pool
 # of httpcore slows down as concurrency grows.
 CONNECTIONS_MAX = 4
+# Limit on one complete answer, which is held in memory.
+ANSWER_BYTES_MAX = 32 * 1024 * 1024
 
 Headers = Sequence[tuple[str, str]]
 
@@ -112,7 +115,8 @@
         complete = False
         try:
             response = await conn.handle_async_request(req)
-            content = await response.aread()
+            held = AnswerMemory(2 * ANSWER_BYTES_MAX, 2 * ANSWER_BYTES_MAX).reserve("")
+            content = await read_body(response, held, ANSWER_BYTES_MAX)
             await response.aclose()
             complete = True
         finally:
--- a/tests/adapters/test_service_client.py
+++ b/tests/adapters/test_service_client.py
@@ -1,10 +1,13 @@
 """Tests of what the HTTP clients of platform services share."""
 
+import contextlib
+import tracemalloc
+
 import anyio
 import msgspec
 import pytest
 
-from plantainstack.adapters.http import Answer, HttpClient
+from plantainstack.adapters.http import ANSWER_BYTES_MAX, Answer, HttpClient
 from plantainstack.adapters.service_client import decode
 from plantainstack.clock import SystemClock
 from plantainstack.errors import Outcome
@@ -47,3 +50,32 @@
         tasks.cancel_scope.cancel()
     await listener.aclose()
     assert found == [b"1", b"2", b"3"]
+
+
+@pytest.mark.anyio
+async def test_answer_of_a_service_without_end_is_given_up():
+    """Guards against a faulty service that fills the memory of an instance."""
+
+    async def serve(stream):
+        async with stream:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.receive()
+                await stream.send(b"HTTP/1.1 200 OK\r\n\r\n")
+                while True:
+                    await stream.send(bytes(65536))
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = listener.extra(anyio.abc.SocketAttribute.local_address)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        client = HttpClient(Address(*address), SystemClock())
+        tracemalloc.start()
+        found = (await client.exchange("GET", "/")).unwrap_err()
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+    assert found.sent
+    assert "exceeds" in found.message
+    assert peak < 1.3 * ANSWER_BYTES_MAX
