--- a/tests/links/test_stuttering_endpoints.py
+++ b/tests/links/test_stuttering_endpoints.py
@@ -59,8 +59,8 @@
     """Return what the client of a plain service told of a call."""
     if outcome.is_err():
         return from_failure(target, outcome.unwrap_err())
-    status, _, body = outcome.unwrap()
-    return Told(target, status, body, status == 503)
+    answer = outcome.unwrap()
+    return Told(target, answer.status, answer.body, answer.status == 503)
 
 
 async def play_calls(seed, **options):
