Let the kernel keep 64 KiB of each connection to an endpoint

The buffers of connections are not counted by the memory of answers. The kernel's grow to megabytes, of which the event loop reads 256 KiB at once, so that 200 endless answers took a process to 135 MB, over the 128 MB of the smallest instances.

--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -8,6 +8,7 @@
 import io
 import math
 import re
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable, Iterator
 from typing import NamedTuple
@@ -44,6 +45,9 @@
 HEAD_READS_MAX = 512
 # A complete answer is held in memory, of which the smallest instances have 128 MB.
 ANSWER_BYTES_MAX = 8 * 1024 * 1024
+# Bytes of a connection that the kernel keeps for a reader. Without this limit it grows
+# to megabytes, and the event loop reads 256 KiB of them at once.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 # Memory that a decoded header takes besides its text.
 HEADER_OVERHEAD_BYTES = 256
 
@@ -376,7 +380,12 @@
 
     async def _connect(self, timeout: float) -> Connection:
         inner = await self._backend.connect_tcp(
-            self._address.host, self._address.port, timeout
+            self._address.host,
+            self._address.port,
+            timeout,
+            socket_options=[
+                (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            ],
         )
         if inner.get_extra_info("is_readable"):
             await inner.aclose()
