--- a/tests/platform/test_stuttering_endpoints.py
+++ b/tests/platform/test_stuttering_endpoints.py
@@ -387,8 +387,8 @@
 def forget_ids(monkeypatch):
     acquire = connections.ConnectionPool._acquire_idle
 
-    async def wrong(self, id):
-        return await acquire(self, "")
+    async def wrong(self, id, exchange):
+        return await acquire(self, "", exchange)
 
     monkeypatch.setattr(connections.ConnectionPool, "_acquire_idle", wrong)
 
