--- a/plantainstack/adapters/http.py
+++ b/plantainstack/adapters/http.py
@@ -8,7 +8,8 @@
 from result import Err, Ok, Result
 
 from plantainstack.clock import Clock
-from plantainstack.links.connections import Connection, read_body
+from plantainstack.links.answers import read_body
+from plantainstack.links.connections import Connection
 from plantainstack.policy.answer_memory import AnswerMemory
 from plantainstack.settings.options import Address
 
--- a/plantainstack/links/connections.py
+++ b/plantainstack/links/connections.py
@@ -5,12 +5,10 @@
 """
 
 import contextlib
-import io
 import math
 import re
 import socket
-from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 import anyio
@@ -19,8 +17,14 @@
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure, Outcome
-from plantainstack.policy import answer_binding
-from plantainstack.policy.answer_binding import AnswerRule
+from plantainstack.links.answers import (
+    AnswerCheck,
+    AnswerCrossed,
+    AnswerGivenUp,
+    AnswerTooLarge,
+    giving_up,
+    head_bytes,
+)
 from plantainstack.policy.answer_memory import AnswerMemory, Reservation
 from plantainstack.requests import Deadline
 from plantainstack.settings.options import Address
@@ -34,22 +38,15 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 # Requests on one connection, whose ids are kept as long as it is.
 EXCHANGES_MAX = 256
-# Statuses that an answer to a request may have.
-STATUS_MIN = 200
-STATUS_MAX = 599
 ATTEMPT_HEADER = "X-Attempt-Id"
 # Bytes read until the head of an answer is complete, with interim answers. The limit
 # includes the part of the body that arrives in the same read.
 HEAD_BYTES_MAX = 256 * 1024
 # Reads until the head is complete; many small interim answers cost processor time.
 HEAD_READS_MAX = 512
-# A complete answer is held in memory, of which the smallest instances have 128 MB.
-ANSWER_BYTES_MAX = 8 * 1024 * 1024
 # Bytes of a connection that the kernel keeps for a reader. Without this limit it grows
 # to megabytes, and the event loop reads 256 KiB of them at once.
 RECEIVE_BUFFER_BYTES = 64 * 1024
-# Memory that a decoded header takes besides its text.
-HEADER_OVERHEAD_BYTES = 256
 
 
 _KEEP_ALIVE_TIMEOUT = re.compile(
@@ -61,18 +58,6 @@
     """The deadline of an exchange passed before its first byte was sent."""
 
 
-class AnswerCrossed(httpcore.RemoteProtocolError):
-    """An answer belongs to another request, or to none."""
-
-
-class AnswerTooLarge(httpcore.RemoteProtocolError):
-    """The head or the body of an answer exceeds its limit."""
-
-
-class AnswerGivenUp(AnswerTooLarge):
-    """An answer is given up, since the answers of a process take too much memory."""
-
-
 class Exchange:
     """State of one HTTP exchange: its deadline, and whether a byte was sent.
 
@@ -229,40 +214,6 @@
         return not surplus
 
 
-class AnswerCheck(ABC):
-    """Checks an answer before anything of it is used."""
-
-    def __init__(self, rule: AnswerRule, id_header: str):
-        self.rule = rule
-        self._id_header = id_header.lower().encode()
-
-    def mismatch(self, response: httpcore.Response, alone: bool) -> str | None:
-        """Return why an answer does not belong to the request, or None if it does.
-
-        `alone` states that the connection has carried no other request.
-        """
-        if not STATUS_MIN <= response.status <= STATUS_MAX:
-            return f"the answer has the status {response.status}"
-        return answer_binding.mismatch(
-            self.rule, self._ids(response), alone, self.is_refusal(response)
-        )
-
-    def may_keep_connection(self, response: httpcore.Response) -> bool:
-        """Return whether the connection of an answer may carry another request."""
-        return answer_binding.may_keep_connection(self._ids(response))
-
-    def _ids(self, response: httpcore.Response) -> list[str]:
-        return [
-            value.decode("latin-1")
-            for name, value in response.headers
-            if name.lower() == self._id_header
-        ]
-
-    @abstractmethod
-    def is_refusal(self, response: httpcore.Response) -> bool:
-        """Return whether the answer declares that the request was not run."""
-
-
 class OutgoingRequest(NamedTuple):
     """An HTTP request to send; the target is an absolute path.
 
@@ -329,7 +280,7 @@
             with giving_up(exchange.held):
                 response = await conn.http.handle_async_request(prepared)
                 conn.stream.head_received()
-                exchange.held.resize(_head_bytes(response))
+                exchange.held.resize(head_bytes(response))
             problem = check.mismatch(response, not exchange.reused)
             if problem:
                 metrics.CROSSED_ANSWERS.inc()
@@ -438,68 +389,6 @@
     return len(data)
 
 
-@contextlib.contextmanager
-def giving_up(
-    held: Reservation, free: Callable[[], None] | None = None
-) -> Iterator[None]:
-    """End the block with AnswerGivenUp as soon as its answer is given up.
-
-    `free` frees what the answer takes, now and after the block.
-    """
-    with anyio.CancelScope() as scope:
-
-        def give_up() -> None:
-            scope.cancel()
-            if free:
-                free()
-
-        if not held.reason:
-            held.give_up = give_up
-            try:
-                yield
-            finally:
-                held.give_up = free
-    if held.reason:
-        raise AnswerGivenUp(held.reason)
-
-
-async def read_chunks(
-    response: httpcore.Response, held: Reservation, free: Callable[[], None]
-) -> AsyncIterator[bytes]:
-    """Yield the chunks of a body until its answer is given up."""
-    body = aiter(response.stream)
-    chunk: bytes | None = b""
-    while chunk is not None:
-        yield chunk
-        with giving_up(held, free):
-            chunk = await anext(body, None)
-
-
-async def read_body(
-    response: httpcore.Response, held: Reservation, limit=ANSWER_BYTES_MAX
-) -> bytes:
-    """Return the body of an answer; raise AnswerTooLarge above `limit` bytes."""
-    # `getvalue` returns the buffer itself and makes no copy.
-    buffer = io.BytesIO()
-    with giving_up(held, buffer.close):
-        async for chunk in response.stream:
-            held.grow(len(chunk))
-            if held.reason:
-                break
-            buffer.write(chunk)
-            if buffer.tell() > limit:
-                raise AnswerTooLarge(f"the body of the answer exceeds {limit} bytes")
-    held.give_up = None
-    return buffer.getvalue()
-
-
-def _head_bytes(response: httpcore.Response) -> int:
-    return sum(
-        len(name) + len(value) + HEADER_OVERHEAD_BYTES
-        for name, value in response.headers
-    )
-
-
 async def _close(conn: Connection) -> None:
     with anyio.CancelScope(shield=True), contextlib.suppress(Exception):
         await conn.http.aclose()
--- a/plantainstack/links/endpoint.py
+++ b/plantainstack/links/endpoint.py
@@ -24,17 +24,19 @@
     PlainRequest,
     PlainService,
 )
-from plantainstack.links.connections import (
+from plantainstack.links.answers import (
     ANSWER_BYTES_MAX,
-    ATTEMPT_HEADER,
     AnswerCheck,
+    read_body,
+    read_chunks,
+)
+from plantainstack.links.connections import (
+    ATTEMPT_HEADER,
     ConnectionPool,
     DeadlineExceeded,
     Exchange,
     OutgoingRequest,
     Timeouts,
-    read_body,
-    read_chunks,
 )
 from plantainstack.links.events import EventTooLarge, SseDecoder
 from plantainstack.plugins import Plugin
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -14,7 +14,7 @@
 from plantainstack import log, metrics
 from plantainstack.decoding import parse_decimal
 from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
-from plantainstack.links.connections import AnswerGivenUp, giving_up
+from plantainstack.links.answers import AnswerGivenUp, giving_up
 from plantainstack.platform import names, records
 from plantainstack.policy import draining
 from plantainstack.policy.answer_memory import BodyReservation
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -15,15 +15,13 @@
 from plantainstack.decoding import parse_decimal
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.interfaces import PlainAnswer
+from plantainstack.links.answers import AnswerCheck, read_body, read_chunks
 from plantainstack.links.connections import (
-    AnswerCheck,
     ConnectionPool,
     DeadlineExceeded,
     Exchange,
     OutgoingRequest,
     Timeouts,
-    read_body,
-    read_chunks,
 )
 from plantainstack.links.events import EventTooLarge, SseDecoder, SseEvent
 from plantainstack.platform import names, records
--- a/tests/links/test_stuttering_endpoints.py
+++ b/tests/links/test_stuttering_endpoints.py
@@ -11,7 +11,7 @@
 from plantainstack.errors import ErrorKind
 from plantainstack.interfaces import GenerateRequest, PlainRequest, Priority
 from plantainstack.kernel import Kernel
-from plantainstack.links import connections
+from plantainstack.links import answers
 from plantainstack.links.endpoint import EndpointLinks
 from standins.stuttering import (
     EVENTS,
@@ -164,11 +164,11 @@
 
 async def test_refusals_that_are_believed_unseen_are_found(monkeypatch):
     """Guards against checks that see nothing."""
-    mismatch = connections.AnswerCheck.mismatch
+    mismatch = answers.AnswerCheck.mismatch
 
     def wrong(self, response, alone):
         return None if self.is_refusal(response) else mismatch(self, response, alone)
 
-    monkeypatch.setattr(connections.AnswerCheck, "mismatch", wrong)
+    monkeypatch.setattr(answers.AnswerCheck, "mismatch", wrong)
     found, _ = await play_calls(1, trouble_share=0.8, troubles=(Copy,))
     assert any("refusal of another request" in each for each in found)
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -13,7 +13,7 @@
 
 from plantainstack.clock import SystemClock
 from plantainstack.errors import ErrorKind
-from plantainstack.links.connections import ANSWER_BYTES_MAX
+from plantainstack.links.answers import ANSWER_BYTES_MAX
 from tests.platform.test_servers import ID, SEAL, VERSION, call, serving
 
 pytestmark = pytest.mark.anyio
--- a/tests/platform/test_stuttering_endpoints.py
+++ b/tests/platform/test_stuttering_endpoints.py
@@ -11,7 +11,7 @@
 import pytest
 
 from plantainstack.clock import SystemClock
-from plantainstack.links import connections
+from plantainstack.links import answers, connections
 from plantainstack.platform.servers import PlatformEndpointClient
 from plantainstack.serving import EndpointAnswer, EndpointCall, RequestKind
 from standins.stuttering import (
@@ -353,12 +353,12 @@
 
 
 def believe_refusals(monkeypatch):
-    mismatch = connections.AnswerCheck.mismatch
+    mismatch = answers.AnswerCheck.mismatch
 
     def wrong(self, response, alone):
         return None if self.is_refusal(response) else mismatch(self, response, alone)
 
-    monkeypatch.setattr(connections.AnswerCheck, "mismatch", wrong)
+    monkeypatch.setattr(answers.AnswerCheck, "mismatch", wrong)
 
 
 def send_again(monkeypatch):
--- a/tests/proofs/test_guards.py
+++ b/tests/proofs/test_guards.py
@@ -15,8 +15,8 @@
 from plantainstack.errors import Outcome
 from plantainstack.interfaces import Mutation, Row, Write
 from plantainstack.kernel import Kernel, PauseDetector, State
+from plantainstack.links.answers import AnswerCheck
 from plantainstack.links.connections import (
-    AnswerCheck,
     Connection,
     ConnectionPool,
     Exchange,
