--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -19,7 +19,7 @@
 from plantainstack.policy import draining
 from plantainstack.policy.answer_memory import BodyReservation
 from plantainstack.policy.draining import StopTimes
-from plantainstack.policy.forwarding import RETRY_AFTER_S
+from plantainstack.policy.forwarding import NOT_RUN_STATUSES, RETRY_AFTER_S
 from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
 from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
 from plantainstack.services.forwarding import ClientCall
@@ -35,13 +35,6 @@
 PIECE_BYTES = 64 * 1024
 # Keys of the rows of results have eight digits.
 POSITION_MAX = 99_999_999
-# Statuses that tell the client that the request was not and will not be executed.
-_NOT_EXECUTED_STATUSES = (
-    HTTPStatus.SERVICE_UNAVAILABLE,
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.REQUEST_TIMEOUT,
-    HTTPStatus.MISDIRECTED_REQUEST,
-)
 
 
 class _Response(NamedTuple):
@@ -443,12 +436,12 @@
 def _failure_response(failure: Failure) -> _Response:
     """Build the response to a failure.
 
-    A status of _NOT_EXECUTED_STATUSES is sent only for the outcome `not_run`.
+    A status of NOT_RUN_STATUSES is sent only for the outcome `not_run`.
     """
     status = ERROR_TABLE[failure.kind].status
     if failure.outcome is Outcome.NOT_RUN and status == HTTPStatus.BAD_GATEWAY:
         status = HTTPStatus.SERVICE_UNAVAILABLE
-    if failure.outcome is not Outcome.NOT_RUN and status in _NOT_EXECUTED_STATUSES:
+    if failure.outcome is not Outcome.NOT_RUN and status in NOT_RUN_STATUSES:
         status = HTTPStatus.GATEWAY_TIMEOUT
     headers = [("Content-Type", "application/json")]
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
--- a/plantainstack/policy/answer_memory.py
+++ b/plantainstack/policy/answer_memory.py
@@ -7,7 +7,7 @@
 from plantainstack.errors import ErrorKind, Failure
 
 SMALLEST_LIMIT_BYTES = 128 * 10**6
-# Memory of a process without requests, and the sizes below which nothing is served.
+# Memory of a process without requests, and the smallest sizes that are set.
 BASE_BYTES = 48 * 10**6
 ANSWERS_BYTES_MIN = 24 * 10**6
 ENDPOINT_BYTES_MIN = 10 * 10**6
