Declare tenants, duties and scaling limits, and read load reports of four figures

Endpoints that share their machines add a fourth figure to their load. The decoder took three only, so all load reports of such a deployment were dropped and the load balancer saw its own requests alone.

--- /dev/null
+++ b/plantainstack/duties.py
@@ -0,0 +1,77 @@
+"""Types and interfaces of the duties that one instance at a time performs."""
+
+from abc import ABC, abstractmethod
+from enum import StrEnum
+from typing import NamedTuple
+
+from result import Result
+
+from plantainstack.errors import Failure
+
+
+class DutyGrant(NamedTuple):
+    """Allow one call of a duty; `send_before` is a time on the process's clock.
+
+    `fence` is a fencing token: it increases whenever the holder changes.
+    """
+
+    holder: str
+    fence: int
+    send_before: float
+
+
+class UsageReport(NamedTuple):
+    """Hold the requests of each tenant that began to run in a window."""
+
+    window: int
+    counts: dict[str, int]
+
+
+class CapacityOrder(NamedTuple):
+    """Set the wanted number of endpoints of one kind in a data centre."""
+
+    service: str
+    data_centre: str
+    count: int
+    reclaimable: bool
+
+
+class ScaleLimits(NamedTuple):
+    """Limit the endpoints of a service in each data centre, both kinds together.
+
+    `prices` holds the price of an endpoint-second by data centre. A reclaimable
+    endpoint costs `reclaimable_price` of it.
+    """
+
+    count_min: int
+    count_max: int
+    boot_s: float
+    reclaimable_price: float
+    prices: dict[str, float]
+
+
+class DutyAnswer(StrEnum):
+    """Describe how the platform answered a call of a duty."""
+
+    ACCEPTED = "accepted"
+    NONE_AVAILABLE = "none_available"
+    REFUSED = "refused"
+
+
+class DutyClient(ABC):
+    """Send the calls of duties to the platform.
+
+    A failure with the outcome `not_run` guarantees that the call had no effect.
+    """
+
+    @abstractmethod
+    async def report_usage(
+        self, report: UsageReport, grant: DutyGrant
+    ) -> Result[DutyAnswer, Failure]:
+        """Report the usage of one window."""
+
+    @abstractmethod
+    async def order_capacity(
+        self, order: CapacityOrder, grant: DutyGrant
+    ) -> Result[DutyAnswer, Failure]:
+        """Order a number of endpoints."""
--- a/plantainstack/platform/names.py
+++ b/plantainstack/platform/names.py
@@ -5,6 +5,11 @@
 EXPECT_INSTANCE = "Plantainstack-Expect-Instance"
 SEAL = "Plantainstack-Server-Seal"
 LOAD = "Plantainstack-Server-Load"
+AUTHORIZATION = "Authorization"
+TENANT = "Plantainstack-Tenant"
+PRIORITY = "Plantainstack-Request-Priority"
+DUTY_HOLDER = "Plantainstack-Duty-Holder"
+FENCE_TOKEN = "Plantainstack-Fence-Token"
 # Requests a second that the endpoint takes from all instances together.
 RATE_LIMIT = "Server-Limit"
 # Sent in all answers of an endpoint that is shutting down.
@@ -22,6 +27,8 @@
 ITEMS_PATH = "/api/items/"
 ORDER_PATH = "/api/order"
 REPORT_PATH = "/api/report"
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
 
 # Hop-by-hop headers, and others that concern a single connection: not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
--- a/plantainstack/platform/records.py
+++ b/plantainstack/platform/records.py
@@ -10,7 +10,9 @@
 
 from plantainstack.clock import Clock
 from plantainstack.decoding import decode, parse_decimal
+from plantainstack.duties import ScaleLimits
 from plantainstack.platform.names import LENGTH_HINT, header
+from plantainstack.policy.tenants import Tenant, TenantDirectory
 from plantainstack.serving import (
     Batch,
     ClientLimits,
@@ -43,6 +45,10 @@
 PORT_MAX = 65535
 
 _Text = Annotated[str, Meta(min_length=1, max_length=TEXT_CHARACTERS_MAX)]
+# Sent to endpoints as a header.
+_HeaderText = Annotated[
+    str, Meta(min_length=1, max_length=TEXT_CHARACTERS_MAX, pattern="^[!-~]+$")
+]
 _Count = Annotated[int, Meta(ge=0, le=INTEGER_MAX)]
 _Slots = Annotated[int, Meta(ge=1, le=SLOTS_MAX)]
 _Number = Annotated[float, Meta(ge=0.0, le=float(INTEGER_MAX))]
@@ -81,6 +87,7 @@
     result_target_ms: _Millis = 0.0
     single_version: bool = False
     resumable: bool = False
+    public: bool = False
 
 
 class _Model(msgspec.Struct):
@@ -92,10 +99,26 @@
     models: list[_Model] = []
 
 
+class _Scale(msgspec.Struct):
+    min: _Count = 0
+    max: _Count = 0
+    boot_s: _Seconds = 0.0
+    spot_price: _Number = 1.0
+    zone_prices: dict[str, _Number] = {}
+
+
 class _Service(msgspec.Struct):
     name: str
     max_conns: _Count = 0
     engine: _Engine | None = None
+    scale: _Scale | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: _HeaderText
+    api_keys: list[str] = []
+    priority: _Count | None = None
+    rate_per_s: _Number | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -110,6 +133,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 class _Registration(msgspec.Struct):
@@ -127,6 +151,8 @@
     born: _Count = 0
     cold_ms: _Millis = 0.0
     models: list[_Model] = []
+    spot: bool = False
+    leaves_ms: _Millis | None = None
 
 
 class _Report(msgspec.Struct):
@@ -190,6 +216,7 @@
             service.name,
             service.max_conns,
             tuple(m.name for m in service.engine.models) if service.engine else (),
+            _scale_limits(service.scale) if service.scale else None,
         )
         for service in found.services
     }
@@ -199,7 +226,21 @@
         found.limits.header_timeout_ms / 1000,
         found.limits.idle_timeout_ms / 1000,
     )
-    return Ok(ServingConfig(found.version, routes, services, limits))
+    tenants = None if found.tenants is None else _directory(found.tenants)
+    return Ok(ServingConfig(found.version, routes, services, limits, tenants))
+
+
+def _scale_limits(scale: _Scale) -> ScaleLimits:
+    return ScaleLimits(
+        scale.min, scale.max, scale.boot_s, scale.spot_price, scale.zone_prices
+    )
+
+
+def _directory(tenants: list[_Tenant]) -> TenantDirectory:
+    return TenantDirectory(
+        (Tenant(each.name, each.priority, each.rate_per_s), each.api_keys)
+        for each in tenants
+    )
 
 
 def _route(route: _Route) -> Route:
@@ -229,6 +270,7 @@
         result_target_s=route.result_target_ms / 1000,
         single_version=route.single_version,
         resumable=route.resumable,
+        public=route.public,
     )
 
 
@@ -257,6 +299,10 @@
             software=found.version,
             versions={model.name: model.version for model in found.models},
             warm_at=clock.now() + found.cold_ms / 1000 if found.cold_ms else 0.0,
+            reclaimable=found.spot,
+            leaves_at=None
+            if found.leaves_ms is None
+            else clock.now() + found.leaves_ms / 1000,
         )
     )
 
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -369,9 +369,11 @@
 def _load_report(headers) -> EndpointLoadReport | None:
     parts = (names.header(headers, names.LOAD) or "").split(",")
     numbers = [parse_decimal(part.strip(), LOAD_MAX) for part in parts]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) not in (3, 4) or None in numbers:
         return None
-    return EndpointLoadReport(*numbers)
+    # The fourth figure is the time that work takes, in percent of the usual time.
+    slowness = numbers[3] / 100 if len(numbers) == 4 and numbers[3] else 1.0
+    return EndpointLoadReport(*numbers[:3], slowness)
 
 
 def _rate_limit(headers) -> float | None:
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -123,6 +123,13 @@
             self._operator_feed.lost_for(self.kernel.clock.now()) > STORE_OUTAGE_MAX_S
         )
 
+    def config_confirmed_at(self) -> float | None:
+        """Return when the last read of the operator's rows began that was applied.
+
+        A change that the store acknowledged before this time is in force here.
+        """
+        return self._operator_feed.current_as_of if self._operator_feed else None
+
     def usable(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that can be given new requests."""
         return self.view.usable(service)
--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -82,6 +82,9 @@
         self._due = anyio.Event()
         self.lost_at: float | None = None
         self.answered_at: float | None = None
+        # Time at which the last read began whose changes have been applied: what was
+        # written before it is known.
+        self.current_as_of: float | None = None
 
     def lost_for(self, now: float) -> float:
         """Return for how many seconds the feed has been failing, or 0."""
@@ -90,13 +93,15 @@
     async def run(self) -> None:
         """Read the feed until cancelled, with a random back-off after failures."""
         while True:
+            started = self._clock.now()
             outcome = await self._read_changes()
             if outcome.is_err():
                 self._handle_failure(outcome.unwrap_err())
                 await self._back_off()
                 continue
             self._handle_success()
-            self._apply_changes(outcome.unwrap())
+            if self._apply_changes(outcome.unwrap()):
+                self.current_as_of = started
             await self._pause()
 
     async def _read_changes(self) -> Result[Any, Failure]:
@@ -115,11 +120,12 @@
             await self._due.wait()
         self._due = anyio.Event()
 
-    def _apply_changes(self, found) -> None:
+    def _apply_changes(self, found) -> bool:
+        """Apply an answer; return whether all that it contains has been applied."""
         if isinstance(found, HistoryLost):
             log.event("feed.history_lost", feed=self._name, cursor=self._cursor)
             self._cursor = None
-            return
+            return False
         is_snapshot = self._cursor is None
         self._cursor = found.cursor if is_snapshot else max(self._cursor, found.cursor)
         try:
@@ -127,6 +133,8 @@
         except Exception as exc:
             self._log_not_applied(exc)
             self._apply_singly(found)
+            return False
+        return True
 
     def _apply_singly(self, found) -> None:
         """Apply each change of an answer alone, so that one costs itself only."""
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -7,8 +7,10 @@
 
 from result import Result
 
+from plantainstack.duties import ScaleLimits
 from plantainstack.errors import Failure
 from plantainstack.interfaces import PlainAnswer
+from plantainstack.policy.tenants import TenantDirectory
 from plantainstack.settings.options import Address
 
 # A version of the store. Changes after it can be read only while the store still
@@ -39,7 +41,8 @@
     """Describe how requests for a host and path prefix are routed; times in seconds.
 
     `endpoints_max` is the maximum number of endpoints that may run one request.
-    `queue_limit_s` and `result_target_s` apply to batches only.
+    `queue_limit_s` and `result_target_s` apply to batches only. Requests on a `public`
+    route need no key.
     """
 
     name: str
@@ -55,6 +58,7 @@
     result_target_s: float
     single_version: bool
     resumable: bool
+    public: bool = False
 
     def repeatable(self) -> bool:
         """Return whether a request may run more than once.
@@ -67,11 +71,15 @@
 
 
 class ServiceConfig(NamedTuple):
-    """Configure a service: its connection limit and the models it hosts."""
+    """Configure a service: its connection limit and the models it hosts.
+
+    `scale` is set if the number of its endpoints can be ordered.
+    """
 
     name: str
     connections_max: int
     models: tuple[str, ...]
+    scale: ScaleLimits | None = None
 
 
 class ClientLimits(NamedTuple):
@@ -84,12 +92,16 @@
 
 
 class ServingConfig(NamedTuple):
-    """Hold one version of the configuration: routes, services and client limits."""
+    """Hold one version of the configuration: routes, services and client limits.
+
+    Requests need no key if `tenants` is None.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceConfig]
     limits: ClientLimits
+    tenants: TenantDirectory | None = None
 
 
 class Endpoint(NamedTuple):
@@ -98,7 +110,9 @@
     `started_ms` is its start time and identifies the incarnation. `software` is the
     version of its software: texts of different ones cannot be joined. `versions` maps
     each hosted model to the version of its weights. `warm_at` is the time on this
-    process's clock at which the endpoint's cold start ends.
+    process's clock at which the endpoint's cold start ends. A `reclaimable` endpoint
+    may be taken away at short notice; `leaves_at` is the time at which an endpoint that
+    leaves has gone, if it is known.
     """
 
     id: str
@@ -111,6 +125,8 @@
     versions: dict[str, int]
     warm_at: float
     software: str = ""
+    reclaimable: bool = False
+    leaves_at: float | None = None
 
     def incarnation(self) -> tuple[str, int]:
         """Return a key that is unique to this run of the endpoint process."""
@@ -319,7 +335,8 @@
     """Hold the items of one trainer step.
 
     `min_version` is the oldest weight version whose output the trainer accepts.
-    `groups_wanted` is the number of complete groups that the step needs.
+    `groups_wanted` is the number of complete groups that the step needs. `tenant` names
+    the tenant that submitted the batch; it is empty without tenants.
     """
 
     id: str
@@ -329,6 +346,7 @@
     min_version: int
     groups_wanted: int
     items: tuple[Item, ...]
+    tenant: str = ""
 
 
 class ItemState(StrEnum):
@@ -353,11 +371,16 @@
 
 
 class EndpointLoadReport(NamedTuple):
-    """Hold the load that an endpoint reported with a response."""
+    """Hold the load that an endpoint reported with a response.
+
+    `slowness` is the time that work takes on its machine at this moment, relative to
+    the usual time.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float = 1.0
 
 
 class EndpointAnswer(NamedTuple):
@@ -438,6 +461,8 @@
     `resume_after` is the id of the last event received, for resuming a stream. An
     endpoint that falls silent is given up after a time, or at the deadline if
     `awaits_silent` is set. Answers to `control` calls have neither id nor receipt.
+    `tenant` is the name of the tenant for which the request runs; `priority` is its
+    rank at a model engine, 0 being the highest.
     """
 
     request_id: str
@@ -451,6 +476,8 @@
     reuse_connection: bool = True
     awaits_silent: bool = False
     control: bool = False
+    tenant: str | None = None
+    priority: int | None = None
 
 
 class OrderAnswer(StrEnum):
--- a/plantainstack/settings/node.py
+++ b/plantainstack/settings/node.py
@@ -5,7 +5,19 @@
 
 from plantainstack.settings.ini import parse_sections
 from plantainstack.settings.memory import MemoryOptions
-from plantainstack.settings.options import AddressOption, Duration, Options, Text
+from plantainstack.settings.options import (
+    AddressOption,
+    Boolean,
+    Duration,
+    Number,
+    OptionalAddress,
+    Options,
+    Text,
+    Words,
+)
+
+USAGE_REPORTS = "usage_report"
+SCALING = "scaling"
 
 
 class NodeOptions(Options):
@@ -36,6 +48,32 @@
     )
 
 
+class TenantOptions(Options):
+    """Options of the section `tenants`: how keys and rates of tenants are enforced."""
+
+    strict_revocation = Boolean(
+        "no", help="Whether a removed key stops working also without the store."
+    )
+    revocation = Duration(
+        "5 s", help="Time after which a removed key must not be accepted any more."
+    )
+    quota_excess = Number(
+        "0.1", help="Share by which a tenant's rate may be exceeded.", maximum=1.0
+    )
+
+
+class DutyOptions(Options):
+    """Options of the section `duties`: calls that one instance at a time makes."""
+
+    address = OptionalAddress("", help="Platform interface that takes the calls.")
+    kinds = Words((USAGE_REPORTS, SCALING), help="Duties of this deployment.")
+    calls_per_s = Number(
+        "50", help="Calls a second that the platform takes from all instances."
+    )
+    usage_window = Duration("5 s", help="Length of a window of usage reports.")
+    usage_due = Duration("10 s", help="Time after its end for reporting a window.")
+
+
 class NodeSettings(NamedTuple):
     """The validated settings of one instance."""
 
@@ -43,6 +81,8 @@
     store: StoreOptions
     bounds: BoundOptions
     memory: MemoryOptions
+    tenants: TenantOptions
+    duties: DutyOptions
 
     def log_path(self) -> Path | None:
         """Return None, since the log goes to standard output."""
@@ -54,6 +94,8 @@
     "store": StoreOptions,
     "bounds": BoundOptions,
     "memory": MemoryOptions,
+    "tenants": TenantOptions,
+    "duties": DutyOptions,
 }
 
 
--- a/plantainstack/settings/options.py
+++ b/plantainstack/settings/options.py
@@ -175,6 +175,24 @@
         return Err(f"{text!r} is not a valid choice")
 
 
+class Words(Option[tuple[str, ...]]):
+    """Accepts words of a list, separated by commas, or nothing."""
+
+    def __init__(self, choices, default="", help=""):
+        super().__init__(default, help)
+        self.choices = tuple(choices)
+
+    @property
+    def expected(self):
+        """Return the list of choices as text."""
+        return f"some of {', '.join(self.choices)}"
+
+    def parse(self, text: str) -> Result[tuple[str, ...], str]:
+        """Return the words that are known; others belong to newer versions."""
+        words = tuple(word.strip() for word in text.split(","))
+        return Ok(tuple(word for word in words if word in self.choices))
+
+
 class Address(NamedTuple):
     """An IP address and a TCP port."""
 
@@ -198,6 +216,16 @@
         return Ok(Address(host, int(port)))
 
 
+class OptionalAddress(AddressOption):
+    """Accepts an address, or nothing, which stands for None."""
+
+    expected = "an IP address and a port, or nothing"
+
+    def parse(self, text: str) -> Result[Address | None, str]:
+        """Return the address."""
+        return super().parse(text) if text.strip() else Ok(None)
+
+
 class File(Option[Path]):
     """Accepts the path of an existing file."""
 
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -219,7 +219,15 @@
     outcomes, _ = await call_endpoint(
         answer(headers=ID + SEAL + "Plantainstack-Server-Load: 3,1,8\r\n")
     )
-    assert outcomes[0].unwrap().load == (3, 1, 8)
+    assert outcomes[0].unwrap().load == (3, 1, 8, 1.0)
+
+
+async def test_load_report_with_the_slowness_of_the_machine_is_decoded():
+    """Guards against a load report that is dropped because it has a fourth figure."""
+    outcomes, _ = await call_endpoint(
+        answer(headers=ID + SEAL + "Plantainstack-Server-Load: 3,1,8,125\r\n")
+    )
+    assert outcomes[0].unwrap().load == (3, 1, 8, 1.25)
 
 
 async def read_stream(*steps):
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -21,6 +21,7 @@
     "bounds.drain_ms": "4000",
     "limits.memory_mb": "380",
 }
+PLACEHOLDER = re.compile(r"{{[a-z_.]+}}")
 SECTION = re.compile(r"{{#([a-z_.]+)}}(.*?){{/\1}}")
 
 
@@ -32,7 +33,8 @@
     text = SECTION.sub(filled, TEMPLATE.read_text())
     for name, value in values.items():
         text = text.replace("{{" + name + "}}", value)
-    return text
+    # The platform leaves out what a deployment has no value for.
+    return PLACEHOLDER.sub("", text)
 
 
 def test_deployment_template_gives_valid_settings():
@@ -52,6 +54,35 @@
     assert settings.memory.limit == 128_000_000
 
 
+def test_deployment_without_tenants_and_duties_gets_defaults():
+    """Guards against earlier deployments that cannot start or get new duties."""
+    settings = parse_node(filled_template(), "node.ini")
+    assert not settings.tenants.strict_revocation
+    assert settings.duties.address is None
+    assert settings.duties.kinds == ()
+
+
+def test_settings_of_tenants_and_duties_are_read():
+    """Guards against a deployment with duties that performs none."""
+    values = {
+        **VALUES,
+        "bounds.strict_revoke": "true",
+        "bounds.revoke_ms": "4000",
+        "cloud.address": "10.0.0.8:8003",
+        "cloud.duties": "usage_report,scaling,other",
+        "cloud.duty_per_s": "40.0",
+        "bounds.report_window_s": "5",
+        "bounds.usage_late_s": "10",
+    }
+    settings = parse_node(filled_template(values), "node.ini")
+    assert settings.tenants.strict_revocation
+    assert settings.tenants.revocation == 4.0
+    assert str(settings.duties.address) == "10.0.0.8:8003"
+    assert settings.duties.kinds == ("usage_report", "scaling")
+    assert settings.duties.calls_per_s == 40.0
+    assert (settings.duties.usage_window, settings.duties.usage_due) == (5.0, 10.0)
+
+
 def test_all_problems_are_reported_at_once():
     text = filled_template().replace("8 s", "8").replace("10.0.0.9:8002", "store")
     with pytest.raises(ConfigurationError) as caught:
