--- a/plantainstack/duties.py
+++ b/plantainstack/duties.py
@@ -75,3 +75,23 @@
         self, order: CapacityOrder, grant: DutyGrant
     ) -> Result[DutyAnswer, Failure]:
         """Order a number of endpoints."""
+
+
+class DutyLease(ABC):
+    """Hold one duty for this instance, under a lease in the metadata store."""
+
+    @abstractmethod
+    async def acquire(self) -> bool:
+        """Try to become the holder; return False while another instance is."""
+
+    @abstractmethod
+    async def grant(self, subject: str) -> DutyGrant | None:
+        """Return the permission to make one call now, None if the duty was lost.
+
+        Renews the lease if needed. None is also returned while a call of a former
+        holder for this subject may still arrive.
+        """
+
+    @abstractmethod
+    async def release(self) -> None:
+        """Give the duty up to other instances; no call is made afterwards."""
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -13,6 +13,7 @@
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.plugins import Plugin
 from plantainstack.policy import forwarding, route_table
+from plantainstack.policy.tenants import Tenant
 from plantainstack.services.request_runs import RequestRun
 from plantainstack.services.stream_runs import StreamRun
 from plantainstack.serving import (
@@ -39,6 +40,7 @@
     body: bytes
     deadline: float
     take_up: TakeUp | None = None
+    tenant: Tenant | None = None
 
     def digest(self) -> str:
         """Return a hash of what the client asks for."""
