Move the store's lease out of version orders

Duties need the same lease as version orders: its row, its clock and the handling of lost answers and unreadable rows. The length of a lease and of its windows may be set per lease, since duties keep a longer lease than weight orders.

--- a/plantainstack/policy/order_lease.py
+++ b/plantainstack/policy/order_lease.py
@@ -51,6 +51,19 @@
         return self._store_now + (now - self._received_at)
 
 
+class LeaseTerms(NamedTuple):
+    """Set how long a lease and the windows in it last, in seconds.
+
+    None stands for LEASE_S, and for a window that lasts as long as the lease.
+    """
+
+    lease_s: float | None = None
+    window_s: float | None = None
+
+
+DEFAULT_TERMS = LeaseTerms()
+
+
 class OrderLease(NamedTuple):
     """Hold the right to send orders; times are those of the store's clock.
 
@@ -67,13 +80,17 @@
 
 
 def acquire(
-    before: OrderLease | None, holder: str, store_now: float, order_gap_s: float
+    before: OrderLease | None,
+    holder: str,
+    store_now: float,
+    order_gap_s: float,
+    terms: LeaseTerms = DEFAULT_TERMS,
 ) -> OrderLease | None:
     """Return the lease that an instance may write now, None while another holds it.
 
     `order_gap_s` is the time that must pass between orders of two holders.
     """
-    until = store_now + LEASE_S
+    until = store_now + (terms.lease_s or LEASE_S)
     if before is None:
         return OrderLease(holder, 1, until, {}, {})
     if before.holder == holder:
@@ -89,16 +106,21 @@
 
 
 def renew(
-    lease: OrderLease, endpoints: Iterable[str], store_now: float, order_gap_s: float
+    lease: OrderLease,
+    endpoints: Iterable[str],
+    store_now: float,
+    order_gap_s: float,
+    terms: LeaseTerms = DEFAULT_TERMS,
 ) -> OrderLease:
     """Return the lease with a later expiry and open windows for some endpoints.
 
     Earlier windows are kept for as long as the next holder must wait for them.
     """
-    until = store_now + LEASE_S
+    until = store_now + (terms.lease_s or LEASE_S)
+    window_end = store_now + terms.window_s if terms.window_s else until
     horizon = store_now - order_gap_s - ORDER_TRANSIT_S
     windows = {id: end for id, end in lease.windows.items() if end > horizon}
-    windows.update(dict.fromkeys(endpoints, until))
+    windows.update(dict.fromkeys(endpoints, window_end))
     barred = {id: end for id, end in lease.barred.items() if end > store_now}
     return lease._replace(until=until, windows=windows, barred=barred)
 
--- /dev/null
+++ b/plantainstack/services/store_leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases in the metadata store that let one instance at a time act."""
--- a/plantainstack/services/version_orders.py
+++ b/plantainstack/services/version_orders.py
@@ -4,28 +4,27 @@
 from typing import NamedTuple
 
 import anyio
-import msgspec
 
 from plantainstack import log, metrics
-from plantainstack.decoding import UnreadableRows, decode
 from plantainstack.plugins import Plugin
 from plantainstack.policy import order_lease, version_plan
-from plantainstack.policy.order_lease import OrderLease, StoreClock
 from plantainstack.policy.version_plan import TargetVersion, WeightLoad
+from plantainstack.services.store_leases.lease import (
+    LEASE_KEY,
+    LeaseSpec,
+    StoreLease,
+)
 from plantainstack.serving import (
     Endpoint,
     LoadMode,
     OrderAnswer,
     RequestKind,
     RowName,
-    Transaction,
-    TransactionResult,
     VersionOrder,
 )
 from plantainstack.tasks import contained, record_exception
 
 LEASE_TABLE = "order_leases"
-LEASE_KEY = "lease"
 # Random delay before an instance that does not hold the lease tries to acquire it. The
 # former holder tries without it, as it need not wait for another machine's orders.
 ACQUIRE_DELAY_MIN_S = 0.2
@@ -46,8 +45,6 @@
 # a load by up to a heartbeat interval (1.2 s) and its delay (0.8 s).
 CONFIRMATION_TTL_S = 4.0
 
-_LEASE = msgspec.msgpack.Decoder(OrderLease)
-
 
 class _ConfirmedVersion(NamedTuple):
     """Hold a version read from an endpoint's report and when it expires."""
@@ -113,15 +110,18 @@
         # address, so the address makes the holder unique.
         options = plugin.kernel.settings.instance
         self._holder_id = f"{options.id}@{options.listen}"
-        self._order_gap_s = plugin.kernel.settings.bounds.order_gap
-        self._metadata_store = plugin.kernel.plugin("store").metadata_store
         self._endpoints = plugin.kernel.plugin("store").endpoint_client
         self._discovery = plugin.kernel.plugin("discovery")
-        self._store_clock = StoreClock()
-        self._lease: OrderLease | None = None
-        self._lease_version = 0
-        self._unreadable = UnreadableRows("orders.lease_not_readable")
-        self._renewed_at = 0.0
+        self._lease = StoreLease(
+            plugin.kernel,
+            LeaseSpec(
+                RowName(LEASE_TABLE, service, LEASE_KEY),
+                self._holder_id,
+                plugin.kernel.settings.bounds.order_gap,
+                "orders",
+                {"service": service},
+            ),
+        )
         self._loading: set[str] = set()
         # Endpoints with an order in flight or about to be sent.
         self._in_flight: set[str] = set()
@@ -157,9 +157,7 @@
                 allowed = [
                     load
                     for load in loads
-                    if not order_lease.is_barred(
-                        self._lease, load.endpoint.id, self._store_clock, now
-                    )
+                    if not self._lease.is_barred(load.endpoint.id)
                 ]
                 chosen = version_plan.select_startable(
                     allowed, self._loading, len(self._usable_endpoints())
@@ -174,13 +172,7 @@
 
     async def release(self) -> None:
         """Release the lease to another instance; no order is sent afterwards."""
-        lease, self._lease = self._lease, None
-        if lease is None or lease.holder != self._holder_id:
-            return
-        latest = self._store_clock.latest(self._clock.now())
-        if await self._write(order_lease.release(lease, self._in_flight, latest)):
-            log.event("orders.lease_released", service=self._service, fence=lease.fence)
-        self._lease = None
+        await self._lease.release(self._in_flight)
 
     def _usable_endpoints(self) -> list[Endpoint]:
         return self._discovery.usable(self._service)
@@ -196,102 +188,33 @@
         return endpoint._replace(versions=versions)
 
     async def _acquire_lease(self) -> bool:
-        if self._lease is None or self._lease.holder != self._holder_id:
+        if not self._lease.is_own():
             delay = random.uniform(ACQUIRE_DELAY_MIN_S, ACQUIRE_DELAY_MAX_S)
             await self._clock.sleep_until(self._clock.now() + delay)
             if not self.due_loads():
                 return False
-        sent_at = self._clock.now()
-        name = self._row_name()
-        found = await self._metadata_store.read(name.table, name.part)
-        if found.is_err():
+        if not await self._lease.read():
             await self._clock.sleep_until(self._clock.now() + IDLE_CHECK_S)
             return False
-        rows = found.unwrap()
-        now = self._clock.now()
-        self._store_clock.update(sent_at, now, rows.store_now)
-        before = None
-        self._lease_version = 0
-        for row in rows.rows:
-            decoded = decode(_LEASE, row.value)
-            if decoded.is_err():
-                # Without the former fence, a new one could be lower.
-                self._unreadable.record(row, decoded.unwrap_err())
-                await self._clock.sleep_until(now + IDLE_CHECK_S)
-                return False
-            before = decoded.unwrap()
-            self._lease_version = row.version
-        self._lease = before
-        new_lease = order_lease.acquire(
-            before, self._holder_id, self._store_clock.earliest(now), self._order_gap_s
-        )
         if self._plugin.stopping():
             return False
-        if new_lease is None:
-            remaining = before.until - self._store_clock.earliest(now)
-            await self._clock.sleep_until(
-                now + max(remaining, 0.0) + ACQUIRE_DELAY_MIN_S
-            )
+        if not self._lease.is_free():
+            delay = self._lease.remaining_s() + ACQUIRE_DELAY_MIN_S
+            await self._clock.sleep_until(self._clock.now() + delay)
             return False
-        acquired = await self._write(new_lease)
-        if acquired:
-            log.event(
-                "orders.lease_taken",
-                service=self._service,
-                holder_before=before.holder if before else "",
-                fence=new_lease.fence,
-                barred={id: round(end, 3) for id, end in new_lease.barred.items()},
-                store_now=round(rows.store_now, 3),
-            )
-        return acquired
+        return await self._lease.acquire()
 
     async def _keep_lease(self, chosen: list[WeightLoad]) -> bool:
         """Renew the lease if it is due or does not yet permit one of the orders.
 
         Returns False if the lease was lost.
         """
-        now = self._clock.now()
         endpoint_ids = {load.endpoint.id for load in chosen} | self._in_flight
-        renewed_recently = now - self._renewed_at < order_lease.RENEW_AFTER_S
-        is_open = all(self._order_deadline(id) is not None for id in endpoint_ids)
+        renewed_recently = self._lease.renewed_within(order_lease.RENEW_AFTER_S)
+        is_open = all(self._lease.deadline(id) is not None for id in endpoint_ids)
         if renewed_recently and is_open:
             return True
-        earliest = self._store_clock.earliest(now)
-        lease = order_lease.renew(
-            self._lease, endpoint_ids, earliest, self._order_gap_s
-        )
-        if await self._write(lease):
-            return True
-        log.event("orders.lease_lost", service=self._service, fence=lease.fence)
-        self._lease = None
-        return False
-
-    def _order_deadline(self, endpoint_id: str) -> float | None:
-        if self._lease is None:
-            return None
-        return order_lease.order_deadline(
-            self._lease, endpoint_id, self._store_clock, self._clock.now()
-        )
-
-    async def _write(self, lease: OrderLease) -> bool:
-        name = self._row_name()
-        transaction = Transaction(
-            expected=((name, self._lease_version),),
-            puts=((name, msgspec.msgpack.encode(lease)),),
-        )
-        sent_at = self._clock.now()
-        outcome = await self._metadata_store.transact(transaction)
-        done: TransactionResult | None = outcome.ok()
-        if done is None or not done.applied:
-            return False
-        self._store_clock.update(sent_at, self._clock.now(), done.store_now)
-        self._lease = lease
-        self._lease_version = done.version
-        self._renewed_at = sent_at
-        return True
-
-    def _row_name(self) -> RowName:
-        return RowName(LEASE_TABLE, self._service, LEASE_KEY)
+        return await self._lease.renew(endpoint_ids)
 
     async def _load(self, load: WeightLoad) -> None:
         """Order one load and wait until it is confirmed or has timed out."""
@@ -320,7 +243,7 @@
             return False
         if self._is_confirmed(load) or not self._discovery.is_usable(endpoint):
             return False
-        send_before = self._order_deadline(endpoint.id)
+        send_before = self._lease.deadline(endpoint.id)
         if send_before is None:
             return False
         order = VersionOrder(
@@ -351,7 +274,7 @@
             return False
         if answer is OrderAnswer.ACCEPTED:
             self._orders_seen[key] += 1
-            self._close_order_window(endpoint)
+            self._lease.close_window(endpoint.id)
             return True
         if answer is None:
             self._record_failure(endpoint)
@@ -368,12 +291,6 @@
         }
         self._failed_at[endpoint.id] = now
 
-    def _close_order_window(self, endpoint: Endpoint) -> None:
-        """Close the endpoint's order window, so that the next holder waits less."""
-        if self._lease is not None:
-            latest = self._store_clock.latest(self._clock.now())
-            self._lease = order_lease.close_window(self._lease, endpoint.id, latest)
-
     async def _wait_for_confirmation(self, load: WeightLoad, deadline: float) -> None:
         wake_at = self._clock.now() + FIRST_REPORT_DELAY_S
         while self._clock.now() < deadline:
