Add the lease of duties and the client of the platform's interface for them

Calls are made on connections of their own, which are reset when given up and when the process is killed, so that no call is delivered after its window. A holder is a process, not an instance: one that restarts under the same id waits for its predecessor's calls.

--- a/plantainstack/duties.py
+++ b/plantainstack/duties.py
@@ -8,11 +8,16 @@
 
 from plantainstack.errors import Failure
 
+# A call is given up after this time, and its connection is reset. The next holder
+# waits for this time, so a longer one delays takeovers.
+CALL_TIMEOUT_S = 1.8
+
 
 class DutyGrant(NamedTuple):
     """Allow one call of a duty; `send_before` is a time on the process's clock.
 
-    `fence` is a fencing token: it increases whenever the holder changes.
+    `fence` is a fencing token: it increases whenever the holder changes. The holder
+    reserves CALL_TIMEOUT_S after `send_before` for the answer.
     """
 
     holder: str
@@ -82,14 +87,18 @@
 
     @abstractmethod
     async def acquire(self) -> bool:
-        """Try to become the holder; return False while another instance is."""
+        """Try to become or stay the holder; return False while another instance is.
+
+        The holder calls this at least once a second, which renews the lease if due.
+        """
 
     @abstractmethod
     async def grant(self, subject: str) -> DutyGrant | None:
         """Return the permission to make one call now, None if the duty was lost.
 
         Renews the lease if needed. None is also returned while a call of a former
-        holder for this subject may still arrive.
+        holder for this subject may still arrive. The last call for the subject must
+        have ended: a call with an earlier token may not arrive after it.
         """
 
     @abstractmethod
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -198,6 +198,29 @@
     ["answer"],
     registry=REGISTRY,
 )
+DUTY_CALLS = Counter(
+    "plantainstack_duty_calls",
+    "Calls of duties to the platform, by kind and answer.",
+    ["kind", "answer"],
+    registry=REGISTRY,
+)
+DUTY_LEASES = Counter(
+    "plantainstack_duty_leases",
+    "Leases of duties that this instance acquired, by duty.",
+    ["duty"],
+    registry=REGISTRY,
+)
+USAGE_WINDOWS = Counter(
+    "plantainstack_usage_windows",
+    "Windows of usage reports, by step (fixed, sent, late, refused).",
+    ["step"],
+    registry=REGISTRY,
+)
+USAGE_OMITTED = Counter(
+    "plantainstack_usage_omitted",
+    "Requests known or stored too late for the usage report of their window.",
+    registry=REGISTRY,
+)
 TASK_FAILURES = Counter(
     "plantainstack_task_failures",
     "Exceptions that nobody expected, by the task that raised them.",
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -29,6 +29,7 @@
 # Plug-in modules of a deployment that keeps its state in a metadata store.
 STORE_MODULES = (
     "plantainstack.platform.plugin",
+    "plantainstack.services.duties.plugin",
     "plantainstack.services.discovery",
     "plantainstack.services.rate_permits",
     "plantainstack.services.request_losses",
--- /dev/null
+++ b/plantainstack/services/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one instance at a time performs."""
--- a/plantainstack/services/store_leases/lease.py
+++ b/plantainstack/services/store_leases/lease.py
@@ -64,11 +64,6 @@
         now = self._clock.now()
         return max(0.0, self._lease.until - self.store_clock.earliest(now))
 
-    def is_valid(self) -> bool:
-        """Return whether this instance holds the lease at this moment."""
-        latest = self.store_clock.latest(self._clock.now())
-        return self.is_own() and latest < self._lease.until
-
     async def read(self) -> bool:
         """Read the row; return False if it is unknown who holds the lease."""
         sent_at = self._clock.now()
@@ -144,6 +139,10 @@
             self._lease, subject, self.store_clock, self._clock.now()
         )
 
+    def subjects(self) -> Collection[str]:
+        """Return the subjects that have a window."""
+        return tuple(self._lease.windows) if self._lease else ()
+
     def close_window(self, subject: str) -> None:
         """Close the window of a subject, so that the next holder waits less."""
         if self._lease is not None:
