Report the usage of tenants by window

Instances count the requests of tenants in windows that all of them cut by the store's clock plus one shared offset, the median of their wall clocks. Nothing is counted, stored or sent unless the settings name the duty and an address.

--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -30,6 +30,7 @@
 STORE_MODULES = (
     "plantainstack.platform.plugin",
     "plantainstack.services.duties.plugin",
+    "plantainstack.services.usage.plugin",
     "plantainstack.services.discovery",
     "plantainstack.services.rate_permits",
     "plantainstack.services.request_losses",
--- a/plantainstack/services/duties/holder.py
+++ b/plantainstack/services/duties/holder.py
@@ -6,7 +6,7 @@
 
 from plantainstack import metrics
 from plantainstack.duties import CALL_TIMEOUT_S, DutyGrant, DutyLease
-from plantainstack.policy.order_lease import LeaseTerms
+from plantainstack.policy.order_lease import LeaseTerms, StoreClock
 from plantainstack.services.store_leases.lease import LEASE_KEY, LeaseSpec, StoreLease
 from plantainstack.serving import RowName
 
@@ -57,6 +57,11 @@
         # Writes of the lease follow one another, also from several tasks.
         self._lock = anyio.Lock()
 
+    @property
+    def store_clock(self) -> StoreClock:
+        """Return the store's clock as of the last answer about the lease."""
+        return self.lease.store_clock
+
     async def acquire(self) -> bool:
         """Try to become or stay the holder; return False while another instance is."""
         async with self._lock:
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -60,6 +60,7 @@
         "request_losses",
         "store",
         "stream_versions",
+        "usage",
     )
 
     def __init__(self, kernel):
@@ -72,6 +73,7 @@
         self.permits = self.kernel.plugin("rate_permits")
         self.losses = self.kernel.plugin("request_losses")
         self.versions = self.kernel.plugin("stream_versions")
+        self.usage = self.kernel.plugin("usage")
         self.endpoints = self.kernel.plugin("store").endpoint_client
 
     def route(self, host: str, path: str) -> Result[Route, Failure]:
@@ -95,6 +97,7 @@
         try:
             answer = await run.answer()
         finally:
+            run.count_begin()
             await run.settle()
         self._record_end(call, route, run, answer, started)
         return answer
@@ -180,6 +183,8 @@
             if endpoint is not None:
                 self.ran += 1
                 self.running += 1
+                if self.ran == 1:
+                    self._sent_at = self._clock.now()
                 tasks.start_soon(self._attempt, endpoint)
             elif self.running == 0:
                 return
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -37,6 +37,16 @@
         self.answered = False
         self.ran = 0
         self.running = 0
+        # When the first attempt that may have run was sent.
+        self._sent_at = 0.0
+        self._counted = False
+
+    def count_begin(self) -> None:
+        """Count the client's request for its tenant once, if it may have run."""
+        tenant = self._call.tenant
+        if tenant is not None and self.ran and not self._counted:
+            self._counted = True
+            self._plugin.usage.record_begin(tenant.name, self._sent_at)
 
     async def settle(self) -> None:
         """Clear or share the losses under this request."""
--- a/plantainstack/services/stream_runs.py
+++ b/plantainstack/services/stream_runs.py
@@ -53,7 +53,7 @@
                 return
         while (endpoint := await self._next_endpoint()) is not None:
             self.ran += 1
-            started = self._clock.now()
+            self._sent_at = started = self._clock.now()
             self._balancer.request_started(endpoint)
             self._begin(endpoint)
             try:
@@ -195,6 +195,7 @@
                 failure = Failure(ErrorKind.ENDPOINT_REFUSED, message, Outcome.RAN)
                 self._handle_failure(endpoint, failure)
                 return
+            self.count_begin()
             self.answered = answer.status < forwarding.ERROR_STATUS
             yield StreamHead(answer.status, answer.headers, None, stream.load)
             yield answer.body
@@ -227,6 +228,7 @@
                     first = False
                     if not await self._may_pass_on(endpoint):
                         return
+                    self.count_begin()
                 self._last_event = event.id
                 yield event.raw
         self.answered = True
--- /dev/null
+++ b/plantainstack/services/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage reports: counts of requests by tenant and window."""
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -14,11 +14,13 @@
 from plantainstack.plugins import Plugin
 from plantainstack.services.batches import Batches
 from plantainstack.services.discovery import Discovery
+from plantainstack.services.duties.plugin import Duties
 from plantainstack.services.forwarding import Forwarding
 from plantainstack.services.rate_permits import RatePermits
 from plantainstack.services.request_losses import RequestLosses
 from plantainstack.services.reward_calls import RewardCalls
 from plantainstack.services.stream_versions import StreamVersions
+from plantainstack.services.usage.plugin import Usage
 from plantainstack.services.version_orders import VersionOrders
 from plantainstack.serving import (
     ClientLimits,
@@ -394,9 +396,12 @@
     settings = SimpleNamespace(
         instance=SimpleNamespace(id=name, data_centre="dc-a", listen=address),
         bounds=SimpleNamespace(order_gap=0.3, grace=5.0, endpoint_notice=2.0),
+        duties=SimpleNamespace(address=None, kinds=(), calls_per_s=50.0),
     )
     kinds = (
         plugin,
+        Duties,
+        Usage,
         Discovery,
         RatePermits,
         RequestLosses,
