--- a/tests/services/duty_fleet.py
+++ b/tests/services/duty_fleet.py
@@ -8,6 +8,7 @@
 
 from plantainstack.duties import CALL_TIMEOUT_S, DutyAnswer, DutyClient
 from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.services.usage.counts import PROGRESS_KEY
 from plantainstack.settings.options import Address
 from standins.duties import Ledger
 from standins.metadata_store import Rows
@@ -18,7 +19,11 @@
 
 
 class PausingStore(MemoryStore):
-    """Store of one instance that may be paused before and after each write."""
+    """Store of one instance that may be paused before and after each write.
+
+    The points of a pause are `write` and `written`, and `fix` before the counts of a
+    window are fixed.
+    """
 
     def __init__(self, rows, clock):
         super().__init__(rows, clock)
@@ -26,7 +31,8 @@
 
     async def transact(self, transaction):
         if self.pause:
-            await self.pause("write")
+            fixes = any(name.key == PROGRESS_KEY for name, _ in transaction.puts)
+            await self.pause("fix" if fixes else "write")
         found = await super().transact(transaction)
         if self.pause:
             await self.pause("written")
--- a/tests/services/test_usage.py
+++ b/tests/services/test_usage.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import anyio
+import msgspec
 import pytest
 
 from plantainstack.services.duties.holder import StoreDutyLease
@@ -196,7 +197,7 @@
     day.check(off=[(14, 26)])
 
 
-@pytest.mark.parametrize("point", ["write", "written", "send"])
+@pytest.mark.parametrize("point", ["write", "written", "fix", "send"])
 @pytest.mark.parametrize("seconds", [2.0, 4.0, 15.0])
 async def test_holder_paused(point, seconds):
     """Guards against a report of a holder that has been replaced."""
@@ -325,6 +326,84 @@
     day.check(off=[(15, 55)], late=[(35, 52)])
 
 
+async def test_store_calls_that_fail_or_lose_their_answers():
+    """Guards against a window that is counted twice or never fixed."""
+    day = Day()
+
+    async def fail(tasks):
+        for _ in range(40):
+            await anyio.sleep(0.7)
+            for instance in day.instances:
+                fault = day.platform.rng.choice(["lost", "dropped", "down"])
+                instance.kernel.store.faults = [fault]
+
+    await day.run(fail, 60)
+    day.check(late=[(16, 50)])
+
+
+@pytest.mark.parametrize("fault", ["lost", "dropped", "down"])
+async def test_fixing_without_an_answer(fault):
+    """Guards against a holder that takes its own write for that of another for ever."""
+    day = Day()
+
+    async def fail(tasks):
+        holder = await day.until_holder()
+
+        async def once(reached):
+            if reached == "fix":
+                holder.kernel.client.pause = holder.kernel.store.pause = None
+                holder.kernel.store.faults = [fault]
+
+        holder.kernel.store.pause = once
+
+    await day.run(fail, 40)
+    day.check()
+
+
+async def test_paused_holder_does_not_fix_a_window_again():
+    """Guards against counts that a former holder stores over those already sent."""
+    day = Day()
+
+    async def pause(tasks):
+        former = await day.until_holder()
+        windows = []
+
+        async def once(reached):
+            if reached == "fix":
+                former.kernel.store.pause = None
+                # Its counts are read; these come before the next holder reads them.
+                windows.append(math.floor((day.clock.wall() - 3.4) / WINDOW_S) - 1)
+                name = (COUNT_TABLE, str(windows[0]), "slow")
+                counts = msgspec.msgpack.encode({"slow": 1})
+                day.platform.rows.transact({}, {name: counts})
+                await anyio.sleep(15)
+
+        former.kernel.store.pause = once
+        await anyio.sleep(25)
+        assert windows[0] in day.platform.ledger.accepted_counts()
+        day.restart(tasks, await day.until_holder())
+
+    await day.run(pause, 60)
+    day.check(off=[(10, 60)])
+
+
+async def test_requests_before_the_offset_is_known_are_counted():
+    """Guards against requests of the first window that are lost."""
+    day = Day()
+
+    async with anyio.create_task_group() as tasks:
+        for instance in day.instances:
+            tasks.start_soon(instance.run)
+        await anyio.sleep(5.2)
+        for instance in day.instances:
+            day.send_request(instance)
+        await anyio.sleep(20)
+        tasks.cancel_scope.cancel()
+    day.check()
+    first = min(day.platform.ledger.accepted_counts().items())
+    assert first[1] == {"t": 3}
+
+
 async def test_planned_stop_loses_nothing():
     """Guards against counts and reports that a release of the software loses."""
     day = Day()
