--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -4,6 +4,7 @@
 import pytest
 
 from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.policy.tenants import Tenant
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import RequestKind
 from tests.policy.serving_samples import route
@@ -11,6 +12,8 @@
 
 pytestmark = pytest.mark.anyio
 
+TENANT = Tenant("t1")
+STREAM_ROUTE = route(RequestKind.STREAM, name="r-stream")
 UNSAFE_ROUTE = route(RequestKind.UNSAFE, name="r-unsafe")
 BROKEN = Failure.of(ErrorKind.ANSWER_TRUNCATED, "scripted")
 UNREACHED = Failure.of(ErrorKind.ENDPOINT_REFUSED, "scripted")
@@ -117,3 +120,52 @@
     parts, opened_streams = await stream([("r1", 3)], once)
     assert parts[-1].is_err()
     assert len(opened_streams) == 1
+
+
+async def begins(
+    statuses, found_route=SAFE_ROUTE, seconds=5.0, tenant=TENANT, failing=()
+):
+    """Return the begins that usage is told of for one request."""
+    platform = FakePlatform()
+    platform.client.statuses = statuses
+    platform.client.failing_events = list(failing)
+    async with running(platform, "a") as kernels:
+        forwarding = kernels[0].plugin("forwarding")
+        found = []
+        forwarding.usage.record_begin = lambda *args: found.append(args)
+        sent = call(kernels[0], seconds)._replace(tenant=tenant)
+        if found_route.kind is RequestKind.STREAM:
+            async for _ in forwarding.stream(sent, found_route):
+                pass
+        else:
+            await forwarding.plain(sent, found_route)
+        return found
+
+
+@pytest.mark.parametrize("found_route", [SAFE_ROUTE, UNSAFE_ROUTE, STREAM_ROUTE])
+async def test_request_that_an_endpoint_ran_is_counted_for_its_tenant(found_route):
+    """Guards against requests that are missing in usage reports."""
+    [(tenant, _)] = await begins({}, found_route)
+    assert tenant == "t1"
+    assert await begins({}, found_route, tenant=None) == []
+
+
+@pytest.mark.parametrize("fault", [BROKEN, UNREACHED, 500, 503])
+async def test_retried_request_is_counted_once(fault):
+    """Guards against requests that are charged twice."""
+    assert len(await begins({"e1": fault})) == 1
+
+
+async def test_request_that_may_have_run_is_counted_and_a_refused_one_is_not():
+    """Guards against charging for refusals, and against free work at endpoints."""
+    assert len(await begins({"e1": BROKEN, "e2": BROKEN}, UNSAFE_ROUTE)) == 1
+    assert len(await begins({"e1": anyio.Event(), "e2": anyio.Event()}, seconds=0.2))
+    assert await begins({"e1": 503, "e2": UNREACHED}) == []
+    assert await begins({"r1": 503}, STREAM_ROUTE) == []
+
+
+async def test_stream_is_counted_with_its_first_event():
+    """Guards against streams that are counted before they begin, or once more later."""
+    assert await begins({}, STREAM_ROUTE, failing=[("r1", 1), ("r1", 1)]) == []
+    resumable = route(RequestKind.STREAM, endpoints_max=3)
+    assert len(await begins({}, resumable, failing=[("r1", 3)])) == 1
