--- a/plantainstack/services/usage/counts.py
+++ b/plantainstack/services/usage/counts.py
@@ -45,6 +45,7 @@
         self._counts = WindowCounts()
         self._early: list[tuple[str, float]] = []
         self._rows_written = 0
+        self._shard = random.randrange(usage.COUNT_SHARDS)
         self.offset: float | None = None
 
     def record(self, tenant: str, began_at: float) -> None:
@@ -146,7 +147,7 @@
         """Store counts until they are read; a repeated write changes nothing."""
         self._rows_written += 1
         key = f"{self._id}/{self._rows_written}"
-        name = RowName(COUNT_TABLE, str(window), key)
+        name = RowName(COUNT_TABLE, usage.count_parts(window)[self._shard], key)
         transaction = Transaction(puts=((name, msgspec.msgpack.encode(counts)),))
         while True:
             true_now = self.true_time(self._clock.now())
--- a/tests/policy/test_usage.py
+++ b/tests/policy/test_usage.py
@@ -50,6 +50,8 @@
     assert list(usage.due_windows(progress, read_at, OPTIONS)) == [WINDOW]
     later = usage.due_windows(progress, read_at + 12.0, OPTIONS)
     assert list(later) == [WINDOW, WINDOW + 1, WINDOW + 2]
+    long_after = usage.due_windows(progress, read_at + 5000.0, OPTIONS)
+    assert list(long_after) == list(range(WINDOW, WINDOW + usage.DUE_MAX))
     # A store clock that was read late must not lead to a negative range.
     assert list(usage.due_windows(progress, read_at - 60.0, OPTIONS)) == []
 
