--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -54,6 +54,12 @@
     ["service"],
     registry=REGISTRY,
 )
+KEY_REFUSALS = Counter(
+    "plantainstack_key_refusals",
+    "Requests refused for their key or their tenant, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 CONFIG_VERSION = Gauge(
     "plantainstack_config_version",
     "Version of the fleet configuration in force.",
--- a/plantainstack/platform/names.py
+++ b/plantainstack/platform/names.py
@@ -54,6 +54,16 @@
     for name in (REQUEST_ID, DEADLINE_MS, EXPECT_INSTANCE, LAST_EVENT_ID, RESUMES)
 )
 
+# Headers that concern tenants. With tenants, values sent by clients are dropped.
+TENANT_HEADERS = frozenset(name.lower() for name in (AUTHORIZATION, TENANT, PRIORITY))
+
+
+def without_tenant_headers(headers) -> tuple[tuple[str, str], ...]:
+    """Return the headers without those that concern tenants."""
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in TENANT_HEADERS
+    )
+
 
 def header(headers, name: str) -> str | None:
     """Return a header's first value, ignoring case; pairs hold str or bytes."""
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -229,6 +229,12 @@
             for name, value in call.headers
             if name.lower() not in names.HOP_BY_HOP_HEADERS | names.OWN_HEADERS
         ]
+        if call.tenant is not None:
+            headers = list(names.without_tenant_headers(headers))
+        if call.tenant:
+            headers.append((names.TENANT, call.tenant))
+        if call.priority is not None:
+            headers.append((names.PRIORITY, str(call.priority)))
         headers.append((names.EXPECT_INSTANCE, endpoint.id))
         if call.request_id:
             left_ms = max(1, int(exchange.remaining() * 1000))
