Let a batch belong to the tenant that submitted it

Another tenant that knows or guesses the id of a batch could read its results, end it, or be told that its own submission had been accepted. The state row names the tenant, so that a read needs no items; records without a tenant keep their form.

--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -10,6 +10,7 @@
 from plantainstack import log, metrics
 from plantainstack.clock import Clock
 from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.policy.tenant_admission import RefusalReason
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
 from plantainstack.services.batch_store import BatchStore, StateRow
 from plantainstack.services.feeds import FeedReader
@@ -38,6 +39,12 @@
     source: ReadSource
 
 
+def record_other_tenant(batch_id: str, owner: str, tenant: str) -> None:
+    """Record that a batch was refused to a tenant that it does not belong to."""
+    metrics.KEY_REFUSALS.labels(RefusalReason.OTHER_TENANT.value).inc()
+    log.event("batch.of_other_tenant", batch_id, belongs_to=owner, tenant=tenant)
+
+
 class BatchReads:
     """Answer reads of results and of request bodies at any instance.
 
@@ -66,14 +73,14 @@
         self.waiting = 0
 
     async def results(
-        self, batch_id: str, after: int, wait_s: float
+        self, batch_id: str, after: int, wait_s: float, tenant: str | None
     ) -> Result[ResultPage, Failure]:
-        """Return results from the position `after` on.
+        """Return results from the position `after` on, if the tenant may read them.
 
         Waits up to `wait_s` for the first of them.
         """
         started = self._clock.now()
-        found = await self._results(batch_id, after, wait_s)
+        found = await self._results(batch_id, after, wait_s, tenant)
         page = found.ok()
         entry = self._cache.entries.get(batch_id)
         now = self._clock.now()
@@ -93,11 +100,13 @@
         )
         return found
 
-    async def item_body(self, batch_id: str, item_id: str) -> Result[bytes, Failure]:
+    async def item_body(
+        self, batch_id: str, item_id: str, tenant: str | None
+    ) -> Result[bytes, Failure]:
         """Return the request body of an item, unless its batch has ended."""
-        entry = self._cache.entries.get(batch_id)
+        entry = self._known(batch_id, tenant)
         if entry is None:
-            found = await self._confirm(batch_id)
+            found = await self._confirm(batch_id, tenant)
             if found.is_err():
                 return found
             entry = found.unwrap()
@@ -119,19 +128,19 @@
         """Return a batch with its items, from the store if it is not cached."""
         if entry.batch is not None:
             return Ok(entry.batch)
-        found = await self._batch_store.batch(batch_id)
+        found = await self._batch_store.batch(batch_id, entry.row.state.tenant)
         if found.is_ok():
             entry.batch = found.unwrap()
         return found
 
     async def _results(
-        self, batch_id: str, after: int, wait_s: float
+        self, batch_id: str, after: int, wait_s: float, tenant: str | None
     ) -> Result[ResultPage, Failure]:
         wait_until = self._clock.now() + wait_s
         source = ReadSource.MEMORY
-        entry = self._cache.entries.get(batch_id)
+        entry = self._known(batch_id, tenant)
         if entry is None or self._is_wait_useless(entry, after):
-            found = await self._confirm(batch_id)
+            found = await self._confirm(batch_id, tenant)
             if found.is_err():
                 return found
             entry = found.unwrap()
@@ -139,7 +148,7 @@
         await self._wait_for_results(entry, after, wait_until)
         is_open = not entry.row.state.is_final()
         if after >= entry.row.state.listed and is_open and source is ReadSource.MEMORY:
-            found = await self._confirm(batch_id)
+            found = await self._confirm(batch_id, tenant)
             if found.is_err():
                 return found
             entry = found.unwrap()
@@ -148,6 +157,14 @@
             return Ok(ResultPage(entry.row.state.total, [], source))
         return await self._read_page(entry, batch_id, after)
 
+    def _known(self, batch_id: str, tenant: str | None) -> BatchEntry | None:
+        """Return a batch that this instance remembers as one that the tenant may use.
+
+        The batch of another tenant may have been removed, and its id used again.
+        """
+        entry = self._cache.entries.get(batch_id)
+        return entry if entry and entry.row.state.is_open_to(tenant) else None
+
     def _is_wait_useless(self, entry: BatchEntry, after: int) -> bool:
         """Return whether no notice of a result can come, unless the store is back."""
         is_missing = after >= entry.row.state.listed and not entry.row.state.is_final()
@@ -191,8 +208,13 @@
         message = failure.message if failure else "the store lacks a listed result"
         return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
 
-    async def _confirm(self, batch_id: str) -> Result[BatchEntry, Failure]:
-        """Return a batch in the state that the store had after this call began."""
+    async def _confirm(
+        self, batch_id: str, tenant: str | None = None
+    ) -> Result[BatchEntry, Failure]:
+        """Return a batch in the state that the store had after this call began.
+
+        Fails with NOT_FOUND if it is the batch of another tenant.
+        """
         found = None
         with anyio.move_on_after(STATE_READ_TIMEOUT_S):
             found = await self._present.call(batch_id)
@@ -204,7 +226,11 @@
         row = found.unwrap()
         if row is None:
             return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
-        return Ok(self._apply_row(batch_id, row))
+        entry = self._apply_row(batch_id, row)
+        if not row.state.is_open_to(tenant):
+            record_other_tenant(batch_id, row.state.tenant, tenant)
+            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
+        return Ok(entry)
 
     async def _read_present(self, batch_id: str) -> Result[StateRow | None, Failure]:
         entry = self._cache.entries.get(batch_id)
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -6,7 +6,7 @@
 
 from plantainstack import log, metrics
 from plantainstack.errors import Failure, Outcome
-from plantainstack.policy import batch_scheduling
+from plantainstack.policy import batch_scheduling, tenant_admission
 from plantainstack.policy.item_runs import ItemRun, PartialText, StreamCheck
 from plantainstack.policy.load_balancing import EVENT_WEIGHT
 from plantainstack.policy.reward_calls import GroupProgress
@@ -248,6 +248,7 @@
             self._started_at + self._placement.route.result_target_s,
             self._progress_of_group(run.item),
             run.reward_attempts,
+            self.batch.tenant,
         )
         score = None
         scope = self._scoring[run.item.id] = anyio.CancelScope()
@@ -265,6 +266,12 @@
     async def _attempt(self, run: ItemRun, attempt: Attempt) -> ItemResult | None:
         item = run.item
         endpoint = attempt.endpoint
+        identity = tenant_admission.endpoint_identity(
+            self._discovery.serving,
+            self._placement.route,
+            endpoint.service,
+            self.batch.tenant,
+        )
         call = EndpointCall(
             item.id,
             "POST",
@@ -274,6 +281,8 @@
             item.body,
             self._placement.deadline,
             run.last_event,
+            tenant=identity.tenant,
+            priority=identity.priority,
         )
         self._permits.record_request(endpoint, item.id)
         async with self._endpoints.stream(endpoint, call) as opened:
--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -5,6 +5,7 @@
 another instance has become the owner, the writes of the former owner therefore fail.
 """
 
+import hashlib
 import uuid
 import zlib
 from collections.abc import Iterable
@@ -57,7 +58,7 @@
     that are stored durably. `nonce` identifies the write that produced the state.
     `paces` maps endpoints to their latency in seconds per event, as measured by the
     owner; every instance reads the states anyway, so sharing them needs no further
-    call.
+    call. `tenant` is that of the batch, so that a reader needs no items to check it.
     """
 
     owner: str
@@ -68,6 +69,14 @@
     route: str
     nonce: str
     paces: dict[str, float] = {}
+    tenant: str = ""
+
+    def is_open_to(self, tenant: str | None) -> bool:
+        """Return whether a tenant may use the batch; None stands for no tenants.
+
+        A batch without a tenant was stored before the deployment had tenants.
+        """
+        return tenant is None or self.tenant in ("", tenant)
 
     def is_final(self) -> bool:
         """Return whether no further result can be listed."""
@@ -116,12 +125,15 @@
         The flag is False if a batch with this id already existed. Its stored state is
         returned then.
         """
-        state = BatchState(owner, 1, len(batch.items), 0, False, route, _nonce())
+        state = BatchState(
+            owner, 1, len(batch.items), 0, False, route, _nonce(), tenant=batch.tenant
+        )
         items = tuple(_without_defaults(item) for item in batch.items)
-        encoded = msgspec.msgpack.encode(batch._replace(items=items))
+        encoded = msgspec.msgpack.encode(_without_tenant(batch._replace(items=items)))
         data = zlib.compress(encoded, 1)
         if len(data) > TRANSACTION_BYTES:
-            stored = await self._store.put_object(_object_name(batch.id), data)
+            name = _object_name(batch.id, batch.tenant)
+            stored = await self._store.put_object(name, data)
             if stored.is_err():
                 # An object without a row `state` is never run.
                 failure = stored.unwrap_err()
@@ -187,16 +199,16 @@
         return await self._write(batch_id, row.version, state, [])
 
     async def end(
-        self, batch_id: str, known_version: int = 0
+        self, batch_id: str, known_version: int = 0, tenant: str | None = None
     ) -> Result[StateRow | None, Failure]:
-        """Mark a batch as ended; return None if it does not exist.
+        """Mark a batch as ended, unless the tenant may not; None if it does not exist.
 
         Fails if the store answers from a state before `known_version`.
         """
         found = await self.state(batch_id, known_version)
         while found.is_ok():
             row = found.unwrap()
-            if row is None or row.state.ended:
+            if row is None or row.state.ended or not row.state.is_open_to(tenant):
                 return Ok(row)
             state = row.state._replace(ended=True, nonce=_nonce())
             written = await self._write(batch_id, row.version, state, [])
@@ -220,14 +232,14 @@
             lambda read: self.state_row(read.rows[0]) if read.rows else Ok(None)
         )
 
-    async def batch(self, batch_id: str) -> Result[Batch, Failure]:
-        """Read a batch that exists, with all of its items."""
+    async def batch(self, batch_id: str, tenant: str = "") -> Result[Batch, Failure]:
+        """Read a batch of a tenant that exists, with all of its items."""
         found = await self._store.read(ITEM_TABLE, batch_id)
         if found.is_err():
             return found
         data = b"".join(row.value for row in found.unwrap().rows)
         if not data:
-            stored = await self._store.get_object(_object_name(batch_id))
+            stored = await self._store.get_object(_object_name(batch_id, tenant))
             if stored.is_err():
                 return stored
             data = stored.unwrap() or b""
@@ -314,7 +326,9 @@
                 outcome = await self._store.transact(transaction)
                 if outcome.is_err():
                     return outcome
-        dropped = await self._store.drop_object(_object_name(batch_id))
+        dropped = await self._store.drop_object(
+            _object_name(batch_id, row.state.tenant)
+        )
         if dropped.is_err():
             return dropped
         name = _state_name(batch_id)
@@ -346,7 +360,7 @@
         name = _state_name(batch_id)
         transaction = Transaction(
             expected=((name, version),),
-            puts=((name, msgspec.msgpack.encode(state)), *puts),
+            puts=((name, msgspec.msgpack.encode(_without_tenant(state))), *puts),
         )
         now = self._clock.now()
         give_up_at = now + REFUSED_WRITE_TIMEOUT_S
@@ -459,12 +473,20 @@
     return tuple(record[:size])
 
 
+def _without_tenant(record: Batch | BatchState) -> tuple:
+    """Return the fields of a record, without the last one, `tenant`, if it is empty."""
+    return tuple(record if record.tenant else record[:-1])
+
+
 def _position(number: int) -> str:
     return f"{number:08}"
 
 
-def _object_name(batch_id: str) -> str:
-    return f"batch-{batch_id}"
+def _object_name(batch_id: str, tenant: str) -> str:
+    # An object that remains from a failed submission is not overwritten, and must not
+    # be taken for that of another tenant.
+    suffix = f"-{hashlib.sha256(tenant.encode()).hexdigest()[:16]}" if tenant else ""
+    return f"batch-{batch_id}{suffix}"
 
 
 def _nonce() -> str:
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -11,7 +11,11 @@
 from plantainstack.policy import batch_owners, batch_scheduling
 from plantainstack.policy.batch_owners import StepOwner
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
-from plantainstack.services.batch_reads import BatchReads, ResultPage
+from plantainstack.services.batch_reads import (
+    BatchReads,
+    ResultPage,
+    record_other_tenant,
+)
 from plantainstack.services.batch_results import APPEND_ITEMS
 from plantainstack.services.batch_runs import BatchRun
 from plantainstack.services.batch_store import (
@@ -182,11 +186,11 @@
         """Store a batch and start to run it.
 
         Returns Ok once the whole batch is stored, or at once if its id is already
-        known.
+        known as that of a batch that the tenant may use.
         """
         started = self.kernel.clock.now()
         entry = self._entries.get(batch.id)
-        if entry is not None:
+        if entry is not None and self._is_open_to(entry.row, batch.tenant):
             log.event("batch.known", batch.id, version=entry.row.version)
             return Ok(None)
         if self._feed.lost_for(self.kernel.clock.now()) > STORE_OUTAGE_MAX_S:
@@ -230,10 +234,15 @@
             )
             return Err(failure)
         row, stored_here = outcome.unwrap()
+        if not self._is_open_to(row, batch.tenant):
+            record_other_tenant(batch.id, row.state.tenant, batch.tenant)
+            message = "a batch with this id exists already"
+            return Err(Failure.of(ErrorKind.CONFLICT, message))
         log.event(
             "batch.accepted",
             batch.id,
             route=route.name,
+            tenant=batch.tenant,
             items=len(batch.items),
             groups_wanted=batch.groups_wanted,
             min_version=batch.min_version,
@@ -242,7 +251,8 @@
             seconds=seconds,
         )
         entry = self._apply_row(batch.id, row)
-        entry.batch = batch
+        if row.state.tenant == batch.tenant:
+            entry.batch = batch
         if not stored_here or self._draining or entry.run is not None:
             return Ok(None)
         if owner == self._instance_id:
@@ -251,6 +261,10 @@
             self._tasks.start_soon(self._ensure_handover, batch.id, entry, row.version)
         return Ok(None)
 
+    def _is_open_to(self, row: StateRow, tenant: str) -> bool:
+        has_tenants = self._discovery.serving.tenants is not None
+        return row.state.is_open_to(tenant if has_tenants else None)
+
     async def _ensure_handover(
         self, batch_id: str, entry: BatchEntry, version: int
     ) -> None:
@@ -262,31 +276,37 @@
             await self._take_over(batch_id, entry, version, jitter_s=0.0)
 
     async def results(
-        self, batch_id: str, after: int, wait_s: float
+        self, batch_id: str, after: int, wait_s: float, tenant: str | None = None
     ) -> Result[ResultPage, Failure]:
-        """Return results from the position `after` on.
+        """Return results from the position `after` on, if the tenant may read them.
 
-        Waits up to `wait_s` for the first of them.
+        Waits up to `wait_s` for the first of them. `tenant` is None without tenants.
         """
-        return await self._reads.results(batch_id, after, wait_s)
+        return await self._reads.results(batch_id, after, wait_s, tenant)
 
-    async def item_body(self, batch_id: str, item_id: str) -> Result[bytes, Failure]:
+    async def item_body(
+        self, batch_id: str, item_id: str, tenant: str | None = None
+    ) -> Result[bytes, Failure]:
         """Return the request body of an item, unless its batch has ended."""
-        return await self._reads.item_body(batch_id, item_id)
+        return await self._reads.item_body(batch_id, item_id, tenant)
 
-    async def end(self, batch_id: str) -> Result[None, Failure]:
+    async def end(
+        self, batch_id: str, tenant: str | None = None
+    ) -> Result[None, Failure]:
         """End a batch; its listed results can still be read."""
         known = self._entries.get(batch_id)
-        if known is not None and known.row.state.ended:
+        if known and known.row.state.ended and known.row.state.is_open_to(tenant):
             return Ok(None)
         known_version = known.row.version if known else 0
-        outcome = await self._batch_store.end(batch_id, known_version)
+        outcome = await self._batch_store.end(batch_id, known_version, tenant)
         if outcome.is_err():
             failure = outcome.unwrap_err()
             log.event("batch.end_failed", batch_id, reason=failure.message)
             return Err(failure)
         row = outcome.unwrap()
-        if row is None:
+        if row is None or not row.state.is_open_to(tenant):
+            if row is not None:
+                record_other_tenant(batch_id, row.state.tenant, tenant)
             return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
         log.event("batch.ended", batch_id, listed=row.state.listed, version=row.version)
         self._apply_row(batch_id, row)
