Require a key where the configuration has tenants

Each request is checked anew, also on a kept connection. Keys, and tenants and priorities named by clients, are removed from requests and from items before they are forwarded or stored. Items, requests and reward calls carry the tenant's name and, to services that host models, its priority.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -16,10 +16,11 @@
 from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
 from plantainstack.links.answers import AnswerGivenUp, giving_up
 from plantainstack.platform import names, records
-from plantainstack.policy import draining
+from plantainstack.policy import draining, tenant_admission
 from plantainstack.policy.answer_memory import BodyReservation
 from plantainstack.policy.draining import StopTimes
 from plantainstack.policy.forwarding import NOT_RUN_STATUSES, RETRY_AFTER_S
+from plantainstack.policy.tenants import Tenant
 from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
 from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
 from plantainstack.services.forwarding import ClientCall
@@ -139,6 +140,8 @@
         self._target = f"{raw_path}?{query}" if query else raw_path
         self._host = names.header(self._headers, "host") or ""
         self._request_id = names.header(self._headers, names.REQUEST_ID) or ""
+        self._has_tenants = False
+        self._tenant: Tenant | None = None
 
     async def handle(self) -> None:
         """Route the request and send the response."""
@@ -149,13 +152,15 @@
         method = self._scope["method"]
         if self._path.startswith(names.LOTS_PATH) and method in ("GET", "DELETE"):
             await self._respond(
-                self._refusal_by_stop(self._resource_deadline(method))
+                self._refusal_by_key(None)
+                or self._refusal_by_stop(self._resource_deadline(method))
                 or await self._batch_resource(method)
             )
             return
         if self._path.startswith(names.ITEMS_PATH) and method == "GET":
             await self._respond(
-                self._refusal_by_stop(self._resource_deadline(method))
+                self._refusal_by_key(None)
+                or self._refusal_by_stop(self._resource_deadline(method))
                 or await self._item_body()
             )
             return
@@ -166,6 +171,32 @@
             return
         await self._forward(found.unwrap())
 
+    def _refusal_by_key(self, route: Route | None) -> _Response | None:
+        """Find out the tenant of the request; refuse one without a valid key."""
+        discovery = self._ingress._discovery
+        cfg = discovery.serving
+        admitted = tenant_admission.admit(
+            cfg,
+            route,
+            names.headers(self._headers, names.AUTHORIZATION),
+            discovery.config_age_s(),
+            self._kernel.settings.tenants,
+        )
+        if admitted.is_ok():
+            self._has_tenants = cfg.tenants is not None
+            self._tenant = admitted.unwrap()
+            return None
+        reason, failure = admitted.unwrap_err()
+        metrics.KEY_REFUSALS.labels(reason.value).inc()
+        self._log_refusal(failure)
+        return _failure_response(failure)
+
+    def _tenant_name(self) -> str | None:
+        """Return the name of the tenant, empty if unknown and None without tenants."""
+        if not self._has_tenants:
+            return None
+        return self._tenant.name if self._tenant else ""
+
     def _refusal_by_stop(self, answer_by: float) -> _Response | None:
         """Refuse a request that may still run when the instance has to end."""
         times = self._ingress.stop_times
@@ -191,7 +222,9 @@
         return self._deadline(route)
 
     async def _forward(self, route: Route) -> None:
-        refusal = self._refusal_by_stop(self._route_deadline(route))
+        refusal = self._refusal_by_key(route) or self._refusal_by_stop(
+            self._route_deadline(route)
+        )
         if refusal is not None:
             await self._respond(refusal)
         elif route.kind is RequestKind.BATCH:
@@ -253,7 +286,10 @@
             failure = Failure.of(ErrorKind.BAD_REQUEST, reason)
             self._log_refusal(failure)
             return _failure_response(failure)
-        outcome = await self._batches.submit(decoded.unwrap(), route)
+        batch = decoded.unwrap()
+        if self._has_tenants:
+            batch = records.of_tenant(batch, self._tenant_name())
+        outcome = await self._batches.submit(batch, route)
         if outcome.is_err():
             return _failure_response(outcome.unwrap_err())
         return _Response(HTTPStatus.ACCEPTED, [])
@@ -261,7 +297,7 @@
     async def _batch_resource(self, method: str) -> _Response:
         batch_id = self._path.removeprefix(names.LOTS_PATH)
         if method == "DELETE":
-            ended = await self._batches.end(batch_id)
+            ended = await self._batches.end(batch_id, self._tenant_name())
             return (
                 _failure_response(ended.unwrap_err())
                 if ended.is_err()
@@ -271,7 +307,9 @@
         if after is None:
             message = "the position is not a number"
             return _failure_response(Failure.of(ErrorKind.BAD_REQUEST, message))
-        found = await self._batches.results(batch_id, after, self._wait_s())
+        found = await self._batches.results(
+            batch_id, after, self._wait_s(), self._tenant_name()
+        )
         if found.is_err():
             return _failure_response(found.unwrap_err())
         page = found.unwrap()
@@ -289,7 +327,7 @@
     async def _item_body(self) -> _Response:
         batch_id = self._path.removeprefix(names.ITEMS_PATH)
         item_id = parse_qs(self._query).get("id", [""])[0]
-        found = await self._batches.item_body(batch_id, item_id)
+        found = await self._batches.item_body(batch_id, item_id, self._tenant_name())
         if found.is_err():
             return _failure_response(found.unwrap_err())
         headers = [("Content-Type", "application/octet-stream")]
@@ -319,6 +357,8 @@
             for name, value in self._headers
             if name not in names.HOP_BY_HOP_HEADERS
         )
+        if self._has_tenants:
+            kept = names.without_tenant_headers(kept)
         return ClientCall(
             self._request_id,
             self._scope["method"],
@@ -328,6 +368,7 @@
             self._body,
             self._deadline(route),
             self._take_up(),
+            self._tenant,
         )
 
     def _take_up(self) -> TakeUp | None:
@@ -448,5 +489,7 @@
         wait_s = failure.retry_after_s
         wait_s = RETRY_AFTER_S if wait_s is None else wait_s
         headers.append(("Retry-After", f"{math.ceil(wait_s * 100) / 100}"))
+    if status == HTTPStatus.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", "Bearer"))
     content = {"error": failure.kind.value, "message": failure.message}
     return _Response(status, headers, msgspec.json.encode(content))
--- a/plantainstack/platform/names.py
+++ b/plantainstack/platform/names.py
@@ -65,6 +65,11 @@
     )
 
 
+def headers(pairs, name: str) -> list[str]:
+    """Return all values of a header, ignoring the case of its name."""
+    return [value for key, value in pairs if key.lower() == name.lower()]
+
+
 def header(headers, name: str) -> str | None:
     """Return a header's first value, ignoring case; pairs hold str or bytes."""
     wanted = name.lower()
--- a/plantainstack/platform/records.py
+++ b/plantainstack/platform/records.py
@@ -11,7 +11,11 @@
 from plantainstack.clock import Clock
 from plantainstack.decoding import decode, parse_decimal
 from plantainstack.duties import ScaleLimits
-from plantainstack.platform.names import LENGTH_HINT, header
+from plantainstack.platform.names import (
+    LENGTH_HINT,
+    header,
+    without_tenant_headers,
+)
 from plantainstack.policy.tenants import Tenant, TenantDirectory
 from plantainstack.serving import (
     Batch,
@@ -354,6 +358,18 @@
     )
 
 
+def of_tenant(batch: Batch, tenant: str) -> Batch:
+    """Return the batch as that of a tenant, without keys in the headers of its items.
+
+    The name is empty if no tenant is known.
+    """
+    items = tuple(
+        item._replace(headers=without_tenant_headers(item.headers))
+        for item in batch.items
+    )
+    return batch._replace(items=items, tenant=tenant)
+
+
 def _item(item: _BatchItemBody) -> Item:
     headers = tuple(item.headers.items())
     if not _VISIBLE.fullmatch(item.id):
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -5,7 +5,12 @@
 from plantainstack import log, metrics
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.interfaces import Priority
-from plantainstack.policy import forwarding, quarantine, route_table
+from plantainstack.policy import (
+    forwarding,
+    quarantine,
+    route_table,
+    tenant_admission,
+)
 from plantainstack.policy.forwarding import AttemptCounts
 from plantainstack.policy.quarantine import LossRecord
 from plantainstack.serving import Endpoint, EndpointCall, Route
@@ -125,6 +130,12 @@
         call = self._call
         awaits_silent = self._awaits_silent()
         reuse = not awaits_silent and not self._losses_of_request().lost
+        identity = tenant_admission.endpoint_identity(
+            self._plugin.discovery.serving,
+            self._route,
+            self.service,
+            call.tenant.name if call.tenant else "",
+        )
         return EndpointCall(
             call.request_id,
             call.method,
@@ -136,6 +147,8 @@
             resume_after,
             reuse_connection=reuse,
             awaits_silent=awaits_silent,
+            tenant=identity.tenant,
+            priority=identity.priority,
         )
 
     def _awaits_silent(self) -> bool:
--- a/plantainstack/services/reward_calls.py
+++ b/plantainstack/services/reward_calls.py
@@ -11,7 +11,7 @@
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.interfaces import Priority
 from plantainstack.plugins import Plugin
-from plantainstack.policy import reward_calls, route_table
+from plantainstack.policy import reward_calls, route_table, tenant_admission
 from plantainstack.policy.reward_calls import (
     GroupProgress,
     RewardAttempts,
@@ -36,7 +36,7 @@
     """Hold a reward call and what it is needed for; times are monotonic seconds.
 
     `deadline` is the time at which the item is abandoned, and `due_at` the time at
-    which the trainer wants the results of the batch.
+    which the trainer wants the results of the batch. `tenant` is that of the batch.
     """
 
     call: RewardCall
@@ -47,6 +47,7 @@
     due_at: float
     group: GroupProgress
     attempts: RewardAttempts
+    tenant: str = ""
 
 
 class _Slot(NamedTuple):
@@ -216,7 +217,7 @@
         self._permits.record_request(slot.endpoint, request.call.id)
         try:
             with anyio.move_on_after(answer_by - started):
-                call = self._endpoint_call(request)
+                call = self._endpoint_call(request, slot)
                 outcome = await self._endpoints.call(slot.endpoint, call)
             # Before the request is counted as ended, since the report includes it.
             if outcome.is_ok():
@@ -229,8 +230,11 @@
         self._record_attempt(request, slot, outcome, started, answer_by)
         return outcome
 
-    def _endpoint_call(self, request: RewardRequest) -> EndpointCall:
+    def _endpoint_call(self, request: RewardRequest, slot: _Slot) -> EndpointCall:
         call = request.call
+        identity = tenant_admission.endpoint_identity(
+            self._discovery.serving, slot.route, slot.endpoint.service, request.tenant
+        )
         return EndpointCall(
             call.id,
             "POST",
@@ -239,6 +243,8 @@
             (),
             call.body,
             request.deadline,
+            tenant=identity.tenant,
+            priority=identity.priority,
         )
 
     def _record_attempt(self, request, slot, outcome, started, answer_by) -> None:
