--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -125,6 +125,49 @@
     assert "resumes" not in request.lower()
 
 
+CLIENT_HEADERS = (
+    ("Authorization", "Bearer k-secret"),
+    ("plantainstack-tenant", "forged"),
+    ("PLANTAINSTACK-REQUEST-PRIORITY", "0"),
+    ("X-Own", "kept"),
+)
+
+
+async def sent_lines(**changes):
+    script = Script(answer())
+    async with serving(script) as (client, target):
+        await client.call(target, call(headers=CLIENT_HEADERS, **changes))
+    return script.requests[0].lower().split("\r\n")
+
+
+@pytest.mark.parametrize(
+    ("tenant", "priority", "expected"),
+    [
+        ("acme", 3, {"tenant: acme", "request-priority: 3"}),
+        ("acme", None, {"tenant: acme"}),
+        ("", None, set()),
+        ("", 0, {"request-priority: 0"}),
+    ],
+)
+async def test_endpoint_gets_the_tenant_but_never_the_key(tenant, priority, expected):
+    """Guards against keys at endpoints, and against tenants that clients name."""
+    lines = await sent_lines(tenant=tenant, priority=priority)
+    found = {line.removeprefix("plantainstack-") for line in lines}
+    kept = {"x-own: kept"} | expected
+    assert {
+        line
+        for line in found
+        if line.startswith(("tenant", "request-priority", "authorization", "x-own"))
+    } == kept
+    assert "k-secret" not in "".join(lines)
+
+
+async def test_without_tenants_all_headers_of_clients_are_forwarded():
+    """Guards against endpoints with their own keys that no longer get them."""
+    lines = await sent_lines()
+    assert {f"{name}: {text}".lower() for name, text in CLIENT_HEADERS} <= set(lines)
+
+
 @pytest.mark.parametrize(
     ("step", "kind"),
     [
