--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -289,6 +289,7 @@
     @contextlib.asynccontextmanager
     async def stream(self, endpoint, call):
         await anyio.lowlevel.checkpoint()
+        self.sent_calls.append(call)
         self.opened_streams.append((call.request_id, endpoint.id, call.resume_after))
         status = self.statuses.get(call.request_id, 200)
         if status != 200:
