--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -138,6 +138,7 @@
             "request.ended",
             call.request_id,
             route=route.name,
+            tenant=call.tenant.name if call.tenant else "",
             config=self.discovery.serving.version,
             digest=run.digest,
             endpoints=run.tried,
