--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -106,7 +106,7 @@
         """Return the request body of an item, unless its batch has ended."""
         entry = self._known(batch_id, tenant)
         if entry is None:
-            found = await self._confirm(batch_id, tenant)
+            found = await self._confirm_for(batch_id, tenant)
             if found.is_err():
                 return found
             entry = found.unwrap()
@@ -140,7 +140,7 @@
         source = ReadSource.MEMORY
         entry = self._known(batch_id, tenant)
         if entry is None or self._is_wait_useless(entry, after):
-            found = await self._confirm(batch_id, tenant)
+            found = await self._confirm_for(batch_id, tenant)
             if found.is_err():
                 return found
             entry = found.unwrap()
@@ -148,7 +148,7 @@
         await self._wait_for_results(entry, after, wait_until)
         is_open = not entry.row.state.is_final()
         if after >= entry.row.state.listed and is_open and source is ReadSource.MEMORY:
-            found = await self._confirm(batch_id, tenant)
+            found = await self._confirm_for(batch_id, tenant)
             if found.is_err():
                 return found
             entry = found.unwrap()
@@ -208,13 +208,18 @@
         message = failure.message if failure else "the store lacks a listed result"
         return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
 
-    async def _confirm(
-        self, batch_id: str, tenant: str | None = None
+    async def _confirm_for(
+        self, batch_id: str, tenant: str | None
     ) -> Result[BatchEntry, Failure]:
-        """Return a batch in the state that the store had after this call began.
-
-        Fails with NOT_FOUND if it is the batch of another tenant.
-        """
+        """Return what `_confirm` does, but NOT_FOUND for a batch of another tenant."""
+        found = await self._confirm(batch_id)
+        if found.is_err() or found.unwrap().row.state.is_open_to(tenant):
+            return found
+        record_other_tenant(batch_id, found.unwrap().row.state.tenant, tenant)
+        return Err(_no_batch())
+
+    async def _confirm(self, batch_id: str) -> Result[BatchEntry, Failure]:
+        """Return a batch in the state that the store had after this call began."""
         found = None
         with anyio.move_on_after(STATE_READ_TIMEOUT_S):
             found = await self._present.call(batch_id)
@@ -225,12 +230,8 @@
             return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
         row = found.unwrap()
         if row is None:
-            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
-        entry = self._apply_row(batch_id, row)
-        if not row.state.is_open_to(tenant):
-            record_other_tenant(batch_id, row.state.tenant, tenant)
-            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
-        return Ok(entry)
+            return Err(_no_batch())
+        return Ok(self._apply_row(batch_id, row))
 
     async def _read_present(self, batch_id: str) -> Result[StateRow | None, Failure]:
         entry = self._cache.entries.get(batch_id)
@@ -243,3 +244,7 @@
     def _feed_age_s(self, now: float) -> float | None:
         answered_at = self._feed.answered_at
         return None if answered_at is None else round(now - answered_at, 3)
+
+
+def _no_batch() -> Failure:
+    return Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist")
