--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -291,6 +291,7 @@
     @contextlib.asynccontextmanager
     async def stream(self, endpoint, call):
         await anyio.lowlevel.checkpoint()
+        self.sent_calls.append(call)
         self.opened_streams.append((call.request_id, endpoint.id, call.resume_after))
         status = self.statuses.get(call.request_id, 200)
         if status != 200:
@@ -397,6 +398,7 @@
         instance=SimpleNamespace(id=name, data_centre="dc-a", listen=address),
         bounds=SimpleNamespace(order_gap=0.3, grace=5.0, endpoint_notice=2.0),
         duties=SimpleNamespace(address=None, kinds=(), calls_per_s=50.0),
+        tenants=SimpleNamespace(strict_revocation=False, revocation=5.0),
     )
     kinds = (
         plugin,
