Order endpoints under the lease of the scaling duty

All instances observe the open items and the registered endpoints, so that the next holder knows the recent peak. The holder stores its orders before it sends them and sends those in force once more after a takeover, since nothing can be read back. Where the duty or the limits are missing, nothing runs.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -198,6 +198,18 @@
     ["answer"],
     registry=REGISTRY,
 )
+SCALING_DEMAND = Gauge(
+    "plantainstack_scaling_demand",
+    "Items and requests that want a slot, by service, as known to this instance.",
+    ["service"],
+    registry=REGISTRY,
+)
+SCALING_ORDERS = Counter(
+    "plantainstack_scaling_orders",
+    "Orders of endpoints, by service and answer (failed without one).",
+    ["service", "answer"],
+    registry=REGISTRY,
+)
 TASK_FAILURES = Counter(
     "plantainstack_task_failures",
     "Exceptions that nobody expected, by the task that raised them.",
--- a/plantainstack/policy/scaling.py
+++ b/plantainstack/policy/scaling.py
@@ -29,6 +29,8 @@
 # The endpoints that were there at the start are kept until the demand has needed less
 # than this share of them for the whole window; then this share is kept.
 FLOOR_WINDOW_S = 180.0
+# Endpoints that start with the deployment register within this time.
+FLOOR_LEARNING_S = 15.0
 FLOOR_SHARE = 0.5
 # An order shrinks if fewer endpoints were wanted all this time, and by this share.
 SHRINK_AFTER_S = 30.0
@@ -56,11 +58,14 @@
 class ScaleState(NamedTuple):
     """Hold what the next holder must know: the orders in force and the floor.
 
-    `floor` maps data centres to the non-reclaimable endpoints at the start.
+    `floor` maps data centres to the non-reclaimable endpoints at the start; `slots` is
+    the mean of an endpoint. An order is a data centre, whether it is for reclaimable
+    endpoints, and their number.
     """
 
     floor: dict[str, int]
     orders: list[tuple[str, bool, int]]
+    slots: float
 
 
 class ScaleNeed(NamedTuple):
@@ -189,11 +194,15 @@
 
 
 class _PoolOrder:
-    """Hold the order in force of one pool and what became of its calls."""
+    """Hold the order in force of one pool and what became of its calls.
 
-    def __init__(self, count: int, confirmed: bool):
+    Until the first order, `count` is the number of registered endpoints.
+    """
+
+    def __init__(self, count: int, ordered: bool):
         self.count = count
-        self.confirmed = confirmed
+        self.ordered = ordered
+        self.confirmed = not ordered
         # The last count that the platform accepted.
         self.accepted = count
         self.failures = 0
@@ -220,7 +229,8 @@
         self._slots = 0.0
         self._first_seen: Counter[str] = Counter()
         self._floor: dict[str, int] = {}
-        self._orders: dict[Pool, _PoolOrder] | None = None
+        self._learns_floor_until = 0.0
+        self._orders: dict[Pool, _PoolOrder] = {}
 
     def observe(self, demand: float, endpoints: Iterable[Endpoint], now: float) -> None:
         """Record the items to run at the same time, and the registered endpoints."""
@@ -243,30 +253,35 @@
                 name = pool.data_centre
                 self._first_seen[name] = max(self._first_seen[name], count)
 
-    def restore(self, state: ScaleState | None) -> None:
+    def restore(self, state: ScaleState | None, now: float) -> None:
         """Begin to decide after a takeover; None if no order was ever made.
 
         The stored orders are sent again once, since their calls may have been lost.
         """
         if state is None:
-            self._floor = dict(self._first_seen)
-            self._orders = {
-                pool: _PoolOrder(count, True) for pool, count in self._live.items()
-            }
+            self._orders = {}
+            self._floor = {}
+            self._learns_floor_until = now + FLOOR_LEARNING_S
             return
+        self._learns_floor_until = 0.0
         self._floor = dict(state.floor)
+        self._slots = self._slots or state.slots
         self._orders = {
-            Pool(name, reclaimable): _PoolOrder(count, False)
+            Pool(name, reclaimable): _PoolOrder(count, True)
             for name, reclaimable, count in state.orders
         }
 
     def state(self) -> ScaleState:
         """Return the state that must be stored before the decided orders are sent."""
-        orders = sorted((*pool, each.count) for pool, each in self._orders.items())
-        return ScaleState(self._floor, orders)
+        orders = sorted(
+            (*pool, each.count) for pool, each in self._orders.items() if each.ordered
+        )
+        return ScaleState(self._floor, orders, self._slots)
 
     def needed_endpoints(self) -> int:
         """Return the endpoints whose slots hold the recent peak."""
+        if not self._slots:
+            return 0
         return self._endpoints_for(self._peak.value())
 
     def decide(
@@ -278,12 +293,12 @@
         """
         if not self._slots:
             return []
-        names = tuple(
-            sorted(limits.prices or {pool.data_centre for pool in self._live})
-        )
+        known = {pool.data_centre for pool in (*self._live, *self._orders)}
+        names = tuple(sorted(limits.prices or known))
         for name in names:
             for kind in (False, True):
-                self._orders.setdefault(Pool(name, kind), _PoolOrder(0, True))
+                self._follow(Pool(name, kind), now)
+            self._learn_floor(name, now)
         blocked = [pool for pool in self._orders if self._is_blocked(pool, now)]
         need = ScaleNeed(
             self.needed_endpoints(),
@@ -294,13 +309,12 @@
         )
         found = []
         for pool, target in plan_counts(need, limits).items():
-            self._compare(pool, now)
             if pool.data_centre in busy:
                 continue
             count = self._next_count(pool, target, limits, now)
             if count is not None:
                 order = self._orders[pool]
-                order.count, order.confirmed = count, False
+                order.count, order.ordered, order.confirmed = count, True, False
                 found.append(
                     CapacityOrder(
                         self._service, pool.data_centre, count, pool.reclaimable
@@ -330,6 +344,12 @@
             order.accepted = sent.count
             order.differs_since = now
 
+    def record_unsent(self, order: CapacityOrder, now: float) -> None:
+        """Record that an order must wait since no call is permitted now."""
+        found = self._orders.get(Pool(order.data_centre, order.reclaimable))
+        if found is not None:
+            found.retry_at = now + RETRY_MIN_S
+
     def _endpoints_for(self, items: float) -> int:
         return math.ceil(items * SLOTS_PER_ITEM / self._slots)
 
@@ -353,9 +373,23 @@
             and self._live[pool] < order.count
         )
 
-    def _compare(self, pool: Pool, now: float) -> None:
-        order = self._orders[pool]
-        if self._live[pool] == order.count:
+    def _learn_floor(self, data_centre: str, now: float) -> None:
+        ordered = self._orders[Pool(data_centre, False)].ordered
+        if now < self._learns_floor_until and not ordered:
+            self._floor[data_centre] = self._first_seen[data_centre]
+
+    def _follow(self, pool: Pool, now: float) -> None:
+        """Compare an order with the registered endpoints.
+
+        Without an order, they are what is in force; a missing non-reclaimable one
+        restarts without any.
+        """
+        order = self._orders.setdefault(pool, _PoolOrder(0, False))
+        live = self._live[pool]
+        if not order.ordered:
+            order.count = live if pool.reclaimable else max(order.count, live)
+            order.accepted = order.count
+        if live == order.count:
             order.differs_since = None
         elif order.differs_since is None:
             order.differs_since = now
@@ -393,7 +427,7 @@
     def _differs(self, pool: Pool, limits: ScaleLimits, now: float) -> bool:
         """Return whether registered endpoints show that an order was lost."""
         order = self._orders[pool]
-        if order.differs_since is None:
+        if order.differs_since is None or not order.ordered:
             return False
         missing = self._live[pool] < order.count
         wait_s = limits.boot_s + MISSING_AFTER_S if missing else SURPLUS_AFTER_S
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -1,6 +1,7 @@
 """Plug-in that accepts batches, serves their results and assigns their owners."""
 
 import random
+from collections import Counter
 
 import anyio
 from result import Err, Ok, Result
@@ -274,6 +275,15 @@
         """Return the request body of an item, unless its batch has ended."""
         return await self._reads.item_body(batch_id, item_id)
 
+    def open_items(self) -> Counter[str]:
+        """Return the number of items without a result of all open batches, by route."""
+        found: Counter[str] = Counter()
+        for entry in self._entries.values():
+            state = entry.row.state
+            if not state.is_final():
+                found[state.route] += state.total - state.listed
+        return found
+
     async def end(self, batch_id: str) -> Result[None, Failure]:
         """End a batch; its listed results can still be read."""
         known = self._entries.get(batch_id)
--- /dev/null
+++ b/plantainstack/services/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Ordering of endpoints at the platform, by one instance at a time."""
--- a/tests/policy/scaling_load.py
+++ b/tests/policy/scaling_load.py
@@ -155,6 +155,6 @@
         self.scaler.observe(load.demand(), load.endpoints(), load.now)
         if not self.restored:
             self.restored = True
-            self.scaler.restore(None)
+            self.scaler.restore(None, load.now)
         for order in self.scaler.decide(LIMITS, load.now):
             self.scaler.record_answer(order, load.order(order), load.now)
--- a/tests/policy/test_scaling.py
+++ b/tests/policy/test_scaling.py
@@ -44,7 +44,7 @@
     """Return the scaler of a holder that has observed the demand once."""
     found = ServiceScaler("models")
     found.observe(demand, registered(2) if endpoints is None else endpoints, now)
-    found.restore(state)
+    found.restore(state, now)
     return found
 
 
@@ -161,7 +161,7 @@
 
 def test_taken_over_orders_are_sent_again_once():
     """Guards against orders of a former holder that never arrived."""
-    state = ScaleState(dict.fromkeys(NAMES, 2), [("dc-b", True, 4)])
+    state = ScaleState(dict.fromkeys(NAMES, 2), [("dc-b", True, 4)], 8.0)
     ends = registered(2) + registered(4, reclaimable=True)
     found = scaler(endpoints=ends, state=state)
     orders = found.decide(LIMITS, 0.0)
@@ -173,10 +173,26 @@
 def test_new_holder_that_has_just_started_does_not_shrink_orders():
     """Guards against scaling in by an instance that has seen no step yet."""
     orders = [(name, spot, 4) for name in NAMES for spot in (False, True)]
-    found = scaler(state=ScaleState(dict.fromkeys(NAMES, 2), orders))
+    found = scaler(state=ScaleState(dict.fromkeys(NAMES, 2), orders, 8.0))
     assert all(order.count == 4 for order in found.decide(LIMITS, 0.0))
 
 
+def test_endpoints_that_register_late_are_kept():
+    """Guards against scaling in what starts together with the instances."""
+    found = scaler(endpoints=registered(1))
+    for now in range(1, 120):
+        found.observe(20, registered(1 if now < 8 else 3), float(now))
+        assert found.decide(LIMITS, float(now)) == []
+
+
+def test_lost_endpoints_are_ordered_by_a_new_holder():
+    """Guards against waiting for a registration to learn the slots of an endpoint."""
+    orders = [(name, False, 2) for name in NAMES]
+    state = ScaleState(dict.fromkeys(NAMES, 2), orders, 8.0)
+    found = scaler(demand=80, endpoints=(), state=state)
+    assert sum(order.count for order in found.decide(LIMITS, 0.0)) >= 10
+
+
 def test_order_is_repeated_if_endpoints_stay_away():
     """Guards against a lost order whose answer said that it was accepted."""
     found = scaler(demand=80)
--- /dev/null
+++ b/tests/services/test_scaling.py
@@ -0,0 +1,227 @@
+"""Tests of the orders that instances send, under failures of each kind."""
+
+from collections import Counter
+
+import anyio
+import msgspec
+import pytest
+from result import Err, Ok
+
+from plantainstack.duties import DutyAnswer
+from plantainstack.errors import ErrorKind, Failure
+from plantainstack.policy.scaling import ScaleState
+from plantainstack.serving import RequestKind, RowName, Transaction
+from tests.policy.serving_samples import batch, item, route
+from tests.services.scaling_fleet import Cloud, scaled
+from tests.services.store_fleet import FakePlatform, until
+from tests.virtual_time import LoopClock, anyio_backend, seed_instances  # noqa: F401
+
+pytestmark = pytest.mark.anyio
+
+ROW = RowName("scaling", "models", "orders")
+LOST = Err(Failure.of(ErrorKind.OUTCOME_UNKNOWN, "scripted"))
+
+
+def stored(platform):
+    value = platform.rows.row(tuple(ROW)).value
+    return value and msgspec.msgpack.decode(value, type=ScaleState)
+
+
+def counts(state):
+    return {(name, spot): count for name, spot, count in state.orders}
+
+
+async def test_one_instance_orders_what_the_demand_needs():
+    """Guards against orders of several instances, and against repeated ones."""
+    platform = FakePlatform(LoopClock())
+    async with scaled("a", "b", "c", platform=platform) as (cloud, _):
+        await anyio.sleep(5.0)
+        sent = list(cloud.sent)
+    assert len({holder for holder, _ in sent}) == 1
+    pools = Counter((order.data_centre, order.reclaimable) for _, order in sent)
+    assert set(pools.values()) == {1}
+    # 80 items need 20 endpoints of 4 slots, also if either data centre is reclaimed.
+    force = cloud.in_force
+    base = force["dc-a", False] + force["dc-b", False]
+    assert base >= 10
+    assert base + min(force["dc-a", True], force["dc-b", True]) >= 20
+    assert counts(stored(platform)) == force
+
+
+@pytest.mark.parametrize("missing", ["duty", "limits"])
+async def test_nothing_is_done_without_the_duty_or_without_limits(missing):
+    """Guards against orders in deployments that have not enabled them."""
+    cloud = Cloud()
+    cloud.enabled = missing != "duty"
+    limits = {"limits": None} if missing == "limits" else {}
+    async with scaled("a", cloud=cloud, **limits) as (_, (kernel,)):
+        await anyio.sleep(10.0)
+        assert kernel.plugin("duties").lease.attempts == 0
+    assert cloud.sent == []
+
+
+async def test_instance_that_does_not_hold_the_duty_tries_seldom():
+    """Guards against a load on the store that grows with the instances."""
+    cloud = Cloud()
+    cloud.holder = "other"
+    async with scaled("a", cloud=cloud) as (_, (kernel,)):
+        await anyio.sleep(30.0)
+        assert 9 <= kernel.plugin("duties").lease.attempts <= 16
+    assert cloud.sent == []
+
+
+async def test_order_is_stored_before_it_is_sent():
+    """Guards against orders in force that the next holder does not know."""
+    platform = FakePlatform(LoopClock())
+    cloud = Cloud()
+    cloud.outcomes = [anyio.Event() for _ in range(4)]
+    async with scaled("a", cloud=cloud, platform=platform):
+        await until(lambda: cloud.sent)
+        state = counts(stored(platform))
+        _, order = cloud.sent[0]
+        assert state[order.data_centre, order.reclaimable] == order.count
+
+
+async def test_orders_of_a_holder_that_ended_before_sending_them_are_sent():
+    """Guards against stored orders that nobody sends."""
+    platform = FakePlatform(LoopClock())
+    cloud = Cloud()
+    cloud.outcomes = [anyio.Event() for _ in range(4)]
+    async with scaled("a", cloud=cloud, platform=platform):
+        await until(lambda: cloud.sent)
+    before = counts(stored(platform))
+    assert cloud.in_force == {}
+    cloud.holder, cloud.outcomes = None, []
+    async with scaled("b", demand=0, cloud=cloud, platform=platform):
+        await anyio.sleep(4.0)
+    assert cloud.in_force == before
+
+
+async def test_next_holder_repeats_the_orders_in_force_once():
+    """Guards against orders whose calls were lost with their holder."""
+    async with scaled("a", "b") as (cloud, _):
+        await anyio.sleep(5.0)
+        sent, force = len(cloud.sent), dict(cloud.in_force)
+        first = cloud.holder
+        cloud.in_force.clear()
+        cloud.holder = {"a": "b", "b": "a"}[first]
+        await anyio.sleep(5.0)
+        assert cloud.in_force == force
+        again = cloud.sent[sent:]
+    assert len(again) == len(force)
+    assert {holder for holder, _ in again} == {cloud.holder}
+
+
+async def test_order_with_a_lost_answer_is_repeated():
+    """Guards against an order that is taken for sent."""
+    cloud = Cloud()
+    cloud.outcomes = [LOST] * 6
+    async with scaled("a", cloud=cloud):
+        await anyio.sleep(10.0)
+    assert len(cloud.in_force) == 4
+    assert len(cloud.sent) == 10
+
+
+@pytest.mark.task_failures
+async def test_refused_and_raising_calls_are_repeated(monkeypatch):
+    """Guards against orders lost to the rate limit or to a fault of the client."""
+    cloud = Cloud()
+    cloud.outcomes = [Ok(DutyAnswer.REFUSED)] * 4
+    accept = cloud.order_capacity
+    faults = [ValueError("scripted")]
+
+    async def order(order, grant):
+        if faults:
+            raise faults.pop()
+        return await accept(order, grant)
+
+    monkeypatch.setattr(cloud, "order_capacity", order)
+    async with scaled("a", cloud=cloud):
+        await anyio.sleep(10.0)
+    assert len(cloud.in_force) == 4
+
+
+async def test_none_available_anywhere_causes_few_calls():
+    """Guards against a call each round while there are no endpoints to be had."""
+    cloud = Cloud()
+    cloud.outcomes = [Ok(DutyAnswer.NONE_AVAILABLE)] * 1000
+    async with scaled("a", cloud=cloud):
+        await anyio.sleep(30.0)
+    # Four pools, each tried again after 3 s.
+    assert 4 < len(cloud.sent) <= 44
+
+
+async def test_hanging_call_does_not_delay_other_data_centres():
+    """Guards against orders that wait for a platform that answers one call late."""
+    cloud = Cloud()
+    cloud.outcomes = [anyio.Event()]
+    async with scaled("a", cloud=cloud):
+        await until(lambda: len(cloud.in_force) >= 2)
+        assert len({name for name, _ in cloud.in_force}) == 1
+        await anyio.sleep(10.0)
+    assert len(cloud.in_force) == 4
+
+
+async def test_nothing_is_sent_that_could_not_be_stored():
+    """Guards against orders that the next holder does not know of."""
+    cloud = Cloud()
+    cloud.holder = "other"
+    async with scaled("a", cloud=cloud) as (_, (kernel,)):
+        store = kernel.plugin("store").metadata_store
+        store.faults = ["down"] * 10_000
+        cloud.holder = "a"
+        await anyio.sleep(10.0)
+        assert cloud.sent == []
+        store.faults = []
+        await until(lambda: len(cloud.in_force) == 4)
+
+
+async def test_late_write_of_a_former_holder_is_read_before_the_next_order():
+    """Guards against orders based on a state that another instance has replaced."""
+    platform = FakePlatform(LoopClock())
+    async with scaled("a", platform=platform) as (cloud, (kernel,)):
+        await anyio.sleep(5.0)
+        late = ScaleState({}, [("dc-a", True, 33)], 4.0)
+        puts = ((ROW, msgspec.msgpack.encode(late)),)
+        store = kernel.plugin("store").metadata_store
+        await store.transact(Transaction((), puts))
+        kernel.plugin("batches").open_items = lambda: Counter({"r-batch": 120})
+        await until(lambda: cloud.in_force["dc-a", True] == 33)
+        assert counts(stored(platform))["dc-a", True] == 33
+
+
+async def test_row_that_is_not_readable_is_replaced():
+    """Guards against an instance that orders nothing because of a damaged row."""
+    platform = FakePlatform(LoopClock())
+    platform.rows.transact({}, {tuple(ROW): b"\xc1"})
+    async with scaled("a", platform=platform) as (cloud, _):
+        await until(lambda: len(cloud.in_force) == 4)
+    assert counts(stored(platform)) == cloud.in_force
+
+
+async def test_planned_stop_gives_the_duty_up():
+    """Guards against a duty that waits for the end of a lease at each release."""
+    async with scaled("a") as (cloud, (kernel,)):
+        await until(lambda: cloud.holder == "a")
+        kernel.request_stop()
+        await until(lambda: cloud.holder is None)
+        sent = len(cloud.sent)
+        await anyio.sleep(1.0)
+        assert len(cloud.sent) == sent
+
+
+async def test_open_items_of_all_batches_are_counted():
+    """Guards against a demand that is not seen by an instance that runs no batch."""
+    platform = FakePlatform(LoopClock())
+    gates = {("i1", 2): anyio.Event()}
+    platform.client.blocked_events = gates
+    submitted = batch(item("i0", "g0"), item("i1", "g1"))
+    batch_route = route(RequestKind.BATCH, name="r-batch", endpoints_max=3)
+    async with scaled("a", "b", platform=platform) as (_, kernels):
+        batches = [kernel.plugin("batches") for kernel in kernels]
+        for each in batches:
+            del each.open_items
+        assert (await batches[0].submit(submitted, batch_route)).is_ok()
+        await until(lambda: batches[1].open_items() == {"r-batch": 1})
+        gates["i1", 2].set()
+        await until(lambda: batches[1].open_items() == {})
