--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -38,6 +38,7 @@
     "plantainstack.services.forwarding",
     "plantainstack.services.reward_calls",
     "plantainstack.services.batches",
+    "plantainstack.services.scaling.plugin",
     "plantainstack.services.version_orders",
     "plantainstack.front.gateway",
 )
