Accept a batch as soon as the store answers a read

While its feed of batches was lost, an instance refused every submission. A feed whose poll was sent in the silence of the store notices its return up to 1.9 s late (1.4 s of the poll and 0.5 s of back-off); trainers gave up before.

A submission at such an instance now reads the batch's row first, for at most 90 ms, and goes on if that is answered. A read has no effect, so a refusal remains true.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -40,6 +40,9 @@
 NEXT_STEP_PAUSE_S = 0.05
 SUPERVISE_INTERVAL_S = 0.4
 CONFIG_CHECK_S = 0.5
+# A working store answers a read within 20 ms, over a new connection too. A refusal that
+# comes later is of less use to a trainer, which then tries other instances.
+STORE_PROBE_TIMEOUT_S = 0.09
 # Delay after a failed read of the whole table. The feed still shows the batches that
 # are being written, so this delay does little harm.
 TABLE_RETRY_S = 1.0
@@ -194,7 +197,7 @@
         if entry is not None and self._is_open_to(entry.row, batch.tenant):
             log.event("batch.known", batch.id, version=entry.row.version)
             return Ok(None)
-        if self._feed.lost_for(self.kernel.clock.now()) > STORE_OUTAGE_MAX_S:
+        if not await self._store_answers(batch.id):
             log.event("batch.refused", batch.id, reason="the store does not answer")
             message = "the store does not answer"
             return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
@@ -205,6 +208,19 @@
         finally:
             self._accepting.discard(batch.id)
 
+    async def _store_answers(self, batch_id: str) -> bool:
+        """Return whether the store answers; read a row of it if the feed is lost.
+
+        A lost feed notices the return of a silent store up to 1.9 s late. A write could
+        be done later although its submission was refused; a read has no effect.
+        """
+        if self._feed.lost_for(self.kernel.clock.now()) <= STORE_OUTAGE_MAX_S:
+            return True
+        found = None
+        with anyio.move_on_after(STORE_PROBE_TIMEOUT_S):
+            found = await self._batch_store.state(batch_id)
+        return found is not None and found.is_ok()
+
     def _choose_owner(self, route: Route) -> str:
         steps = [
             StepOwner(
