--- a/plantainstack/policy/endpoint_speed.py
+++ b/plantainstack/policy/endpoint_speed.py
@@ -143,6 +143,10 @@
         age_s = max(0.0, now - found.observed_at)
         return SpeedEstimate(exp(mean), usual_s * exp(mean), sqrt(variance), age_s)
 
+    def is_known(self, endpoint: Endpoint) -> bool:
+        """Return whether there is an estimate for an endpoint."""
+        return endpoint.incarnation() in self._estimates
+
     def forget(self, endpoints: Sequence[Endpoint]) -> None:
         """Delete the estimates of endpoints that have gone."""
         for endpoint in endpoints:
--- a/plantainstack/policy/load_balancing.py
+++ b/plantainstack/policy/load_balancing.py
@@ -88,12 +88,14 @@
         healthy = [end for end in ready if self._state(end).avoid_until <= now]
         best: tuple[float, str] | None = None
         chosen = None
-        lowest_latency_s = self.best_expected_latency(ready, now)
+        latencies = {end.id: self.expected_latency(end, now) for end in ready}
+        known = [latency_s for latency_s in latencies.values() if latency_s is not None]
+        lowest_s = min(known, default=None)
         for end in healthy or ready:
             load = self.load(end, now)
             if load >= load_max:
                 continue
-            score = (self._score(end, load, lowest_latency_s, now), end.id)
+            score = (self._score(end, load, latencies[end.id], lowest_s), end.id)
             if best is None or score < best:
                 best, chosen = score, Selection(end, load)
         return chosen
@@ -188,16 +190,6 @@
         speed = self._speeds.estimate(endpoint, now)
         return self.latency(endpoint, now) if speed is None else speed.seconds
 
-    def best_expected_latency(
-        self, endpoints: Sequence[Endpoint], now: float
-    ) -> float | None:
-        """Return the lowest expected latency in seconds, or None without one."""
-        latencies = [self.expected_latency(endpoint, now) for endpoint in endpoints]
-        return min(
-            (latency_s for latency_s in latencies if latency_s is not None),
-            default=None,
-        )
-
     def best_latency(self, endpoints: Sequence[Endpoint], now: float) -> float | None:
         """Return the lowest latency among endpoints in seconds, or None without one."""
         latencies = [self.latency(endpoint, now) for endpoint in endpoints]
@@ -276,16 +268,15 @@
         self,
         endpoint: Endpoint,
         load: float,
-        lowest_latency_s: float | None,
-        now: float,
+        latency_s: float | None,
+        lowest_s: float | None,
     ) -> float:
         remote = endpoint.data_centre != self._data_centre
         base = load + 1 / endpoint.slots + (REMOTE_PENALTY if remote else 0.0)
-        latency_s = self.expected_latency(endpoint, now)
-        if latency_s is None or not lowest_latency_s:
+        if latency_s is None or not lowest_s:
             return base
-        slowness = max(1.0, latency_s / lowest_latency_s)
-        if self._speeds.estimate(endpoint, now) is not None:
+        slowness = max(1.0, latency_s / lowest_s)
+        if self._speeds.is_known(endpoint):
             slowness **= SPEED_EXPONENT
         return base * min(SLOW_FACTOR_MAX, slowness)
 
