Place items of batches with regard to cached prompts

The items of a group are sent within milliseconds of each other, so that they arrive before the first of them has been prefilled; long items and full endpoints scatter a group further. Half of the prompt tokens that endpoints prefilled had been prefilled before for the same weights.

The setting prefix_cache in the new section [placement] chooses between four ways: off, group (the default, which places as before), most, and weighed. The last one chooses the endpoint of the earliest expected start by the wait for a slot and the prefill of what is probably not cached there, and lets a group wait for its first item, and for the first one at each other endpoint, until that is prefilled, meanwhile starting items of other groups.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -139,6 +139,27 @@
     ["reason"],
     registry=REGISTRY,
 )
+PROMPT_PLACEMENTS = Counter(
+    "plantainstack_prompt_placements",
+    "Items with a shared prompt that were placed, by whether their endpoint probably"
+    " has it cached (hit) or by the cause of the miss.",
+    ["result"],
+    registry=REGISTRY,
+)
+PROMPT_TOKENS = Counter(
+    "plantainstack_prompt_tokens",
+    "Shared prompt tokens of placed items that are expected to be cached, prefilled"
+    " for the first time (new), or prefilled again (repeated).",
+    ["expected"],
+    registry=REGISTRY,
+)
+PROMPT_WAITS = Counter(
+    "plantainstack_prompt_waits",
+    "Items that waited for the first one of their group, by the end: placed where its"
+    " prompt is cached (hit) or elsewhere (lost).",
+    ["end"],
+    registry=REGISTRY,
+)
 REWARD_CALLS = Counter(
     "plantainstack_reward_calls",
     "Attempts at reward calls, by service and end.",
--- a/plantainstack/platform/servers.py
+++ b/plantainstack/platform/servers.py
@@ -25,6 +25,7 @@
 )
 from plantainstack.links.events import EventTooLarge, SseDecoder, SseEvent
 from plantainstack.platform import names, records
+from plantainstack.platform.prompts import decode_prompt
 from plantainstack.policy.answer_binding import AnswerRule
 from plantainstack.policy.answer_memory import AnswerMemory, Reservation
 from plantainstack.serving import (
@@ -37,6 +38,7 @@
     LoadMode,
     OpenStream,
     OrderAnswer,
+    Prompt,
     StreamEvent,
     StreamHead,
     VersionOrder,
@@ -94,6 +96,10 @@
         """Call `listener` for each answer whose endpoint says in it that it leaves."""
         self._leaving_listeners.append(listener)
 
+    def prompt(self, headers: Sequence[tuple[str, str]]) -> Prompt | None:
+        """Return the prompt that a request's headers describe, None without one."""
+        return decode_prompt(headers)
+
     async def call(
         self, endpoint: Endpoint, call: EndpointCall
     ) -> Result[EndpointAnswer, Failure]:
--- a/plantainstack/policy/load_balancing.py
+++ b/plantainstack/policy/load_balancing.py
@@ -102,10 +102,18 @@
 
     def load(self, endpoint: Endpoint, now: float) -> float:
         """Return the number of requests at an endpoint as a share of its slots."""
+        others = self.other_requests(endpoint, now)
+        return (self._state(endpoint).own_requests + others) / endpoint.slots
+
+    def other_requests(self, endpoint: Endpoint, now: float) -> float:
+        """Return the requests of other instances that an endpoint last reported."""
         state = self._state(endpoint)
         fresh = now - state.reported_at < REPORT_AGE_MAX_S
-        others = state.other_requests if fresh else 0.0
-        return (state.own_requests + others) / endpoint.slots
+        return state.other_requests if fresh else 0.0
+
+    def is_remote(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is in another data centre than this process."""
+        return endpoint.data_centre != self._data_centre
 
     def report_age_s(self, endpoint: Endpoint, now: float) -> float | None:
         """Return the age in seconds of the load report in use, or None without one."""
@@ -271,8 +279,8 @@
         latency_s: float | None,
         lowest_s: float | None,
     ) -> float:
-        remote = endpoint.data_centre != self._data_centre
-        base = load + 1 / endpoint.slots + (REMOTE_PENALTY if remote else 0.0)
+        penalty = REMOTE_PENALTY if self.is_remote(endpoint) else 0.0
+        base = load + 1 / endpoint.slots + penalty
         if latency_s is None or not lowest_s:
             return base
         slowness = max(1.0, latency_s / lowest_s)
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -88,7 +88,7 @@
     async def run(self) -> None:
         """Run until all results are stored, the batch ends or it has a new owner."""
         order = batch_scheduling.item_order(self.batch)
-        self._placement.long_items = {item.id for item in order.long}
+        self._placement.prompts.long_items = {item.id for item in order.long}
         items = [
             item
             for item in order.long + order.others
@@ -118,7 +118,10 @@
         await self._writer.release(self.stop)
 
     async def _start_items(self, tasks, items: list[Item]) -> None:
-        for number, item in enumerate(items, 1):
+        prompts = self._placement.prompts
+        starts = prompts.begin_starts(items)
+        for number in range(1, len(items) + 1):
+            item = await prompts.next_item(starts)
             if number % START_ITEMS == 0:
                 await self._clock.sleep_until(self._clock.now() + START_GAP_S)
             run = ItemRun(item, self.batch, self._placement.route.single_version)
@@ -132,6 +135,7 @@
                 since = self._clock.now()
                 with contained("BatchRun._start_items", item=item.id):
                     endpoint = await self._placement.reserve(run, frozenset(), since)
+            prompts.record_started(item)
             self._writer.begin(run)
             tasks.start_soon(self._run_item, run, endpoint)
 
@@ -317,6 +321,10 @@
 
     def _record_event(self, attempt: Attempt) -> None:
         now = self._clock.now()
+        if attempt.last_event_at is None:
+            self._placement.prompts.record_first_event(
+                attempt.run.item, attempt.endpoint
+            )
         attempt.last_event_at = now
         sample = attempt.pace.record(now)
         if sample is not None:
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -6,6 +6,7 @@
 from plantainstack.plugins import Plugin
 from plantainstack.policy.endpoint_view import EndpointView
 from plantainstack.policy.load_balancing import LoadBalancer
+from plantainstack.policy.prefix_cache import PrefixCaches
 from plantainstack.policy.rate_limits import RateLimits
 from plantainstack.services.feeds import ChangeNotifier, FeedReader
 from plantainstack.services.shared_calls import SharedCalls
@@ -56,6 +57,10 @@
         self.last_step_at: dict[str, float] = {}
         self.view = EndpointView()
         self.balancer = LoadBalancer(kernel.settings.instance.data_centre)
+        self.prefix_caches = PrefixCaches(
+            kernel.settings.placement.cache_tokens,
+            kernel.settings.placement.prefill_rate * 1000.0,
+        )
         self.rate_limits = RateLimits()
         self.changed = ChangeNotifier()
         self._operator_feed: FeedReader | None = None
@@ -177,6 +182,7 @@
     def record_version(self, endpoint: Endpoint, model: str, version: int) -> None:
         """Record the weight version that an endpoint stated in a response."""
         self._reported_versions[endpoint.incarnation(), model] = version
+        self.prefix_caches.record_versions(endpoint, {model: version})
 
     def reported_version(self, endpoint: Endpoint, model: str) -> int:
         """Return the last version that an endpoint stated in a response, or 0."""
@@ -258,6 +264,8 @@
                 self._log_leaving(after, "registration")
         for id, endpoint in known.items():
             old = before.get(id)
+            if endpoint != old:
+                self.prefix_caches.record_versions(endpoint, endpoint.versions)
             if old is None or old.incarnation() != endpoint.incarnation():
                 log.event(
                     "endpoint.known",
@@ -268,6 +276,7 @@
         if gone:
             self.kernel.plugin("store").endpoint_client.drop_connections(gone)
             self.balancer.forget(gone)
+            self.prefix_caches.forget(gone)
             self.rate_limits.forget(gone)
             metrics.LIMITED_ENDPOINTS.set(self.rate_limits.count())
             ended = {endpoint.incarnation() for endpoint in gone}
--- a/plantainstack/services/item_migration.py
+++ b/plantainstack/services/item_migration.py
@@ -178,7 +178,7 @@
             to=to.id if to else None,
             pace_there_s=balancer.latency(to, now) if to else None,
         )
-        self._placement.move_group(attempt.run.item.group, attempt.endpoint, to)
+        self._placement.prompts.move_group(attempt.run.item, attempt.endpoint, to)
         attempt.scope.cancel()
 
 
--- a/plantainstack/services/item_placement.py
+++ b/plantainstack/services/item_placement.py
@@ -9,7 +9,9 @@
 from plantainstack.interfaces import Priority
 from plantainstack.policy import route_table, software_versions
 from plantainstack.policy.item_runs import ItemRun
+from plantainstack.policy.prefix_placement import LOAD_MAX as LOAD_MAX
 from plantainstack.policy.software_versions import SoftwareVersion, software_of
+from plantainstack.services.prompt_placement import PromptPlacement
 from plantainstack.serving import (
     Batch,
     Endpoint,
@@ -25,8 +27,6 @@
 # Interval of trial requests while no endpoint is known to have recent weights. Loading
 # weights takes about 1 s, and each request sent too early costs a connection.
 PROBE_INTERVAL_S = 0.4
-# Number of requests per slot above which an endpoint queues them.
-LOAD_MAX = 1.0
 
 
 def batch_route(cfg: ServingConfig, batch: Batch) -> Route | None:
@@ -40,9 +40,8 @@
 class ItemPlacement:
     """Reserve slots for the items of one batch, under the route in force.
 
-    `long_items` holds the ids of items that are likely to be long. `on_route_gone` is
-    called when the batch no longer has a route. `deadline` is the time after which no
-    item is sent, in monotonic seconds.
+    `on_route_gone` is called when the batch no longer has a route. `deadline` is the
+    time after which no item is sent, in monotonic seconds.
     """
 
     def __init__(
@@ -50,7 +49,6 @@
     ):
         self.batch = batch
         self.route = route
-        self.long_items: set[str] = set()
         self._clock = kernel.clock
         self.deadline = self._clock.now() + route.queue_limit_s
         self._discovery = kernel.plugin("discovery")
@@ -59,12 +57,12 @@
         self._next_probe_at = 0.0
         self._rng = random.Random(batch.id)
         self._slot_freed = anyio.Event()
-        self._group_endpoints: dict[str, str] = {}
+        self.prompts = PromptPlacement(kernel, batch)
 
     async def reserve(
         self, run: ItemRun, exclude: frozenset[str], since: float
     ) -> Endpoint | None:
-        """Reserve a slot, at the endpoint of the item's group if that has one free.
+        """Reserve a slot at the endpoint that suits the item's prompt, if one is free.
 
         A text that is given up for a slot at another software version is discarded;
         `since` is the time of its last event, or of the start of its wait. `exclude`
@@ -77,6 +75,7 @@
             if endpoint is not None:
                 self._permits.take(endpoint, Priority.ROLLOUT)
                 self._discovery.balancer.request_started(endpoint)
+                self.prompts.record_sent(run.item, endpoint)
                 return endpoint
             with anyio.move_on_after(SLOT_RETRY_S):
                 await self._slot_freed.wait()
@@ -94,16 +93,6 @@
             end for end in self._usable_endpoints() if self._has_recent_weights(end)
         ]
 
-    def move_group(self, group: str, endpoint: Endpoint, to: Endpoint | None) -> None:
-        """Place further items of all groups elsewhere, those of `group` at `to`."""
-        self._group_endpoints = {
-            group: id
-            for group, id in self._group_endpoints.items()
-            if id != endpoint.id
-        }
-        if to is not None:
-            self._group_endpoints[group] = to.id
-
     def apply_current_route(self) -> None:
         """Apply the current route; without one, no more items are sent."""
         found = batch_route(self._discovery.serving, self.batch)
@@ -201,28 +190,8 @@
     def _choose_from(
         self, endpoints: list[Endpoint], item: Item, exclude: frozenset[str]
     ) -> Endpoint | None:
-        balancer = self._discovery.balancer
-        now = self._clock.now()
         usable = self._permits.open_endpoints(endpoints, Priority.ROLLOUT)
-        if item.id in self.long_items:
-            fast = [end for end in usable if end.id not in exclude]
-            selection = balancer.choose_fastest(fast, now, LOAD_MAX)
-            if selection is not None:
-                return selection.endpoint
-        preferred = self._group_endpoints.get(item.group)
-        for endpoint in usable:
-            if (
-                endpoint.id == preferred
-                and endpoint.id not in exclude
-                and not balancer.is_avoided(endpoint, now)
-                and balancer.load(endpoint, now) < LOAD_MAX
-            ):
-                return endpoint
-        selection = balancer.choose(usable, now, exclude, LOAD_MAX)
-        if selection is None:
-            return None
-        self._group_endpoints[item.group] = selection.endpoint.id
-        return selection.endpoint
+        return self.prompts.choose(item, usable, exclude)
 
     def _candidates(self) -> list[Endpoint]:
         """Return the endpoints that an item without text may be sent to."""
--- a/plantainstack/serving.py
+++ b/plantainstack/serving.py
@@ -349,6 +349,24 @@
     tenant: str = ""
 
 
+class Prompt(NamedTuple):
+    """Describe the prompt of a request by its parts: pairs of an id and its tokens.
+
+    The parts are in order; the last one belongs to the request alone.
+    """
+
+    model: str
+    parts: tuple[tuple[str, int], ...]
+
+    def shared(self) -> tuple[tuple[str, int], ...]:
+        """Return the parts that other requests may begin with, too."""
+        return self.parts[:-1]
+
+    def tokens(self) -> int:
+        """Return the tokens of all parts."""
+        return sum(tokens for _, tokens in self.parts)
+
+
 class ItemState(StrEnum):
     """Describe the final state of an item."""
 
@@ -557,3 +575,7 @@
     @abstractmethod
     def drop_connections(self, endpoints: Sequence[Endpoint]) -> None:
         """Drop the connection pools of endpoints that were removed."""
+
+    def prompt(self, headers: Sequence[tuple[str, str]]) -> Prompt | None:
+        """Return the prompt that a request's headers describe, None without one."""
+        return None
--- a/plantainstack/settings/node.py
+++ b/plantainstack/settings/node.py
@@ -8,6 +8,7 @@
 from plantainstack.settings.options import (
     AddressOption,
     Boolean,
+    Choice,
     Duration,
     Number,
     OptionalAddress,
@@ -74,6 +75,23 @@
     usage_due = Duration("10 s", help="Time after its end for reporting a window.")
 
 
+class PlacementOptions(Options):
+    """Options of the section `placement`: how items find their endpoints."""
+
+    prefix_cache = Choice(
+        ("off", "group", "most", "weighed"),
+        "group",
+        help="How cached prompts count: not at all; a group of a batch stays at one"
+        " endpoint; always where most is cached; weighed against the wait.",
+    )
+    cache_tokens = Number(
+        "64000", help="Tokens of prompts that an endpoint keeps cached.", minimum=1.0
+    )
+    prefill_rate = Number(
+        "500", help="Prompt tokens that an endpoint prefills in 1 ms.", minimum=1.0
+    )
+
+
 class NodeSettings(NamedTuple):
     """The validated settings of one instance."""
 
@@ -83,6 +101,7 @@
     memory: MemoryOptions
     tenants: TenantOptions
     duties: DutyOptions
+    placement: PlacementOptions
 
     def log_path(self) -> Path | None:
         """Return None, since the log goes to standard output."""
@@ -96,6 +115,7 @@
     "memory": MemoryOptions,
     "tenants": TenantOptions,
     "duties": DutyOptions,
+    "placement": PlacementOptions,
 }
 
 
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -11,6 +11,7 @@
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.interfaces import PlainAnswer
 from plantainstack.kernel import Kernel
+from plantainstack.platform.prompts import decode_prompt
 from plantainstack.plugins import Plugin
 from plantainstack.services.batches import Batches
 from plantainstack.services.discovery import Discovery
@@ -186,6 +187,7 @@
         self.endpoints = {"e1": endpoint("e1"), "e2": endpoint("e2")}
         self.client = ScriptedEndpoints(self)
         self.endpoints_released = None
+        self.prefix_cache = "group"
 
 
 class FakeRegistry:
@@ -268,6 +270,9 @@
         self.order_faults = []
         self.delayed_orders = []
 
+    def prompt(self, headers):
+        return decode_prompt(headers)
+
     async def call(self, endpoint, call):
         self.calls.append((call.request_id, endpoint.id))
         self.sent_calls.append(call)
@@ -345,6 +350,9 @@
     def notify_leaving(self, listener):
         self._listeners.append(listener)
 
+    def prompt(self, headers):
+        return self.shared.prompt(headers)
+
     def _check_leaving(self, endpoint, outcome):
         if endpoint.id in self.shared.leaving and outcome.is_ok():
             for listener in self._listeners:
@@ -394,6 +402,9 @@
     settings = SimpleNamespace(
         instance=SimpleNamespace(id=name, data_centre="dc-a", listen=address),
         bounds=SimpleNamespace(order_gap=0.3, grace=5.0, endpoint_notice=2.0),
+        placement=SimpleNamespace(
+            prefix_cache=platform.prefix_cache, cache_tokens=64_000.0, prefill_rate=500
+        ),
     )
     kinds = (
         plugin,
