--- a/plantainstack/policy/prefix_cache.py
+++ b/plantainstack/policy/prefix_cache.py
@@ -121,6 +121,18 @@
                 part = self._add(cache, (prompt.model, id), now, now)
             part.confirmed, part.ready_at = True, min(part.ready_at, now)
 
+    def record_unanswered(self, endpoint: Endpoint, prompt: Prompt) -> None:
+        """Record that a request ended before its answer began.
+
+        It may have been refused, so that nothing was prefilled.
+        """
+        cache = self._caches.get(endpoint.incarnation())
+        for id, _ in prompt.shared() if cache else ():
+            part = cache.parts.get((prompt.model, id))
+            if part is not None and not part.confirmed:
+                del cache.parts[prompt.model, id]
+                self._size -= 1
+
     def record_versions(self, endpoint: Endpoint, versions: Mapping[str, int]) -> None:
         """Record the weight versions of an endpoint; a new one clears its cache.
 
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -218,6 +218,8 @@
             finally:
                 self._attempts.pop(run.item.id, None)
                 self._placement.release(endpoint)
+                if attempt.last_event_at is None:
+                    self._placement.prompts.record_unanswered(run.item, endpoint)
             if result is None:
                 since = attempt.last_event_at or since
                 if attempt.begins_anew and run.events():
--- a/plantainstack/services/prompt_placement.py
+++ b/plantainstack/services/prompt_placement.py
@@ -68,6 +68,12 @@
             event, self._released = self._released, anyio.Event()
             event.set()
 
+    def record_unanswered(self, item: Item, endpoint: Endpoint) -> None:
+        """Record that an attempt at an item ended without an event."""
+        prompt = self._prompt(item)
+        if prompt is not None:
+            self._caches.record_unanswered(endpoint, prompt)
+
     def begin_starts(self, items: Sequence[Item]) -> GroupStarts:
         """Return the order in which the items are started."""
         self._starts = GroupStarts(items, self._waiting_group)
--- a/tests/policy/test_prefix_cache.py
+++ b/tests/policy/test_prefix_cache.py
@@ -33,6 +33,17 @@
     assert caches.expected(B, prompt(), 0.1, 0.0) == 0.0
 
 
+def test_refused_request_leaves_nothing_cached():
+    """Guards against a prompt that counts as cached where it never ran."""
+    caches = caches_with("p", confirmed=False)
+    caches.record_unanswered(A, prompt())
+    assert caches.expected(A, prompt(), 1.0, 0.0) == 0.0
+    assert caches.size() == 0
+    answered = caches_with("p")
+    answered.record_unanswered(A, prompt())
+    assert answered.expected(A, prompt(), 1.0, 0.0) > 1000.0
+
+
 def test_part_counts_only_after_all_before_it():
     """Guards against tokens counted as saved that are prefilled again."""
     caches = caches_with("p")
--- a/tests/services/test_prompt_placement.py
+++ b/tests/services/test_prompt_placement.py
@@ -101,6 +101,24 @@
     assert count(metrics.PROMPT_PLACEMENTS, "weights") - before == 3
 
 
+async def test_endpoint_that_refused_a_prompt_does_not_count_as_having_it():
+    """Guards against groups that go on to an endpoint that never ran their items."""
+    platform = platform_of("weighed")
+    platform.client.statuses["b1-0-0"] = 503
+    async with running(platform, "a") as (kernel,):
+        batches = kernel.plugin("batches")
+        assert (await batches.submit(groups(count=1, size=1), BATCH_ROUTE)).is_ok()
+        opened = platform.client.opened_streams
+        with anyio.fail_after(20.0):
+            while len(opened) < 3:
+                await anyio.sleep(0.01)
+        caches = kernel.plugin("discovery").prefix_caches
+        assert caches.size() <= 2
+        platform.client.statuses.clear()
+        await all_results(batches, "b1", 1)
+        assert caches.size() == 2
+
+
 async def test_silent_first_item_delays_its_group_for_a_short_time_only():
     """Guards against a group that waits for an endpoint that stopped answering."""
     platform = platform_of("weighed")
