Explain where a request or an item would be placed

The command asks a running instance on its metrics address. The instance answers from the state and the decision code of placement, with the reasons for which endpoints are excluded, and neither sends nor reserves anything.

--- a/plantainstack/__main__.py
+++ b/plantainstack/__main__.py
@@ -5,7 +5,7 @@
 import click
 
 from plantainstack import __version__
-from plantainstack.commands import config, drain, report, status, steps, trace
+from plantainstack.commands import config, drain, explain, report, status, steps, trace
 from plantainstack.commands.client import (
     EXIT_CODES_HELP,
     OperatorClient,
@@ -59,6 +59,7 @@
     steps.steps,
     drain.drain,
     report.report,
+    explain.explain,
     trace.trace,
 ):
     main.add_command(command)
--- a/plantainstack/commands/client.py
+++ b/plantainstack/commands/client.py
@@ -37,7 +37,7 @@
 
 
 class OperatorClient(NamedTuple):
-    """Send requests to the operators' API of one instance."""
+    """Send requests to the operators' API of one instance; no token if it is empty."""
 
     server: str
     token: str
@@ -53,7 +53,7 @@
     def request_any(self, method: str, path: str, body: dict | None = None) -> Answer:
         """Send a request and return any answer; exit the process without one."""
         content = None if body is None else json.dumps(body).encode()
-        headers = {"Authorization": f"Bearer {self.token}"}
+        headers = {"Authorization": f"Bearer {self.token}"} if self.token else {}
         timeout = dict.fromkeys(("connect", "read", "write"), REQUEST_TIMEOUT_S)
         url = f"http://{self.server}{path}"
         try:
--- a/plantainstack/front/gateway.py
+++ b/plantainstack/front/gateway.py
@@ -1,5 +1,6 @@
 """The plug-in `gateway`: HTTP listeners of a deployment on a metadata store."""
 
+from plantainstack.front.explanations import Explanations
 from plantainstack.front.server import FrontServer
 from plantainstack.platform.ingress import Ingress, Probes
 from plantainstack.plugins import Plugin
@@ -27,7 +28,7 @@
         self._servers = [
             FrontServer(self.ingress, options.listen, discovery.limits),
             FrontServer(probes, options.probe_listen),
-            FrontServer(probes, options.metrics_listen),
+            FrontServer(Explanations(self.kernel, probes), options.metrics_listen),
         ]
         for server in self._servers:
             tasks.required.start_soon(server.run_until_closed)
--- a/plantainstack/policy/prefix_placement.py
+++ b/plantainstack/policy/prefix_placement.py
@@ -8,6 +8,7 @@
 below LOAD_MAX. Each decision takes time linear in the number of endpoints.
 """
 
+import copy
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -48,6 +49,19 @@
     prompt: Prompt | None
 
 
+class StartCost(NamedTuple):
+    """Hold the parts of the expected seconds until the start at one endpoint.
+
+    `crowding_s` is the cost to other requests, `slower_s` that of a slow endpoint.
+    """
+
+    wait_s: float
+    prefill_s: float
+    crowding_s: float
+    slower_s: float
+    remote_s: float
+
+
 class ItemAffinity(ABC):
     """Choose the endpoints of one batch's items."""
 
@@ -75,6 +89,16 @@
         shared = sum(tokens for _, tokens in prompt.shared())
         return self.expected(endpoint, prompt, now) >= HIT_SHARE * shared
 
+    def preview(self) -> "ItemAffinity":
+        """Return a copy whose choices do not change the ones of this object."""
+        return copy.copy(self)
+
+    def costs(
+        self, request: ItemRequest, endpoints: Sequence[Endpoint], now: float
+    ) -> dict[str, StartCost]:
+        """Return the costs that the choice compares, by endpoint id."""
+        return {}
+
     def move_group(self, group: str, source: Endpoint, to: Endpoint | None) -> None:
         """Place further items of all groups elsewhere, those of `group` at `to`."""
         return
@@ -142,6 +166,12 @@
             self._endpoints[group] = chosen.id
         return chosen
 
+    def preview(self):
+        """Return a copy whose choices do not change the ones of this object."""
+        found = copy.copy(self)
+        found._endpoints = dict(self._endpoints)
+        return found
+
     def move_group(self, group, source, to):
         """Place further items of all groups elsewhere, those of `group` at `to`."""
         self._endpoints = {
@@ -183,13 +213,26 @@
             candidates = [end for end in candidates if seconds[end.id] <= limit]
         return self._earliest(candidates, request.prompt, seconds, now)
 
+    def costs(self, request, endpoints, now):
+        """Return the costs that the choice compares, by endpoint id."""
+        if request.prompt is None or not endpoints:
+            return {}
+        seconds = self._event_seconds(endpoints, now)
+        best_s = min(seconds.values())
+        return {
+            end.id: self._cost(end, request.prompt, seconds[end.id], best_s, now)
+            for end in endpoints
+        }
+
     def _earliest(
         self, candidates, prompt: Prompt, seconds: dict[str, float], now: float
     ) -> Endpoint:
         """Return the candidate of the lowest cost."""
         best_s = min(seconds[end.id] for end in candidates)
         steps = [
-            round(self._cost(end, prompt, seconds[end.id], best_s, now) / COST_STEP_S)
+            round(
+                sum(self._cost(end, prompt, seconds[end.id], best_s, now)) / COST_STEP_S
+            )
             for end in candidates
         ]
         lowest = min(steps)
@@ -216,7 +259,7 @@
         seconds: float,
         best_s: float,
         now: float,
-    ) -> float:
+    ) -> StartCost:
         """Return the expected seconds until the start, with those of other requests."""
         load = self._balancer.load(end, now)
         slowness = max(1.0, seconds / best_s)
@@ -228,7 +271,7 @@
         crowding_s = LOAD_SLOWDOWN * load * seconds
         slower_s = max(0.0, seconds - SPEED_TOLERANCE * best_s)
         remote_s = REMOTE_S if self._balancer.is_remote(end) else 0.0
-        return wait_s + prefill_s + crowding_s + slower_s + remote_s
+        return StartCost(wait_s, prefill_s, crowding_s, slower_s, remote_s)
 
 
 def _rank(shared: str, endpoint: Endpoint) -> int:
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -108,6 +108,15 @@
         await self._writer.run()
         self.stop()
 
+    @property
+    def placement(self) -> ItemPlacement:
+        """Return the placement of the batch's items."""
+        return self._placement
+
+    def attempt(self, item_id: str) -> Attempt | None:
+        """Return the running attempt at an item, None if it does not run."""
+        return self._attempts.get(item_id)
+
     def stop(self) -> None:
         """Cancel all streams and the writing of results at once."""
         self.stopped = True
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -292,6 +292,11 @@
         self._apply_row(batch_id, row)
         return Ok(None)
 
+    def running(self, batch_id: str) -> BatchRun | None:
+        """Return the run of a batch at this instance, None if it does not run here."""
+        entry = self._entries.get(batch_id)
+        return entry.run if entry else None
+
     def _apply_rows(self, found: RowsRead, is_snapshot: bool) -> None:
         changed: dict[str, BatchEntry] = {}
         for row in found.rows:
--- a/plantainstack/services/item_placement.py
+++ b/plantainstack/services/item_placement.py
@@ -89,9 +89,7 @@
 
     def recent_endpoints(self) -> list[Endpoint]:
         """Return the endpoints whose weights are recent enough for the batch."""
-        return [
-            end for end in self._usable_endpoints() if self._has_recent_weights(end)
-        ]
+        return [end for end in self._usable_endpoints() if self.has_recent_weights(end)]
 
     def apply_current_route(self) -> None:
         """Apply the current route; without one, no more items are sent."""
@@ -204,7 +202,7 @@
         item per PROBE_INTERVAL_S is sent anyway: the response states the version that
         the endpoint really has.
         """
-        recent = [end for end in usable if self._has_recent_weights(end)]
+        recent = [end for end in usable if self.has_recent_weights(end)]
         now = self._clock.now()
         if recent or not usable or now < self._next_probe_at:
             return recent
@@ -215,7 +213,8 @@
         service = route_table.pick_service(self.route, self._rng)
         return self._discovery.usable(service)
 
-    def _has_recent_weights(self, endpoint: Endpoint) -> bool:
+    def has_recent_weights(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint's weights are recent enough for the batch."""
         version = endpoint.versions.get(self.batch.model, 0)
         reported = self._discovery.reported_version(endpoint, self.batch.model)
         return max(version, reported) >= self.batch.min_version
--- a/plantainstack/services/prompt_placement.py
+++ b/plantainstack/services/prompt_placement.py
@@ -6,7 +6,12 @@
 
 from plantainstack import log, metrics
 from plantainstack.policy.group_starts import GroupStarts
-from plantainstack.policy.prefix_placement import AFFINITIES, LOAD_MAX, ItemRequest
+from plantainstack.policy.prefix_placement import (
+    AFFINITIES,
+    LOAD_MAX,
+    ItemAffinity,
+    ItemRequest,
+)
 from plantainstack.serving import Batch, Endpoint, Item, Prompt
 
 
@@ -41,9 +46,17 @@
     ) -> Endpoint | None:
         """Return an endpoint with a free slot for an item, or None without one."""
         self._usable = [end for end in usable if end.id not in exclude]
-        request = ItemRequest(item, item.id in self.long_items, self._prompt(item))
+        request = self.request(item)
         return self._affinity.choose(request, usable, exclude, self._clock.now())
 
+    def request(self, item: Item) -> ItemRequest:
+        """Return what the choice for an item is based on."""
+        return ItemRequest(item, item.id in self.long_items, self._prompt(item))
+
+    def preview(self) -> ItemAffinity:
+        """Return the way of choosing, for choices that change nothing."""
+        return self._affinity.preview()
+
     def move_group(self, item: Item, source: Endpoint, to: Endpoint | None) -> None:
         """Place further items of all groups elsewhere, those of the item's at `to`."""
         self._affinity.move_group(item.group, source, to)
--- a/tests/services/test_prompt_placement.py
+++ b/tests/services/test_prompt_placement.py
@@ -30,6 +30,12 @@
     return batch(*found, id=id)
 
 
+def blocked(platform, item_id):
+    """Hold an item up before its first event; return what lets it go on."""
+    gate = platform.client.blocked_events[item_id, 1] = anyio.Event()
+    return gate
+
+
 def platform_of(way):
     platform = FakePlatform(LoopClock())
     platform.prefix_cache = way
@@ -122,7 +128,7 @@
 async def test_silent_first_item_delays_its_group_for_a_short_time_only():
     """Guards against a group that waits for an endpoint that stopped answering."""
     platform = platform_of("weighed")
-    gate = platform.client.blocked_events["b1-0-0", 1] = anyio.Event()
+    gate = blocked(platform, "b1-0-0")
     async with running(platform, "a") as (kernel,):
         batches = kernel.plugin("batches")
         assert (await batches.submit(groups(), BATCH_ROUTE)).is_ok()
