--- a/tools/processes.py
+++ b/tools/processes.py
@@ -38,6 +38,10 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process, by its name."""
+        return self._started[name].pid
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process, by its name."""
         self._started[name].send_signal(number)
