Bound the connections of clients and the parser's time in a turn

A process accepted any number of connections and parsed all that had been read at once, so that a crowd took its memory and descriptors, and chunks of one byte kept its thread busy long after their senders had gone.

A budget derived from [memory] limit and the new [memory] descriptors now bounds the connections and the bytes read. A connection too many closes an idle one, or that which costs the most against what it has delivered.

--- a/plantainstack/front/gateway.py
+++ b/plantainstack/front/gateway.py
@@ -25,7 +25,12 @@
         probes = Probes(self.kernel)
         discovery = self.kernel.plugin("discovery")
         self._servers = [
-            FrontServer(self.ingress, options.listen, discovery.limits),
+            FrontServer(
+                self.ingress,
+                options.listen,
+                discovery.limits,
+                self.kernel.client_budget,
+            ),
             FrontServer(probes, options.probe_listen),
             FrontServer(probes, options.metrics_listen),
         ]
--- a/plantainstack/front/plugin.py
+++ b/plantainstack/front/plugin.py
@@ -44,7 +44,9 @@
             private, kernel, tokens, operators_only=True
         )
         options = kernel.settings.instance
-        self.server = FrontServer(self.middleware, options.listen)
+        self.server = FrontServer(
+            self.middleware, options.listen, budget=kernel.client_budget
+        )
         self.operator_server = FrontServer(operator_middleware, options.operator_listen)
         for server in (self.server, self.operator_server):
             tasks.required.start_soon(server.run_until_closed)
--- a/plantainstack/front/server.py
+++ b/plantainstack/front/server.py
@@ -12,16 +12,27 @@
 import uvicorn
 from eliot.stdlib import EliotHandler
 from starlette.responses import JSONResponse
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.front.answers import error_response
+from plantainstack.front.budget_protocol import BudgetProtocol
 from plantainstack.front.middleware import parse_error_status
+from plantainstack.front.parsing import ParserTurns
+from plantainstack.policy.client_budget import (
+    READ_BYTES_MIN,
+    ClientBudget,
+    ClientSizes,
+)
 from plantainstack.serving import ClientLimits
 from plantainstack.settings.options import Address
 from plantainstack.tasks import contained
 
 BACKLOG = 1024
+# Connections accepted in one turn of the event loop. Those above the budget are closed
+# some turns later, and until then take descriptors.
+ACCEPTS_AT_ONCE = 16
+# Limits of a server that is not for clients, such as that for readiness probes.
+UNSHARED_SIZES = ClientSizes(connections=64, read_bytes=READ_BYTES_MIN)
 # Longer than the idle timeout of common load balancers, which otherwise may send
 # a request on a connection that is being closed.
 KEEP_ALIVE_S = 75
@@ -32,7 +43,7 @@
 PARSER_LIMIT_BYTES = 64 * 1024
 
 
-class FrontProtocol(H11Protocol):
+class FrontProtocol(BudgetProtocol):
     """Send a JSON error response to requests that cannot be parsed.
 
     A response that breaks off does not look complete, whatever ends it regularly.
@@ -94,9 +105,9 @@
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
-    def data_received(self, data: bytes) -> None:
+    def parse(self, events: int) -> None:
         """Parse received data; limit the time until a request head is complete."""
-        super().data_received(data)
+        super().parse(events)
         if not self._has_partial_head():
             self._stop_header_timer()
         elif self._header_timer is None:
@@ -115,7 +126,7 @@
             self.shutdown()
 
     def _has_partial_head(self) -> bool:
-        return self.conn.their_state is h11.IDLE and bool(self.conn.trailing_data[0])
+        return self.conn.their_state is h11.IDLE and self.has_undecided_data()
 
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None:
@@ -135,7 +146,8 @@
 class FrontServer(uvicorn.Server):
     """Serve one listening address, without signal handlers.
 
-    `limits` returns the client limits currently in force.
+    `limits` returns the client limits currently in force. Without a budget, only the
+    connections of this server are bounded.
     """
 
     def __init__(
@@ -143,6 +155,7 @@
         app,
         address: Address,
         limits: Callable[[], ClientLimits] | None = None,
+        budget: ClientBudget | None = None,
     ):
         config = uvicorn.Config(
             app,
@@ -158,8 +171,11 @@
             timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
             h11_max_incomplete_event_size=PARSER_LIMIT_BYTES,
+            backlog=ACCEPTS_AT_ONCE,
         )
         config.client_limits = limits
+        config.client_budget = budget or ClientBudget(UNSHARED_SIZES)
+        config.parser_turns = ParserTurns()
         super().__init__(config)
         _redirect_uvicorn_log()
         self._socket = _listen(address)
@@ -172,6 +188,11 @@
         """Install no signal handlers: the kernel handles signals."""
         yield
 
+    async def startup(self, sockets=None) -> None:
+        """Listen; asyncio has set the backlog to the connections accepted at once."""
+        await super().startup(sockets=sockets)
+        self._socket.listen(BACKLOG)
+
     async def run_until_closed(self) -> None:
         """Serve until `close` is called."""
         try:
--- a/plantainstack/kernel.py
+++ b/plantainstack/kernel.py
@@ -1,5 +1,6 @@
 """The kernel: creates the plug-ins, runs them on one event loop and stops them."""
 
+import resource
 import signal
 import uuid
 from collections.abc import Callable, Iterable
@@ -12,8 +13,9 @@
 from plantainstack.clock import Clock, SystemClock
 from plantainstack.errors import ConfigurationError, KernelError
 from plantainstack.plugins import Plugin
-from plantainstack.policy import answer_memory
+from plantainstack.policy import answer_memory, client_budget
 from plantainstack.policy.answer_memory import AnswerMemory, BodyMemory
+from plantainstack.policy.client_budget import ClientBudget
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.settings.instance import InstanceSettings
 from plantainstack.settings.memory import MemoryOptions
@@ -75,14 +77,23 @@
         self.pause = PauseDetector(self.clock)
         self.trace = TraceBuffer(self.clock)
         self.burn = BurnCounter()
-        options = getattr(settings, "memory", None) or MemoryOptions(limit=0)
+        options = getattr(settings, "memory", None) or MemoryOptions(
+            limit=0, descriptors=0
+        )
         sizes = answer_memory.divide(options.limit)
         self.answer_memory = AnswerMemory(
             sizes.answers, sizes.endpoint, answer_reports.answer_given_up
         )
         self.body_memory = BodyMemory(sizes.bodies)
+        descriptors = (
+            options.descriptors or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        )
+        self.client_budget = ClientBudget(
+            client_budget.divide(options.limit, descriptors)
+        )
         metrics.ANSWER_BYTES.set_function(lambda: self.answer_memory.held)
         metrics.BODY_BYTES.set_function(lambda: self.body_memory.held)
+        metrics.CLIENT_CONNECTIONS.set_function(lambda: len(self.client_budget.clients))
         self._stop_requested = anyio.Event()
         self._plugins = {kind.name: kind(self) for kind in self._sorted(plugin_types)}
 
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -180,6 +180,17 @@
     buckets=(1, 5, 15, 30, 60, 120, 300, 600, 1440),
     registry=REGISTRY,
 )
+CLIENT_CONNECTIONS = Gauge(
+    "plantainstack_client_connections",
+    "Open connections of clients.",
+    registry=REGISTRY,
+)
+CLIENTS_CLOSED = Counter(
+    "plantainstack_clients_closed",
+    "Connections of clients that were closed early, by cause.",
+    ["cause"],
+    registry=REGISTRY,
+)
 FEED_FAILURES = Counter(
     "plantainstack_feed_failures",
     "Reads of a feed of the metadata store that failed, by feed.",
--- a/plantainstack/settings/memory.py
+++ b/plantainstack/settings/memory.py
@@ -1,6 +1,6 @@
-"""Settings of the memory of a process."""
+"""Settings of the memory and the file descriptors of a process."""
 
-from plantainstack.settings.options import Options, Size
+from plantainstack.settings.options import Integer, Options, Size
 
 
 class MemoryOptions(Options):
@@ -10,3 +10,8 @@
         "128 MB",
         help="Memory of this instance, by which answers and bodies are limited.",
     )
+    descriptors = Integer(
+        "0",
+        help="File descriptors of this instance, by which clients' connections are "
+        "limited; 0 for the limit of the process.",
+    )
