Give up large incomplete bodies for smaller ones

Bodies that stop short of their end held the memory for bodies until the idle time-out, and a single one took up to the limit of a body whatever else was open. A body that does not fit now gives up larger ones that are still being received, which get 503 as they have not run.

--- a/plantainstack/front/callers.py
+++ b/plantainstack/front/callers.py
@@ -1,6 +1,5 @@
 """HTTP API for callers: chat completions and calls to plain services."""
 
-import io
 import time
 from collections.abc import AsyncIterator
 from contextlib import aclosing
@@ -23,6 +22,7 @@
     error_content,
     error_response,
 )
+from plantainstack.front.bodies import read_body
 from plantainstack.interfaces import (
     CompletionChunk,
     GenerateRequest,
@@ -39,7 +39,6 @@
 DEFAULT_MAX_TOKENS = 1024
 MAX_TOKENS_LIMIT = 131_072
 KEY_MAX_CHARACTERS = 255
-DISCARD_MAX_BYTES = 16 * 1024 * 1024
 # Time after the deadline in which a slow reader can receive the rest of a stream.
 STALL_LIMIT_S = 30.0
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
@@ -370,35 +369,6 @@
     ]
 
 
-async def read_body(request: Request, limit: int) -> Result[bytes, Failure]:
-    """Read a request body of at most `limit` bytes.
-
-    The rest of a larger body is read and discarded, up to DISCARD_MAX_BYTES:
-    closing a connection with unread bytes resets it, and the caller would not
-    receive the error response.
-    """
-    message = f"the body is limited to {limit} bytes"
-    too_large = Err(Failure.of(ErrorKind.BODY_TOO_LARGE, message))
-    discard_limit = limit + DISCARD_MAX_BYTES
-    declared = int(request.headers.get("content-length", "0"))
-    if declared > discard_limit:
-        return too_large
-    held = request.state.body_memory
-    if not held.may_grow_to(min(declared, limit)):
-        return Err(held.refusal())
-    buffer = io.BytesIO()
-    size = 0
-    async for chunk in request.stream():
-        size += len(chunk)
-        if size > discard_limit:
-            return too_large
-        if size <= limit:
-            if not held.grow_to(size):
-                return Err(held.refusal())
-            buffer.write(chunk)
-    return Ok(buffer.getvalue()) if size <= limit else too_large
-
-
 def _parse_completion(body: bytes) -> Result[CompletionRequest, Failure]:
     try:
         completion = _COMPLETION_DECODER.decode(body)
--- a/plantainstack/front/trainers.py
+++ b/plantainstack/front/trainers.py
@@ -13,6 +13,7 @@
 from plantainstack.decoding import UNDECODABLE
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.front.answers import error_response
+from plantainstack.front.bodies import receiving
 from plantainstack.policy.samples import StepRecord
 from plantainstack.services.step_dependencies import OpenRequest
 from plantainstack.services.step_service import StepService
@@ -183,14 +184,15 @@
 async def _body(request: Request) -> Result[bytes, Failure]:
     held = request.state.body_memory
     buffer = io.BytesIO()
-    async for chunk in request.stream():
-        buffer.write(chunk)
-        if buffer.tell() > BODY_MAX_BYTES:
-            message = f"the body is larger than {BODY_MAX_BYTES} bytes"
-            return Err(Failure.of(ErrorKind.BODY_TOO_LARGE, message))
-        if not held.grow_to(buffer.tell()):
-            return Err(held.refusal())
-    return Ok(buffer.getvalue())
+    with receiving(held):
+        async for chunk in request.stream():
+            buffer.write(chunk)
+            if buffer.tell() > BODY_MAX_BYTES:
+                message = f"the body is larger than {BODY_MAX_BYTES} bytes"
+                return Err(Failure.of(ErrorKind.BODY_TOO_LARGE, message))
+            if not held.grow_to(buffer.tell()):
+                return Err(held.refusal())
+    return Err(held.refusal()) if held.is_given_up else Ok(buffer.getvalue())
 
 
 def _bad_request(message: str) -> Err[Failure]:
--- a/plantainstack/kernel.py
+++ b/plantainstack/kernel.py
@@ -93,6 +93,7 @@
         )
         metrics.ANSWER_BYTES.set_function(lambda: self.answer_memory.held)
         metrics.BODY_BYTES.set_function(lambda: self.body_memory.held)
+        self.body_memory.single_max = self.client_budget.body_bytes_max
         metrics.CLIENT_CONNECTIONS.set_function(lambda: len(self.client_budget.clients))
         self._stop_requested = anyio.Event()
         self._plugins = {kind.name: kind(self) for kind in self._sorted(plugin_types)}
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -23,7 +23,7 @@
 from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
 from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
 from plantainstack.services.forwarding import ClientCall
-from plantainstack.serving import RequestKind, Route, TakeUp
+from plantainstack.serving import ClientLimits, RequestKind, Route, TakeUp
 from plantainstack.tasks import record_exception
 
 # Longest time for which a request for results may wait; the platform specifies 1 s.
@@ -90,17 +90,34 @@
         self, scope, receive, held: BodyReservation
     ) -> bytes | Failure | None:
         limits = self._discovery.limits()
+        refusal = self._refuse_head(scope, limits, held)
+        return refusal or await self._receive_body(receive, limits, held)
+
+    def _refuse_head(
+        self, scope, limits: ClientLimits, held: BodyReservation
+    ) -> Failure | None:
         head = sum(len(name) + len(value) + 4 for name, value in scope["headers"])
         if head > limits.header_bytes:
             text = f"headers are limited to {limits.header_bytes} bytes"
             return Failure.of(ErrorKind.HEADERS_TOO_LARGE, text)
-        if not held.may_grow_to(min(_declared_size(scope), limits.body_bytes)):
+        declared = _declared_size(scope)
+        if declared > limits.body_bytes:
+            return _body_too_large(limits)
+        if not held.may_grow_to(declared):
             return held.refusal()
+        return None
+
+    async def _receive_body(
+        self, receive, limits: ClientLimits, held: BodyReservation
+    ) -> bytes | Failure | None:
         buffer = io.BytesIO()
         while True:
             message = None
-            with anyio.move_on_after(limits.idle_timeout_s):
+            with anyio.move_on_after(limits.idle_timeout_s) as scope:
+                held.give_up = scope.cancel
                 message = await receive()
+            if held.is_given_up:
+                return held.refusal()
             if message is None:
                 text = f"no body data was received for {limits.idle_timeout_s} s"
                 return Failure.of(ErrorKind.REQUEST_TIMEOUT, text)
@@ -108,11 +125,11 @@
                 return None
             buffer.write(message.get("body", b""))
             if buffer.tell() > limits.body_bytes:
-                text = f"the body is limited to {limits.body_bytes} bytes"
-                return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
+                return _body_too_large(limits)
             if not held.grow_to(buffer.tell()):
                 return held.refusal()
             if not message.get("more_body"):
+                held.give_up = None
                 return buffer.getvalue()
 
 
@@ -414,6 +431,11 @@
         await send({"type": "http.response.body", "body": body})
 
 
+def _body_too_large(limits: ClientLimits) -> Failure:
+    text = f"the body is limited to {limits.body_bytes} bytes"
+    return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
+
+
 def _declared_size(scope) -> int:
     """Return the length that the head of a request declares, or 0."""
     text = names.header(scope["headers"], "content-length")
--- a/plantainstack/policy/answer_memory.py
+++ b/plantainstack/policy/answer_memory.py
@@ -1,5 +1,6 @@
 """Bound the memory that answers and the bodies of requests take in one process."""
 
+import math
 import weakref
 from collections.abc import Callable
 from typing import NamedTuple
@@ -11,7 +12,11 @@
 BASE_BYTES = 48 * 10**6
 ANSWERS_BYTES_MIN = 24 * 10**6
 ENDPOINT_BYTES_MIN = 10 * 10**6
-BODIES_BYTES_MIN = 16 * 10**6
+BODIES_BYTES_MIN = 6 * 10**6
+# Share of the limit of all bodies that is for bodies up to this size, so that larger
+# ones which are received slowly do not keep them out.
+SMALL_BODY_BYTES = 64 * 1024
+SMALL_BODIES_SHARE = 1 / 8
 
 
 class Sizes(NamedTuple):
@@ -164,45 +169,111 @@
 class BodyMemory:
     """Limits the bytes that the bodies of all clients' requests take.
 
-    A body that is larger than the limit is taken while there is no other.
+    A body that is larger than the limit is taken while there is no other, up to
+    `single_max()`. Small bodies have a share of their own. For a body that does not
+    fit, larger ones that are still being received are given up, the largest first.
     """
 
     def __init__(self, total: int = BODIES_BYTES_MIN):
         self.total = total
         self.held = 0
+        self.single_max: Callable[[], float] = lambda: math.inf
+        self._open: set[BodyReservation] = set()
 
     def reserve(self) -> "BodyReservation":
         """Return an empty reservation for one body."""
         return BodyReservation(self)
 
+    def fits(self, body: "BodyReservation", size: int) -> bool:
+        """Return whether a body of `size` bytes fits beside all others."""
+        others = self.held - body.size
+        if not others and size > self.total:
+            return size <= self.single_max()
+        return not others or others + size <= self._limit(size)
+
+    def fits_without_larger(self, body: "BodyReservation", size: int) -> bool:
+        """Return whether a body fits once larger, incomplete ones are given up."""
+        if self.fits(body, size):
+            return True
+        larger = sum(each.size for each in self._larger(body, size))
+        others = self.held - body.size - larger
+        return others + size <= self._limit(size)
+
+    def make_room(self, body: "BodyReservation", size: int) -> bool:
+        """Give up larger, incomplete bodies until a body fits; return whether it does.
+
+        No body is given up if that does not suffice.
+        """
+        if not self.fits_without_larger(body, size):
+            return False
+        while not self.fits(body, size):
+            found = max(self._larger(body, size), key=lambda each: each.size)
+            found.abandon()
+        return True
+
+    def resize(self, body: "BodyReservation", size: int) -> None:
+        """Set the bytes of a body."""
+        self.held += size - body.size
+        body.size = size
+        if size:
+            self._open.add(body)
+        else:
+            self._open.discard(body)
+
+    def _limit(self, size: int) -> float:
+        is_small = size <= SMALL_BODY_BYTES
+        return self.total if is_small else self.total * (1 - SMALL_BODIES_SHARE)
+
+    def _larger(self, body: "BodyReservation", size: int) -> "list[BodyReservation]":
+        return [
+            each
+            for each in self._open
+            if each is not body and each.give_up and each.size > size
+        ]
+
 
 class BodyReservation:
-    """The bytes that one body takes, until the context ends."""
+    """The bytes that one body takes, until the context ends.
+
+    `give_up` is set while the body is being received, so that its request has not run,
+    and ends that.
+    """
 
     def __init__(self, memory: BodyMemory):
         self._memory = memory
         self.size = 0
+        self.give_up: Callable[[], None] | None = None
+        self.is_given_up = False
 
     def __enter__(self):
         return self
 
     def __exit__(self, *exc_info):
-        self._memory.held -= self.size
-        self.size = 0
+        self.give_up = None
+        self._memory.resize(self, 0)
 
     def may_grow_to(self, size: int) -> bool:
         """Return whether `size` bytes are to be had now."""
-        others = self._memory.held - self.size
-        return size <= self.size or not others or others + size <= self._memory.total
+        if self.is_given_up:
+            return False
+        return size <= self.size or self._memory.fits_without_larger(self, size)
 
     def grow_to(self, size: int) -> bool:
         """Reserve `size` bytes; return False if they are not to be had."""
-        if not self.may_grow_to(size):
+        if self.is_given_up:
             return False
-        self._memory.held += max(0, size - self.size)
-        self.size = max(size, self.size)
+        if size > self.size:
+            if not self._memory.make_room(self, size):
+                return False
+            self._memory.resize(self, size)
         return True
 
+    def abandon(self) -> None:
+        """Release the bytes in favour of other bodies, and end the receiving."""
+        self.is_given_up = True
+        self._memory.resize(self, 0)
+        self.give_up()
+
     def refusal(self) -> Failure:
         """Return the failure of a request whose body does not fit."""
         message = f"the bodies of other requests take {self._memory.held} bytes"
--- a/plantainstack/policy/client_budget.py
+++ b/plantainstack/policy/client_budget.py
@@ -4,6 +4,7 @@
 160 MB and 1,638 descriptors and above.
 """
 
+import math
 from abc import ABC, abstractmethod
 from enum import IntEnum
 from typing import NamedTuple
@@ -28,10 +29,14 @@
 
 
 class ClientSizes(NamedTuple):
-    """The connections of clients, and the bytes read from them and not yet used."""
+    """The connections of clients, and the bytes read from them and not yet used.
+
+    `memory` is what connections, bodies and answers take together.
+    """
 
     connections: int
     read_bytes: int
+    memory: int = 0
 
 
 def divide(limit: int, descriptors: int) -> ClientSizes:
@@ -40,11 +45,12 @@
     A limit of 0 is not known. The buffers of connections get the half of the memory
     that `answer_memory.divide` leaves for them.
     """
-    buffers = ((limit or SMALLEST_LIMIT_BYTES) - BASE_BYTES) // 2
+    memory = (limit or SMALLEST_LIMIT_BYTES) - BASE_BYTES
+    buffers = memory // 2
     by_descriptors = int((descriptors - FILE_DESCRIPTORS) * CLIENT_SHARE)
     connections = min(by_descriptors, buffers // CONNECTION_BYTES)
     return ClientSizes(
-        max(CONNECTIONS_MIN, connections), max(READ_BYTES_MIN, buffers // 8)
+        max(CONNECTIONS_MIN, connections), max(READ_BYTES_MIN, buffers // 8), memory
     )
 
 
@@ -126,6 +132,15 @@
             return min(found, key=lambda each: costs[each].used_at)
         return max(found, key=lambda each: costs[each].weight())
 
+    def body_bytes_max(self) -> float:
+        """Return the largest body that is taken while there is no other.
+
+        Beside few connections, all are taken that the limits of clients allow.
+        """
+        if len(self.clients) <= CONNECTIONS_MIN:
+            return math.inf
+        return self.sizes.memory - len(self.clients) * CONNECTION_BYTES
+
     def end_turn(self) -> None:
         """Forget the bytes read, at the end of a turn of the event loop."""
         self.read_in_turn = 0
