--- a/tests/policy/test_answer_memory.py
+++ b/tests/policy/test_answer_memory.py
@@ -151,3 +151,26 @@
     limit = max(128, limit_mb) * 10**6
     assert sizes.endpoint < sizes.answers
     assert 48 * 10**6 + sizes.answers + sizes.bodies < 0.76 * limit
+
+
+def test_larger_incomplete_bodies_are_given_up_for_a_smaller_one():
+    """Guards against bodies that stop short of their end and keep others out."""
+    memory, given_up = BodyMemory(100), []
+    with memory.reserve() as complete, memory.reserve() as small:
+        large = memory.reserve()
+        assert complete.grow_to(40) and large.grow_to(39)
+        large.give_up = lambda: given_up.append(large)
+        assert not small.grow_to(61)
+        assert not small.grow_to(39)
+        assert given_up == []
+        assert small.grow_to(38)
+        assert given_up == [large] and not large.grow_to(1)
+        assert memory.held == 78
+
+
+def test_single_body_is_limited_by_the_memory_that_connections_leave():
+    memory = BodyMemory(100)
+    memory.single_max = lambda: 120
+    with memory.reserve() as body:
+        assert body.grow_to(120)
+        assert not body.grow_to(121)
