--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -71,7 +71,7 @@
         with self._kernel.body_memory.reserve() as held:
             body = await self._read_body(scope, receive, held)
             if body is not None:
-                handler = _RequestHandler(self, scope, body, arrived_at, send)
+                handler = _RequestHandler(self, scope, body, held, arrived_at, send)
                 await self._handle(handler, receive)
 
     async def _handle(self, handler: "_RequestHandler", receive) -> None:
@@ -136,13 +136,16 @@
 class _RequestHandler:
     """Handle one request whose body has been read."""
 
-    def __init__(self, ingress: Ingress, scope, body, arrived_at: float, send):
+    def __init__(
+        self, ingress: Ingress, scope, body, held: BodyReservation, arrived_at, send
+    ):
         self._ingress = ingress
         self._kernel = ingress._kernel
         self._forwarding = ingress._forwarding
         self._batches = ingress._batches
         self._scope = scope
         self._body = body
+        self._held = held
         self._arrived_at = arrived_at
         self._send = send
         self._headers = [
@@ -261,7 +264,19 @@
                 await self._send_headers(part.status, part.headers)
         await self._send_body(b"", more=False)
 
+    def _refuse_decoding(self) -> Failure | None:
+        """Refuse a batch whose records do not fit in memory beside its body."""
+        size = len(self._body) + records.decoding_bytes(self._body)
+        if size > self._kernel.client_budget.sizes.memory:
+            text = f"the records of the batch take about {size} bytes"
+            return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
+        return None if self._held.grow_to(size) else self._held.refusal()
+
     async def _submit(self, route: Route) -> _Response:
+        refusal = self._refuse_decoding()
+        if refusal is not None:
+            self._log_refusal(refusal)
+            return _failure_response(refusal)
         decoded = records.decode_batch(
             self._request_id, self._host, self._path, self._body
         )
--- a/plantainstack/platform/records.py
+++ b/plantainstack/platform/records.py
@@ -59,6 +59,7 @@
 _HOST = re.compile(
     r"[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*|(?=.*:)[0-9A-Fa-f:.]{2,45}"
 )
+DECODING_BYTES_PER_QUOTE = 64
 _HEADER_NAME = re.compile(r"[0-9A-Za-z!#$%&'*+.^_`|~-]+")
 # Visible characters of ASCII, without spaces: an id, or the target of a request.
 _VISIBLE = re.compile(r"[!-~]+")
@@ -323,6 +324,15 @@
     return decode(_VERSION, data).map(lambda found: (found.model, found.version))
 
 
+def decoding_bytes(data: bytes) -> int:
+    """Return about how many bytes decoding a batch takes beside its body.
+
+    That is the body once more, and up to 43 bytes were measured for each quotation
+    mark in batches of many small items.
+    """
+    return len(data) + DECODING_BYTES_PER_QUOTE * data.count(b'"')
+
+
 def decode_batch(
     batch_id: str, host: str, path: str, data: bytes
 ) -> Result[Batch, str]:
