--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -327,6 +327,29 @@
     assert (status, "retry-after" in headers) == (503, True)
 
 
+async def test_larger_incomplete_body_is_given_up_with_a_truthful_refusal():
+    """Guards against bodies that stop short of their end and keep others out."""
+    async with gateway(FakePlatform()) as kernel, connected(kernel) as conn:
+        kernel.body_memory.total = 5000
+        head = "POST /s/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4000\r\n"
+        await conn.stream.send(f"{head}\r\n".encode() + bytes(3900))
+        await until(lambda: kernel.body_memory.held == 3900)
+        async with connected(kernel) as other:
+            assert (await other.request("POST", "/s/x", bytes(1500)))[0] == 200
+        assert (await conn.answer())[0] == 503
+
+
+async def test_batch_whose_records_never_fit_is_refused():
+    """Guards against many small items, whose records take ten times their size."""
+    async with gateway(FakePlatform()) as kernel, connected(kernel) as conn:
+        budget = kernel.client_budget
+        budget.sizes = budget.sizes._replace(memory=3000)
+        body = msgspec.json.encode(lot(items=20))
+        headers = {"Plantainstack_Request_Id": "b-1"}
+        status, _, _ = await conn.request("POST", "/a/", body, **headers)
+    assert status == 413
+
+
 @pytest.mark.parametrize(
     ("sent", "status"),
     [(b"GET /s/x HT", 408), (b"POST /s/x HTTP/1.1\r\nHost: a\r\n", 408)],
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -20,6 +20,7 @@
     "bounds.lease_ms": "3000",
     "bounds.drain_ms": "4000",
     "limits.memory_mb": "380",
+    "limits.max_fds": "1638",
 }
 PLACEHOLDER = re.compile(r"{{[a-z_.]+}}")
 SECTION = re.compile(r"{{#([a-z_.]+)}}(.*?){{/\1}}")
@@ -45,13 +46,15 @@
     assert (settings.bounds.grace, settings.bounds.order_gap) == (8.0, 3.0)
     assert settings.bounds.endpoint_notice == 4.0
     assert settings.memory.limit == 380_000_000
+    assert settings.memory.descriptors == 1638
 
 
 def test_memory_limit_may_be_missing_in_the_deployment():
     """Guards against a deployment without this limit that cannot start."""
-    values = {name: text for name, text in VALUES.items() if "memory" not in name}
+    values = {name: text for name, text in VALUES.items() if "limits" not in name}
     settings = parse_node(filled_template(values), "node.ini")
     assert settings.memory.limit == 128_000_000
+    assert settings.memory.descriptors == 0
 
 
 def test_deployment_without_tenants_and_duties_gets_defaults():
