Merge the bounds on untrusted clients

A batch of legal size whose records do not fit in this instance's memory is refused with 503 in place of 413: it has not run, and an instance with more memory may take it.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -24,7 +24,7 @@
 from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
 from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
 from plantainstack.services.forwarding import ClientCall
-from plantainstack.serving import RequestKind, Route, TakeUp
+from plantainstack.serving import ClientLimits, RequestKind, Route, TakeUp
 from plantainstack.tasks import record_exception
 
 # Longest time for which a request for results may wait; the platform specifies 1 s.
@@ -72,7 +72,7 @@
         with self._kernel.body_memory.reserve() as held:
             body = await self._read_body(scope, receive, held)
             if body is not None:
-                handler = _RequestHandler(self, scope, body, arrived_at, send)
+                handler = _RequestHandler(self, scope, body, held, arrived_at, send)
                 await self._handle(handler, receive)
 
     async def _handle(self, handler: "_RequestHandler", receive) -> None:
@@ -91,17 +91,34 @@
         self, scope, receive, held: BodyReservation
     ) -> bytes | Failure | None:
         limits = self._discovery.limits()
+        refusal = self._refuse_head(scope, limits, held)
+        return refusal or await self._receive_body(receive, limits, held)
+
+    def _refuse_head(
+        self, scope, limits: ClientLimits, held: BodyReservation
+    ) -> Failure | None:
         head = sum(len(name) + len(value) + 4 for name, value in scope["headers"])
         if head > limits.header_bytes:
             text = f"headers are limited to {limits.header_bytes} bytes"
             return Failure.of(ErrorKind.HEADERS_TOO_LARGE, text)
-        if not held.may_grow_to(min(_declared_size(scope), limits.body_bytes)):
+        declared = _declared_size(scope)
+        if declared > limits.body_bytes:
+            return _body_too_large(limits)
+        if not held.may_grow_to(declared):
             return held.refusal()
+        return None
+
+    async def _receive_body(
+        self, receive, limits: ClientLimits, held: BodyReservation
+    ) -> bytes | Failure | None:
         buffer = io.BytesIO()
         while True:
             message = None
-            with anyio.move_on_after(limits.idle_timeout_s):
+            with anyio.move_on_after(limits.idle_timeout_s) as scope:
+                held.give_up = scope.cancel
                 message = await receive()
+            if held.is_given_up:
+                return held.refusal()
             if message is None:
                 text = f"no body data was received for {limits.idle_timeout_s} s"
                 return Failure.of(ErrorKind.REQUEST_TIMEOUT, text)
@@ -109,24 +126,27 @@
                 return None
             buffer.write(message.get("body", b""))
             if buffer.tell() > limits.body_bytes:
-                text = f"the body is limited to {limits.body_bytes} bytes"
-                return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
+                return _body_too_large(limits)
             if not held.grow_to(buffer.tell()):
                 return held.refusal()
             if not message.get("more_body"):
+                held.give_up = None
                 return buffer.getvalue()
 
 
 class _RequestHandler:
     """Handle one request whose body has been read."""
 
-    def __init__(self, ingress: Ingress, scope, body, arrived_at: float, send):
+    def __init__(
+        self, ingress: Ingress, scope, body, held: BodyReservation, arrived_at, send
+    ):
         self._ingress = ingress
         self._kernel = ingress._kernel
         self._forwarding = ingress._forwarding
         self._batches = ingress._batches
         self._scope = scope
         self._body = body
+        self._held = held
         self._arrived_at = arrived_at
         self._send = send
         self._headers = [
@@ -277,7 +297,22 @@
                 await self._send_headers(part.status, part.headers)
         await self._send_body(b"", more=False)
 
+    def _refuse_decoding(self) -> Failure | None:
+        """Refuse a batch whose records do not fit in memory beside its body.
+
+        Its size is legal, and an instance with more memory may take it.
+        """
+        size = len(self._body) + records.decoding_bytes(self._body)
+        if size > self._kernel.client_budget.sizes.memory:
+            text = f"the records of the batch take about {size} bytes"
+            return Failure.of(ErrorKind.OVERLOADED, text)
+        return None if self._held.grow_to(size) else self._held.refusal()
+
     async def _submit(self, route: Route) -> _Response:
+        refusal = self._refuse_decoding()
+        if refusal is not None:
+            self._log_refusal(refusal)
+            return _failure_response(refusal)
         decoded = records.decode_batch(
             self._request_id, self._host, self._path, self._body
         )
@@ -455,6 +490,11 @@
         await send({"type": "http.response.body", "body": body})
 
 
+def _body_too_large(limits: ClientLimits) -> Failure:
+    text = f"the body is limited to {limits.body_bytes} bytes"
+    return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
+
+
 def _declared_size(scope) -> int:
     """Return the length that the head of a request declares, or 0."""
     text = names.header(scope["headers"], "content-length")
