Hold tenants to their rates over all instances

Cause: `Tenant.rate_per_s` was read from the configuration but not enforced.

Change: a request on a route that needs a key takes a permit from its tenant's buckets in the store before it is forwarded; above the rate it gets 429 with a Retry-After that spreads the returns.

--- a/plantainstack/errors.py
+++ b/plantainstack/errors.py
@@ -38,6 +38,7 @@
     CONFLICT = "conflict"
     DEADLINE_PASSED = "deadline_passed"
     OVERLOADED = "overloaded"
+    RATE_EXCEEDED = "rate_exceeded"
     NO_ENDPOINT = "no_endpoint"
     QUARANTINED = "quarantined"
     DRAINING = "draining"
@@ -99,6 +100,9 @@
         HTTPStatus.GATEWAY_TIMEOUT, _CHANGE, _NOT_RUN
     ),
     ErrorKind.OVERLOADED: ErrorAnswer(HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN),
+    ErrorKind.RATE_EXCEEDED: ErrorAnswer(
+        HTTPStatus.TOO_MANY_REQUESTS, _LATER, _NOT_RUN
+    ),
     ErrorKind.NO_ENDPOINT: ErrorAnswer(
         HTTPStatus.SERVICE_UNAVAILABLE, _LATER, _NOT_RUN
     ),
--- a/plantainstack/front/gateway.py
+++ b/plantainstack/front/gateway.py
@@ -1,7 +1,8 @@
 """The plug-in `gateway`: HTTP listeners of a deployment on a metadata store."""
 
 from plantainstack.front.server import FrontServer
-from plantainstack.platform.ingress import Ingress, Probes
+from plantainstack.platform.ingress import Ingress
+from plantainstack.platform.probes import Probes
 from plantainstack.plugins import Plugin
 from plantainstack.policy.draining import StopTimes
 
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -60,6 +60,24 @@
     ["reason"],
     registry=REGISTRY,
 )
+TENANT_RATE_REQUESTS = Counter(
+    "plantainstack_tenant_rate_requests",
+    "Requests of tenants with a rate, by tenant and decision (admitted, admitted"
+    " without the store, above the rate, or not known).",
+    ["tenant", "decision"],
+    registry=REGISTRY,
+)
+TENANT_RATE_FETCHES = Counter(
+    "plantainstack_tenant_rate_fetches",
+    "Fetches of permits for the rates of tenants, by end.",
+    ["end"],
+    registry=REGISTRY,
+)
+TENANT_RATE_CONFLICTS = Counter(
+    "plantainstack_tenant_rate_conflicts",
+    "Writes of the rates of tenants that met one of another instance.",
+    registry=REGISTRY,
+)
 CONFIG_VERSION = Gauge(
     "plantainstack_config_version",
     "Version of the fleet configuration in force.",
--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -9,7 +9,6 @@
 
 import anyio
 import msgspec
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from plantainstack import log, metrics
 from plantainstack.decoding import parse_decimal
@@ -125,6 +124,7 @@
         self._kernel = ingress._kernel
         self._forwarding = ingress._forwarding
         self._batches = ingress._batches
+        self._rates = ingress._kernel.plugin("tenant_rates")
         self._scope = scope
         self._body = body
         self._arrived_at = arrived_at
@@ -208,6 +208,15 @@
         self._log_refusal(failure)
         return _failure_response(failure)
 
+    async def _refusal_by_rate(self, route: Route) -> _Response | None:
+        """Refuse a request above the rate of its tenant."""
+        deadline = self._route_deadline(route)
+        failure = await self._rates.refusal(self._tenant, route, deadline)
+        if failure is None:
+            return None
+        self._log_refusal(failure)
+        return _failure_response(failure)
+
     def _resource_deadline(self, method: str) -> float:
         """Return the time by which a request for a batch is answered."""
         longest_s = self._wait_s() + STATE_READ_TIMEOUT_S
@@ -222,8 +231,10 @@
         return self._deadline(route)
 
     async def _forward(self, route: Route) -> None:
-        refusal = self._refusal_by_key(route) or self._refusal_by_stop(
-            self._route_deadline(route)
+        refusal = (
+            self._refusal_by_key(route)
+            or self._refusal_by_stop(self._route_deadline(route))
+            or await self._refusal_by_rate(route)
         )
         if refusal is not None:
             await self._respond(refusal)
@@ -429,32 +440,6 @@
         )
 
 
-class Probes:
-    """ASGI application for the platform's readiness probes and for metrics."""
-
-    def __init__(self, kernel):
-        self._kernel = kernel
-
-    async def __call__(self, scope, receive, send) -> None:
-        """Handle one request."""
-        status, body, content_type = HTTPStatus.NOT_FOUND, b"", "text/plain"
-        if scope["path"] == names.READY_PATH:
-            reason = self._kernel.unready_reason()
-            status = HTTPStatus.SERVICE_UNAVAILABLE if reason else HTTPStatus.OK
-            body = (reason or "ready").encode()
-        elif scope["path"] == "/metrics":
-            status, body = HTTPStatus.OK, generate_latest(metrics.REGISTRY)
-            content_type = CONTENT_TYPE_LATEST
-        headers = [
-            (b"content-type", content_type.encode()),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
-        await send({"type": "http.response.body", "body": body})
-
-
 def _declared_size(scope) -> int:
     """Return the length that the head of a request declares, or 0."""
     text = names.header(scope["headers"], "content-length")
@@ -485,7 +470,7 @@
     if failure.outcome is not Outcome.NOT_RUN and status in NOT_RUN_STATUSES:
         status = HTTPStatus.GATEWAY_TIMEOUT
     headers = [("Content-Type", "application/json")]
-    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+    if status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS):
         wait_s = failure.retry_after_s
         wait_s = RETRY_AFTER_S if wait_s is None else wait_s
         headers.append(("Retry-After", f"{math.ceil(wait_s * 100) / 100}"))
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -33,6 +33,7 @@
     "plantainstack.services.usage.plugin",
     "plantainstack.services.discovery",
     "plantainstack.services.rate_permits",
+    "plantainstack.services.tenant_rates",
     "plantainstack.services.request_losses",
     "plantainstack.services.stream_versions",
     "plantainstack.services.forwarding",
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -199,3 +199,29 @@
         assert kernel.unready_reason() == "the configuration is not confirmed"
         assert count.get() == before + 1
     assert platform.client.calls == []
+
+
+async def test_request_above_the_rate_gets_429_and_is_not_forwarded():
+    """Guards against a refusal that does not tell the truth or when to return."""
+    limited = TenantDirectory(
+        [(Tenant("acme", None, 0.01), ["k-acme"]), (Tenant("bolt"), ["k-bolt"])]
+    )
+    platform = keyed_platform(KEYED._replace(tenants=limited))
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        # Two requests may come at once; a batch and a stream count as one each.
+        assert await submit(conn, ACME) == 202
+        async with connected(kernel) as other:
+            assert await status_of(other, "POST", "/t/x", ACME) == 200
+        sent = len(platform.client.calls)
+        for method, path in (("GET", "/s/x"), ("POST", "/t/x")):
+            status, headers, body = await conn.request(method, path, Authorization=ACME)
+            assert status == 429 and float(headers["retry-after"]) >= 0.25
+            assert b"rate_exceeded" in body
+        assert await submit(conn, ACME, msgspec.json.encode(lot(items=1))) == 429
+        assert (
+            len([call for call, _ in platform.client.calls[sent:] if call == "r1"]) == 0
+        )
+        # Public routes, reads of batches and other tenants are not limited.
+        assert await status_of(conn, "GET", "/p/x", ACME) == 200
+        assert await status_of(conn, "GET", LOT, ACME) == 200
+        assert await status_of(conn, "GET", "/s/x", BOLT) == 200
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -20,6 +20,7 @@
 from plantainstack.services.request_losses import RequestLosses
 from plantainstack.services.reward_calls import RewardCalls
 from plantainstack.services.stream_versions import StreamVersions
+from plantainstack.services.tenant_rates import TenantRates
 from plantainstack.services.usage.plugin import Usage
 from plantainstack.services.version_orders import VersionOrders
 from plantainstack.serving import (
@@ -397,7 +398,9 @@
     settings = SimpleNamespace(
         instance=SimpleNamespace(id=name, data_centre="dc-a", listen=address),
         bounds=SimpleNamespace(order_gap=0.3, grace=5.0, endpoint_notice=2.0),
-        tenants=SimpleNamespace(strict_revocation=False, revocation=5.0),
+        tenants=SimpleNamespace(
+            strict_revocation=False, revocation=5.0, quota_excess=0.1
+        ),
         duties=SimpleNamespace(address=None, kinds=(), calls_per_s=50.0),
     )
     kinds = (
@@ -406,6 +409,7 @@
         Usage,
         Discovery,
         RatePermits,
+        TenantRates,
         RequestLosses,
         StreamVersions,
         Forwarding,
