Give waiting requests of tenants turns at full services

Cause: a request that found all endpoints full failed after up to 6 refusals, whatever its priority, and whichever tenant had taken the slots.

Change: where tenants are configured, it waits at its instance until it has a turn: tenants that were served far less often than all first, then priorities, then tenants in turn. It is refused with a Retry-After if its turn would come too late. Deployments without tenants are as before.

--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -78,6 +78,17 @@
     "Writes of the rates of tenants that met one of another instance.",
     registry=REGISTRY,
 )
+FAIR_WAITING = Gauge(
+    "plantainstack_fair_waiting",
+    "Requests of tenants that wait for a free slot of a full service.",
+    registry=REGISTRY,
+)
+FAIR_REFUSALS = Counter(
+    "plantainstack_fair_refusals",
+    "Requests of tenants refused since a service was full, by service and tenant.",
+    ["service", "tenant"],
+    registry=REGISTRY,
+)
 CONFIG_VERSION = Gauge(
     "plantainstack_config_version",
     "Version of the fleet configuration in force.",
--- a/plantainstack/plugins.py
+++ b/plantainstack/plugins.py
@@ -34,6 +34,7 @@
     "plantainstack.services.discovery",
     "plantainstack.services.rate_permits",
     "plantainstack.services.tenant_rates",
+    "plantainstack.services.fair_waits",
     "plantainstack.services.request_losses",
     "plantainstack.services.stream_versions",
     "plantainstack.services.forwarding",
--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -56,6 +56,7 @@
     name = "forwarding"
     requires = (
         "discovery",
+        "fair_waits",
         "rate_permits",
         "request_losses",
         "store",
@@ -70,6 +71,7 @@
     async def start(self, tasks) -> None:
         """Look up the plug-ins that this one depends on."""
         self.discovery = self.kernel.plugin("discovery")
+        self.fair_waits = self.kernel.plugin("fair_waits")
         self.permits = self.kernel.plugin("rate_permits")
         self.losses = self.kernel.plugin("request_losses")
         self.versions = self.kernel.plugin("stream_versions")
@@ -98,6 +100,7 @@
             answer = await run.answer()
         finally:
             run.count_begin()
+            run.free_slot()
             await run.settle()
         self._record_end(call, route, run, answer, started)
         return answer
@@ -128,6 +131,7 @@
                     if part.is_err():
                         break
         finally:
+            run.free_slot()
             await run.settle()
         self._record_end(call, route, run, part, started)
 
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -16,6 +16,7 @@
 from plantainstack.serving import Endpoint, EndpointCall, Route
 
 if TYPE_CHECKING:
+    from plantainstack.services.fair_waits import FairTurn
     from plantainstack.services.forwarding import ClientCall, Forwarding
 
 
@@ -45,6 +46,8 @@
         # When the first attempt that may have run was sent.
         self._sent_at = 0.0
         self._counted = False
+        # The place among the requests of all tenants, None without tenants.
+        self._turn: FairTurn | None = None
 
     def count_begin(self) -> None:
         """Count the client's request for its tenant once, if it may have run."""
@@ -60,7 +63,36 @@
             self.digest, self._call.request_id, lost, self.answered
         )
 
+    def free_slot(self) -> None:
+        """Let a waiting request have the slot that this one had, if any."""
+        if self._turn is not None and self.ran:
+            self._plugin.fair_waits.slot_freed(self.service)
+
     async def _next_endpoint(self) -> Endpoint | None:
+        """Return the next endpoint; wait for a turn while all refuse the request."""
+        if self._turn is None and not self.tried:
+            fair_waits = self._plugin.fair_waits
+            self._turn = fair_waits.turn(self.service, self._call, self._route)
+            if self._turn is not None and not await self._turn.begin():
+                self._refusal = self._turn.refusal
+                return None
+        endpoint = await self._find_endpoint()
+        while endpoint is None and self._is_refused_by_all():
+            if not await self._turn.wait():
+                self._refusal = self._turn.refusal
+                return None
+            self.tried.clear()
+            self.failures.clear()
+            endpoint = await self._find_endpoint()
+        return endpoint
+
+    def _is_refused_by_all(self) -> bool:
+        """Return whether only full endpoints keep the request from running."""
+        if self._turn is None or self.ran or not self.tried or self._refusal:
+            return False
+        return self.failures[-1].kind is ErrorKind.ENDPOINT_REFUSED
+
+    async def _find_endpoint(self) -> Endpoint | None:
         if self._deadline_passed():
             return None
         counts = AttemptCounts(len(self.tried), self.ran, self.running)
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -15,6 +15,7 @@
 from plantainstack.services.batches import Batches
 from plantainstack.services.discovery import Discovery
 from plantainstack.services.duties.plugin import Duties
+from plantainstack.services.fair_waits import FairWaits
 from plantainstack.services.forwarding import Forwarding
 from plantainstack.services.rate_permits import RatePermits
 from plantainstack.services.request_losses import RequestLosses
@@ -410,6 +411,7 @@
         Discovery,
         RatePermits,
         TenantRates,
+        FairWaits,
         RequestLosses,
         StreamVersions,
         Forwarding,
