Start the gateway after the rates of tenants

Cause: the ingress uses the plug-in, but the order of starting did not say so, so a request could have come before it was started.

Change: the gateway requires it.

--- a/plantainstack/front/gateway.py
+++ b/plantainstack/front/gateway.py
@@ -17,7 +17,7 @@
     """Listen on the instance's addresses and shut the listeners down gracefully."""
 
     name = "gateway"
-    requires = ("forwarding", "batches", "version_orders")
+    requires = ("forwarding", "batches", "tenant_rates", "version_orders")
 
     async def start(self, tasks) -> None:
         """Start the listeners for clients, probes and metrics."""
