--- a/plantainstack/front/gateway.py
+++ b/plantainstack/front/gateway.py
@@ -2,7 +2,8 @@
 
 from plantainstack.front.explanations import Explanations
 from plantainstack.front.server import FrontServer
-from plantainstack.platform.ingress import Ingress, Probes
+from plantainstack.platform.ingress import Ingress
+from plantainstack.platform.probes import Probes
 from plantainstack.plugins import Plugin
 from plantainstack.policy.draining import StopTimes
 
@@ -17,7 +18,7 @@
     """Listen on the instance's addresses and shut the listeners down gracefully."""
 
     name = "gateway"
-    requires = ("forwarding", "batches", "version_orders")
+    requires = ("forwarding", "batches", "tenant_rates", "version_orders")
 
     async def start(self, tasks) -> None:
         """Start the listeners for clients, probes and metrics."""
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -16,11 +16,13 @@
 from plantainstack.services.batches import Batches
 from plantainstack.services.discovery import Discovery
 from plantainstack.services.duties.plugin import Duties
+from plantainstack.services.fair_waits import FairWaits
 from plantainstack.services.forwarding import Forwarding
 from plantainstack.services.rate_permits import RatePermits
 from plantainstack.services.request_losses import RequestLosses
 from plantainstack.services.reward_calls import RewardCalls
 from plantainstack.services.stream_versions import StreamVersions
+from plantainstack.services.tenant_rates import TenantRates
 from plantainstack.services.usage.plugin import Usage
 from plantainstack.services.version_orders import VersionOrders
 from plantainstack.serving import (
@@ -406,7 +408,9 @@
         instance=SimpleNamespace(id=name, data_centre="dc-a", listen=address),
         bounds=SimpleNamespace(order_gap=0.3, grace=5.0, endpoint_notice=2.0),
         duties=SimpleNamespace(address=None, kinds=(), calls_per_s=50.0),
-        tenants=SimpleNamespace(strict_revocation=False, revocation=5.0),
+        tenants=SimpleNamespace(
+            strict_revocation=False, revocation=5.0, quota_excess=0.1
+        ),
         placement=SimpleNamespace(
             prefix_cache=platform.prefix_cache, cache_tokens=64_000.0, prefill_rate=500
         ),
@@ -417,6 +421,8 @@
         Usage,
         Discovery,
         RatePermits,
+        TenantRates,
+        FairWaits,
         RequestLosses,
         StreamVersions,
         Forwarding,
