Look the platform's name up beside the event loop

The client of duties connected its socket with the name from the settings. For a name that is not an address, connect() calls the resolver in the event loop's thread: a name server that does not answer stopped the whole process for seconds, at each call. The name is now looked up asynchronously, within the time limit of the call.

--- a/plantainstack/platform/duties.py
+++ b/plantainstack/platform/duties.py
@@ -57,8 +57,15 @@
 
     async def connect(self, address: Address) -> None:
         """Open the connection; raise OSError if this fails."""
+        # `connect` would look up a name in the event loop's thread.
+        found = await anyio.getaddrinfo(
+            address.host,
+            address.port,
+            family=socket.AF_INET,
+            type=socket.SOCK_STREAM,
+        )
         with contextlib.suppress(BlockingIOError):
-            self._sock.connect((address.host, address.port))
+            self._sock.connect(found[0][4])
         await anyio.wait_writable(self._sock)
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import threading
 
 import pytest
 
@@ -122,3 +123,23 @@
         address = Address(*server.getsockname())
     found = await client_of(address).report_usage(REPORT, grant())
     assert found.unwrap_err().outcome is Outcome.NOT_RUN
+
+
+async def test_name_of_the_platform_is_looked_up_beside_the_event_loop(monkeypatch):
+    """Guards against a process that stands still while a name server is silent."""
+    look_up = socket.getaddrinfo
+    threads = []
+
+    def getaddrinfo(host, *args, **kwargs):
+        if host in ("platform.test", b"platform.test"):
+            threads.append(threading.get_ident())
+            host = "127.0.0.1"
+        return look_up(host, *args, **kwargs)
+
+    monkeypatch.setattr(socket, "getaddrinfo", getaddrinfo)
+    standin = DutiesStandin()
+    async with serving(standin) as address:
+        client = client_of(Address("platform.test", address.port))
+        assert (await client.report_usage(REPORT, grant())).is_ok()
+    assert threads
+    assert threading.get_ident() not in threads
