Forget what is cached of a batch whose id another tenant uses

A state row that an instance reads is applied to the entry of the same id. If the instance had missed the removal of a batch, the batch that another tenant stored under its id was given the entry of the former one, with its cached results and items: its readers got the former tenant's bodies, and a takeover ran the former items. The entry is now replaced if the row is newer and of another tenant.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -366,6 +366,12 @@
     def _apply_row(self, batch_id: str, row: StateRow) -> BatchEntry:
         now = self.kernel.clock.now()
         entry = self._entries.get(batch_id)
+        if entry is not None and _is_reused(entry.row, row):
+            # What is cached belongs to the batch that had this id before.
+            if entry.run is not None:
+                entry.run.stop()
+            self._cache.remove(batch_id)
+            entry = None
         if entry is None:
             entry = self._entries[batch_id] = BatchEntry(row, now)
             if not row.state.listed and not row.state.ended:
@@ -586,3 +592,8 @@
             log.event("batch.not_removed", batch_id, reason=reason)
             return
         self._cache.remove(batch_id)
+
+
+def _is_reused(known: StateRow, row: StateRow) -> bool:
+    """Return whether a newer row is that of another tenant's batch with the same id."""
+    return row.version > known.version and row.state.tenant != known.state.tenant
--- a/tests/services/test_tenant_batches.py
+++ b/tests/services/test_tenant_batches.py
@@ -93,6 +93,26 @@
         assert (await page_of(batches, "acme")).is_err()
 
 
+async def test_reused_id_does_not_show_what_is_cached_of_the_former_batch():
+    """Guards against results and bodies of a removed batch in another tenant's."""
+    platform = keyed_platform()
+    async with running(platform, "a") as (kernel,):
+        batches = kernel.plugin("batches")
+        assert (await batches.submit(acme_batch(), BATCH_ROUTE)).is_ok()
+        await until(lambda: batches._entries["b1"].row.state.is_final())
+        stale = batches._entries["b1"]
+        platform.rows.transact({}, {}, [STATE])
+        await until(lambda: "b1" not in batches._entries)
+        other = BatchStore(MemoryStore(platform.rows, SystemClock()), SystemClock())
+        own_item = item("i0")._replace(body=b"of bolt")
+        owned = batch(own_item)._replace(tenant="bolt")
+        assert (await other.accept(owned, "r-batch", "z")).unwrap()[1]
+        batches._entries["b1"] = stale
+        assert (await page_of(batches, "bolt")).unwrap().results == []
+        body = (await batches.item_body("b1", "i0", "bolt")).unwrap()
+        assert body == b"of bolt"
+
+
 async def test_removal_of_the_key_does_not_end_the_batch_of_a_lost_owner():
     """Guards against items that end, or lose their tenant, with their key."""
     platform = keyed_platform()
