Check the tenant of what is read by the id of a batch

An instance that had missed the removal of a batch read items and results from the store by the id alone: if another tenant had used the id since, the former tenant got bodies and results of the present batch. The tenant in the stored items is now compared with that of the state, and results that were read are confirmed by a read of the state after them. Without tenants there is no further read.

--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -155,7 +155,7 @@
             source = ReadSource.STORE
         if after >= entry.row.state.listed:
             return Ok(ResultPage(entry.row.state.total, [], source))
-        return await self._read_page(entry, batch_id, after)
+        return await self._read_page(entry, batch_id, after, tenant)
 
     def _known(self, batch_id: str, tenant: str | None) -> BatchEntry | None:
         """Return a batch that this instance remembers as one that the tenant may use.
@@ -185,7 +185,7 @@
             self.waiting -= 1
 
     async def _read_page(
-        self, entry: BatchEntry, batch_id: str, after: int
+        self, entry: BatchEntry, batch_id: str, after: int, tenant: str | None
     ) -> Result[ResultPage, Failure]:
         """Return listed results; at least one, since a listed result must exist."""
         count = min(PAGE_RESULTS, entry.row.state.listed - after)
@@ -195,6 +195,12 @@
             found = await self._batch_store.results(
                 batch_id, after, count, entry.row.version
             )
+            if found.is_ok() and tenant is not None:
+                # The id may be that of another tenant's batch by now; its results
+                # are stored only after its state.
+                confirmed = await self._confirm_for(batch_id, tenant)
+                if confirmed.is_err():
+                    return confirmed
             if found.is_ok():
                 self._cache.add_results(entry, after, found.unwrap())
                 source = ReadSource.STORE
--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -250,6 +250,10 @@
             decoded = decode(_BATCH, zlib.decompress(data))
         except zlib.error as exc:
             decoded = Err(str(exc))
+        if decoded.is_ok() and decoded.unwrap().tenant != tenant:
+            # The id has been used again since the state was read.
+            message = f"the stored items of batch {batch_id} are of another tenant"
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
         return decoded.map_err(
             lambda reason: Failure.of(
                 ErrorKind.INTERNAL,
--- a/tests/services/test_tenant_batches.py
+++ b/tests/services/test_tenant_batches.py
@@ -10,6 +10,7 @@
 from plantainstack.policy.tenants import Tenant, TenantDirectory
 from plantainstack.services import batch_store
 from plantainstack.services.batch_store import BatchStore
+from plantainstack.serving import ItemResult, ItemState
 from standins.metadata_store import Rows
 from tests.policy.serving_samples import batch, endpoint, item, scored_item
 from tests.services.store_fleet import (
@@ -113,6 +114,36 @@
         assert body == b"of bolt"
 
 
+async def test_former_tenant_of_an_id_gets_nothing_of_the_present_batch():
+    """Guards against an instance that missed the removal and reads by the id alone."""
+    platform = keyed_platform()
+    async with running(platform, "a") as (kernel,):
+        batches = kernel.plugin("batches")
+        assert (await batches.submit(acme_batch(), BATCH_ROUTE)).is_ok()
+        await until(lambda: batches._entries["b1"].row.state.is_final())
+        stale = batches._entries["b1"]
+        platform.rows.transact({}, {}, [STATE])
+        await until(lambda: "b1" not in batches._entries)
+        other = BatchStore(MemoryStore(platform.rows, SystemClock()), SystemClock())
+        owned = batch(item("i0"), item("i1"))._replace(tenant="bolt")
+        row, _ = (await other.accept(owned, "r-batch", "z")).unwrap()
+        results = [
+            ItemResult(id, ItemState.COMPLETED, "of bolt", ()) for id in ("i0", "i1")
+        ]
+        assert (await other.append("b1", row, results)).is_ok()
+        await anyio.sleep(0.3)
+        for cached in (False, True):
+            stale.batch = None
+            if not cached:
+                stale.results.clear()
+            batches._entries["b1"] = stale
+            assert (await batches.item_body("b1", "i0", "acme")).is_err()
+            batches._entries["b1"] = stale
+            found = await page_of(batches, "acme")
+            texts = [each.text for each in found.unwrap().results] if found.ok() else []
+            assert "of bolt" not in texts
+
+
 async def test_removal_of_the_key_does_not_end_the_batch_of_a_lost_owner():
     """Guards against items that end, or lose their tenant, with their key."""
     platform = keyed_platform()
