Report a call of a duty as failed if no socket can be opened

Without free file descriptors, opening the socket raised OSError out of the client. It ended the loop of the duty, and the pace did not count a failure. The call is now a failure that has not run, as for other network errors.

--- a/plantainstack/platform/duties.py
+++ b/plantainstack/platform/duties.py
@@ -165,7 +165,11 @@
         self, path: str, content: dict[str, Any], grant: DutyGrant
     ) -> Result[int, Failure]:
         """Make one call and return the status of its answer."""
-        stream = _CallStream(self._clock, grant)
+        try:
+            stream = _CallStream(self._clock, grant)
+        except OSError as exc:
+            message = f"{type(exc).__name__}: {exc}"
+            return Err(Failure(ErrorKind.ENDPOINT_FAILED, message, Outcome.NOT_RUN))
         kind, message = ErrorKind.ANSWER_TIMEOUT, "no answer in time"
         try:
             with anyio.move_on_after(CALL_TIMEOUT_S):
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -1,6 +1,7 @@
 """Tests of the client for duties against a stand-in of the platform's interface."""
 
 import contextlib
+import errno
 import socket
 import threading
 
@@ -143,3 +144,16 @@
         assert (await client.report_usage(REPORT, grant())).is_ok()
     assert threads
     assert threading.get_ident() not in threads
+
+
+async def test_process_without_free_descriptors_reports_a_failed_call(monkeypatch):
+    """Guards against an exception that ends the loop of a duty."""
+    client = client_of(Address("127.0.0.1", 1))
+
+    def refuse(*args, **kwargs):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(duties.socket, "socket", refuse)
+    failure = (await client.report_usage(REPORT, grant())).unwrap_err()
+    assert failure.kind is ErrorKind.ENDPOINT_FAILED
+    assert failure.outcome is Outcome.NOT_RUN
