Count a stream at the time of its first event

The overview says that a stream begins with its first event, but it was counted at the time at which it was sent to the endpoint. A stream that waited there was counted in an earlier window, or omitted if that window had been fixed.

--- a/plantainstack/services/forwarding.py
+++ b/plantainstack/services/forwarding.py
@@ -185,7 +185,7 @@
                 self.ran += 1
                 self.running += 1
                 if self.ran == 1:
-                    self._sent_at = self._clock.now()
+                    self._began_at = self._clock.now()
                 tasks.start_soon(self._attempt, endpoint)
             elif self.running == 0:
                 return
--- a/plantainstack/services/request_runs.py
+++ b/plantainstack/services/request_runs.py
@@ -42,8 +42,9 @@
         self.answered = False
         self.ran = 0
         self.running = 0
-        # When the first attempt that may have run was sent.
-        self._sent_at = 0.0
+        # When the request began to run: a plain one with the sending of the first
+        # attempt that may have run, a stream with its first event.
+        self._began_at = 0.0
         self._counted = False
 
     def count_begin(self) -> None:
@@ -51,7 +52,7 @@
         tenant = self._call.tenant
         if tenant is not None and self.ran and not self._counted:
             self._counted = True
-            self._plugin.usage.record_begin(tenant.name, self._sent_at)
+            self._plugin.usage.record_begin(tenant.name, self._began_at)
 
     async def settle(self) -> None:
         """Clear or share the losses under this request."""
--- a/plantainstack/services/stream_runs.py
+++ b/plantainstack/services/stream_runs.py
@@ -59,7 +59,7 @@
                 return
         while (endpoint := await self._next_endpoint()) is not None:
             self.ran += 1
-            self._sent_at = started = self._clock.now()
+            self._began_at = started = self._clock.now()
             self._balancer.request_started(endpoint)
             self._begin(endpoint)
             try:
@@ -232,6 +232,7 @@
                     return
                 if first:
                     first = False
+                    self._began_at = self._clock.now()
                     if not await self._may_pass_on(endpoint):
                         return
                     self.count_begin()
--- a/plantainstack/services/usage/plugin.py
+++ b/plantainstack/services/usage/plugin.py
@@ -32,7 +32,8 @@
     def record_begin(self, tenant: str, began_at: float) -> None:
         """Count a request that began to run at an endpoint.
 
-        `began_at` is the time on the process's clock at which it was sent there.
+        `began_at` is the time on the process's clock at which it was sent there, or
+        that of its first event if it is a stream.
         """
         if self._counts is not None:
             self._counts.record(tenant, began_at)
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -169,3 +169,27 @@
     assert await begins({}, STREAM_ROUTE, failing=[("r1", 1), ("r1", 1)]) == []
     resumable = route(RequestKind.STREAM, endpoints_max=3)
     assert len(await begins({}, resumable, failing=[("r1", 3)])) == 1
+
+
+async def test_stream_begins_at_the_time_of_its_first_event():
+    """Guards against streams that wait at an endpoint and miss their window."""
+    platform = FakePlatform()
+    first = platform.client.blocked_events[("r1", 1)] = anyio.Event()
+    async with running(platform, "a") as kernels:
+        forwarding = kernels[0].plugin("forwarding")
+        found = []
+        forwarding.usage.record_begin = lambda *args: found.append(args)
+        sent = call(kernels[0])._replace(tenant=TENANT)
+
+        async def read():
+            async for _ in forwarding.stream(sent, STREAM_ROUTE):
+                pass
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read)
+            await anyio.sleep(0.3)
+            assert found == []
+            released_at = kernels[0].clock.now()
+            first.set()
+        [(_, began_at)] = found
+        assert began_at >= released_at
