Back off after a duty call that its caller gave up

Orders of endpoints are given up by their sender just before the time limit of the client, which cancelled the client before it counted the failure: a platform that did not answer got the next call without a back-off. A call without an outcome now counts as failed, however it ended.

--- a/plantainstack/platform/duties.py
+++ b/plantainstack/platform/duties.py
@@ -152,13 +152,17 @@
                 return self._record(kind, content, grant, Err(failure))
             await self._clock.sleep_until(start_at)
         pace.record_start(self._clock.now())
-        outcome = (await self._send(path, content, grant)).and_then(
-            lambda status: _answer(status, kind)
-        )
-        if outcome.is_ok():
-            pace.record_success()
-        else:
-            pace.record_failure(self._clock.now())
+        outcome = None
+        try:
+            outcome = (await self._send(path, content, grant)).and_then(
+                lambda status: _answer(status, kind)
+            )
+        finally:
+            # A caller that gives up before the time limit has got no answer, too.
+            if outcome is not None and outcome.is_ok():
+                pace.record_success()
+            else:
+                pace.record_failure(self._clock.now())
         return self._record(kind, content, grant, outcome)
 
     async def _send(
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 
+import anyio
 import pytest
 
 from plantainstack.clock import SystemClock
@@ -157,3 +158,16 @@
     failure = (await client.report_usage(REPORT, grant())).unwrap_err()
     assert failure.kind is ErrorKind.ENDPOINT_FAILED
     assert failure.outcome is Outcome.NOT_RUN
+
+
+async def test_call_that_its_caller_gives_up_counts_as_a_failure(monkeypatch):
+    """Guards against a slow platform that gets calls without a back-off."""
+    monkeypatch.setattr(call_pace, "BACKOFF_MIN_S", 1.0)
+    async with client_and_standin() as (client, standin):
+        standin.silent = True
+        with anyio.move_on_after(0.1) as scope:
+            await client.order_capacity(ORDER, grant())
+        assert scope.cancelled_caught
+        found = await client.order_capacity(ORDER, grant(0.3))
+        assert found.unwrap_err().kind is ErrorKind.OVERLOADED
+        assert found.unwrap_err().retry_after_s > 0.0
