Refuse a rate of duty calls and a usage window of zero

Both are divisors: a rate of zero ended every process at its start, also without duties, and a window of zero ended the loops of usage reports again and again.

--- a/plantainstack/settings/node.py
+++ b/plantainstack/settings/node.py
@@ -69,9 +69,13 @@
     address = OptionalAddress("", help="Platform interface that takes the calls.")
     kinds = Words((USAGE_REPORTS, SCALING), help="Duties of this deployment.")
     calls_per_s = Number(
-        "50", help="Calls a second that the platform takes from all instances."
+        "50",
+        help="Calls a second that the platform takes from all instances.",
+        minimum=0.1,
+    )
+    usage_window = Duration(
+        "5 s", help="Length of a window of usage reports.", minimum=0.1
     )
-    usage_window = Duration("5 s", help="Length of a window of usage reports.")
     usage_due = Duration("10 s", help="Time after its end for reporting a window.")
 
 
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -83,6 +83,13 @@
     assert (settings.duties.usage_window, settings.duties.usage_due) == (5.0, 10.0)
 
 
+@pytest.mark.parametrize("name", ["cloud.duty_per_s", "bounds.report_window_s"])
+def test_rate_and_window_of_duties_are_not_zero(name):
+    """Guards against a process that ends in a division by zero."""
+    with pytest.raises(ConfigurationError):
+        parse_node(filled_template({**VALUES, name: "0"}), "node.ini")
+
+
 def test_all_problems_are_reported_at_once():
     text = filled_template().replace("8 s", "8").replace("10.0.0.9:8002", "store")
     with pytest.raises(ConfigurationError) as caught:
