Read the orders in force anew after the lease was lost and regained

A holder that is paused loses the lease, and acquires it again within one call if the next holder has ended meanwhile. To the scaling plug-in it seemed never lost: it went on with its own orders, and repeated old counts over those of the holder in between. Calls with another token than those since the last read are not made; the orders in force are read first.

--- a/plantainstack/services/scaling/service_orders.py
+++ b/plantainstack/services/scaling/service_orders.py
@@ -29,6 +29,8 @@
         self._restored = False
         # Data centres with a call in progress.
         self._busy: set[str] = set()
+        # Token of the calls since the orders in force were read, None before the first.
+        self._fence: int | None = None
 
     def forget(self) -> None:
         """Read the orders in force again before the next one, after a loss."""
@@ -68,6 +70,7 @@
             return False
         self.scaler.restore(found.unwrap(), self._clock.now())
         self._restored = True
+        self._fence = None
         return True
 
     async def _send_all(self, data_centre: str, orders: list[CapacityOrder]) -> None:
@@ -83,6 +86,12 @@
         if grant is None:
             self.scaler.record_unsent(order, self._clock.now())
             return
+        if self._fence not in (None, grant.fence):
+            # The lease was lost and acquired again; another holder may have ordered.
+            self._restored = False
+            self.scaler.record_unsent(order, self._clock.now())
+            return
+        self._fence = grant.fence
         started = self._clock.now()
         outcome = None
         with (
--- a/tests/services/test_scaling.py
+++ b/tests/services/test_scaling.py
@@ -283,3 +283,25 @@
         cloud.calm = True
         await anyio.sleep(120.0)
     assert counts(stored(platform)) == cloud.in_force
+
+
+async def test_lease_regained_after_another_holder_reads_its_orders():
+    """Guards against old orders of a holder that was paused while another held on."""
+    platform = FakePlatform(LoopClock())
+    async with scaled("a", platform=platform) as (cloud, _):
+        await anyio.sleep(5.0)
+        former = stored(platform)
+        cloud.fence += 2
+        others = former._replace(
+            orders=[(name, spot, 40, *rest) for name, spot, _, *rest in former.orders]
+        )
+        platform.rows.transact({}, {tuple(ROW): msgspec.msgpack.encode(others)}, [])
+        count = len(cloud.sent)
+        await anyio.sleep(20.0)
+    old = counts(former)
+    sent = [order for _, order in cloud.sent[count:]]
+    assert sent
+    # Each pool is first ordered as the other holder left it, or decided anew from that.
+    for pool in old:
+        first = [o for o in sent if (o.data_centre, o.reclaimable) == pool][:1]
+        assert [order.count for order in first] != [old[pool]]
