Find count rows that a former holder has not removed

The windows whose count rows could not be removed were known to the holder only: when it ended or lost the duty, their rows remained in the store for ever. A holder now reads the table once after it has acquired the duty and sent what was due, and removes the rows of old windows after its next report.

--- a/plantainstack/policy/usage.py
+++ b/plantainstack/policy/usage.py
@@ -69,6 +69,11 @@
     return [f"{window}/{shard}" for shard in range(COUNT_SHARDS)]
 
 
+def window_of_part(part: str) -> int:
+    """Return the window whose counts lie in a partition."""
+    return int(part.partition("/")[0])
+
+
 def begin(
     measured: Iterable[ClockMeasurement], store_now: float, options: DutyOptions
 ) -> UsageProgress | None:
--- a/plantainstack/services/usage/reports.py
+++ b/plantainstack/services/usage/reports.py
@@ -59,6 +59,8 @@
         self._unreadable = UnreadableRows("usage.row_not_readable")
         self._state: _State | None = None
         self._unremoved: set[int] = set()
+        # Whether rows that former holders have not removed are still to be found.
+        self._must_find_rows = False
         self._stopping = False
 
     async def run(self) -> None:
@@ -101,6 +103,8 @@
         for window in sorted(self._state.pending):
             if not await self._still_holder() or not await self._send(window):
                 return
+        if self._must_find_rows:
+            await self._find_rows()
 
     async def _still_holder(self) -> bool:
         """Renew the lease if due; return False if it was not held all the time."""
@@ -126,6 +130,7 @@
         if progress is not None:
             self._counts.offset = progress.offset
         self._state = _State(self._lease.lease.fence, progress, version, pending)
+        self._must_find_rows = True
 
     async def _begin(self) -> None:
         """Store the shared offset as soon as the instances have announced theirs."""
@@ -212,6 +217,20 @@
             del self._state.pending[window]
         return removed.is_ok()
 
+    async def _find_rows(self) -> None:
+        """Find the counts of old windows; they are removed after the next report."""
+        found = await self._store.table_rows(COUNT_TABLE)
+        if found.is_err():
+            return
+        self._must_find_rows = False
+        last = self._state.progress.fixed - REMOVAL_LAG
+        windows = {
+            usage.window_of_part(row.name.part)
+            for row in found.unwrap().rows
+            if row.value is not None
+        }
+        self._unremoved |= {window for window in windows if window <= last}
+
     async def _remove_counts(self) -> None:
         for window in sorted(self._unremoved):
             rows = await self._count_rows(window)
--- a/tests/services/test_usage.py
+++ b/tests/services/test_usage.py
@@ -6,7 +6,9 @@
 import anyio
 import msgspec
 import pytest
+from result import Err
 
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.services.duties.holder import StoreDutyLease
 from plantainstack.services.usage.counts import COUNT_TABLE, REPORT_TABLE
 from plantainstack.services.usage.plugin import Usage
@@ -433,3 +435,30 @@
         instance.killed.set()
     store = instance.kernel.store
     assert (store.calls, store.reads) == (0, 0)
+
+
+async def test_count_rows_are_removed_although_the_holder_changes():
+    """Guards against rows that remain for ever after a removal that failed."""
+    day = Day()
+
+    async def fail(tasks):
+        for _ in range(4):
+            holder = await day.until_holder()
+            store = holder.kernel.store
+            transact = store.transact
+
+            async def without_removals(transaction, transact=transact):
+                if any(name.table == COUNT_TABLE for name in transaction.removed):
+                    message = "scripted"
+                    return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
+                return await transact(transaction)
+
+            store.transact = without_removals
+            await anyio.sleep(7)
+            day.restart(tasks, holder)
+            await anyio.sleep(8)
+
+    await day.run(fail, 100)
+    left = {int(part.split("/")[0]) for part in day.platform.rows.parts(COUNT_TABLE)}
+    reported = max(day.platform.ledger.accepted_counts())
+    assert [window for window in sorted(left) if window < reported - 4] == []
