Spare a batch that has used the id of a removed one

An instance that had missed the removal of a batch removed it once more, after the retention time: the rows of items and results were removed whatever batch they belonged to, so the present batch under that id, also of another tenant, lost them. Each transaction of a removal now requires the version of the state row.

--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -316,28 +316,29 @@
     async def remove(self, batch_id: str, row: StateRow) -> Result[None, Failure]:
         """Delete all data of a batch.
 
-        The row `state` is deleted last, so an interrupted removal can be repeated.
+        The row `state` is deleted last, so an interrupted removal can be repeated. A
+        batch that has used the id since is spared.
         """
+        name = _state_name(batch_id)
+        expected = ((name, row.version),)
         for table in (PARTIAL_TABLE, RESULT_TABLE, ITEM_TABLE):
             found = await self._store.read(table, batch_id)
             if found.is_err():
                 return found
             names = [each.name for each in found.unwrap().rows]
             for at in range(0, len(names), TRANSACTION_ROWS):
-                transaction = Transaction(
-                    removed=tuple(names[at : at + TRANSACTION_ROWS])
+                some = tuple(names[at : at + TRANSACTION_ROWS])
+                outcome = await self._store.transact(
+                    Transaction(expected, removed=some)
                 )
-                outcome = await self._store.transact(transaction)
-                if outcome.is_err():
-                    return outcome
+                if outcome.is_err() or not outcome.unwrap().applied:
+                    return outcome.map(lambda _: None)
         dropped = await self._store.drop_object(
             _object_name(batch_id, row.state.tenant)
         )
         if dropped.is_err():
             return dropped
-        name = _state_name(batch_id)
-        transaction = Transaction(expected=((name, row.version),), removed=(name,))
-        outcome = await self._store.transact(transaction)
+        outcome = await self._store.transact(Transaction(expected, removed=(name,)))
         return outcome.map(lambda _: None)
 
     async def _read(
--- a/tests/services/test_tenant_batches.py
+++ b/tests/services/test_tenant_batches.py
@@ -218,3 +218,15 @@
         await until(lambda: batches._entries.pop("b1", None))
         assert (await batches.submit(acme_batch(), BATCH_ROUTE)).is_ok()
         assert batches._entries["b1"].batch is None
+
+
+async def test_removal_of_a_former_batch_spares_the_present_one():
+    """Guards against an instance that missed a removal and removes another batch."""
+    rows = Rows()
+    store = BatchStore(MemoryStore(rows, SystemClock()), SystemClock())
+    former, _ = (await store.accept(acme_batch(), "r", "a")).unwrap()
+    assert (await store.remove("b1", former)).is_ok()
+    owned = acme_batch()._replace(tenant="bolt")
+    assert (await store.accept(owned, "r", "b")).unwrap()[1]
+    await store.remove("b1", former)
+    assert (await store.batch("b1", "bolt")).unwrap() == owned
