--- a/plantainstack/platform/duties.py
+++ b/plantainstack/platform/duties.py
@@ -57,8 +57,15 @@
 
     async def connect(self, address: Address) -> None:
         """Open the connection; raise OSError if this fails."""
+        # `connect` would look up a name in the event loop's thread.
+        found = await anyio.getaddrinfo(
+            address.host,
+            address.port,
+            family=socket.AF_INET,
+            type=socket.SOCK_STREAM,
+        )
         with contextlib.suppress(BlockingIOError):
-            self._sock.connect((address.host, address.port))
+            self._sock.connect(found[0][4])
         await anyio.wait_writable(self._sock)
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
@@ -145,20 +152,28 @@
                 return self._record(kind, content, grant, Err(failure))
             await self._clock.sleep_until(start_at)
         pace.record_start(self._clock.now())
-        outcome = (await self._send(path, content, grant)).and_then(
-            lambda status: _answer(status, kind)
-        )
-        if outcome.is_ok():
-            pace.record_success()
-        else:
-            pace.record_failure(self._clock.now())
+        outcome = None
+        try:
+            outcome = (await self._send(path, content, grant)).and_then(
+                lambda status: _answer(status, kind)
+            )
+        finally:
+            # A caller that gives up before the time limit has got no answer, too.
+            if outcome is not None and outcome.is_ok():
+                pace.record_success()
+            else:
+                pace.record_failure(self._clock.now())
         return self._record(kind, content, grant, outcome)
 
     async def _send(
         self, path: str, content: dict[str, Any], grant: DutyGrant
     ) -> Result[int, Failure]:
         """Make one call and return the status of its answer."""
-        stream = _CallStream(self._clock, grant)
+        try:
+            stream = _CallStream(self._clock, grant)
+        except OSError as exc:
+            message = f"{type(exc).__name__}: {exc}"
+            return Err(Failure(ErrorKind.ENDPOINT_FAILED, message, Outcome.NOT_RUN))
         kind, message = ErrorKind.ANSWER_TIMEOUT, "no answer in time"
         try:
             with anyio.move_on_after(CALL_TIMEOUT_S):
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -1,8 +1,11 @@
 """Tests of the client for duties against a stand-in of the platform's interface."""
 
 import contextlib
+import errno
 import socket
+import threading
 
+import anyio
 import pytest
 
 from plantainstack.clock import SystemClock
@@ -122,3 +125,49 @@
         address = Address(*server.getsockname())
     found = await client_of(address).report_usage(REPORT, grant())
     assert found.unwrap_err().outcome is Outcome.NOT_RUN
+
+
+async def test_name_of_the_platform_is_looked_up_beside_the_event_loop(monkeypatch):
+    """Guards against a process that stands still while a name server is silent."""
+    look_up = socket.getaddrinfo
+    threads = []
+
+    def getaddrinfo(host, *args, **kwargs):
+        if host in ("platform.test", b"platform.test"):
+            threads.append(threading.get_ident())
+            host = "127.0.0.1"
+        return look_up(host, *args, **kwargs)
+
+    monkeypatch.setattr(socket, "getaddrinfo", getaddrinfo)
+    standin = DutiesStandin()
+    async with serving(standin) as address:
+        client = client_of(Address("platform.test", address.port))
+        assert (await client.report_usage(REPORT, grant())).is_ok()
+    assert threads
+    assert threading.get_ident() not in threads
+
+
+async def test_process_without_free_descriptors_reports_a_failed_call(monkeypatch):
+    """Guards against an exception that ends the loop of a duty."""
+    client = client_of(Address("127.0.0.1", 1))
+
+    def refuse(*args, **kwargs):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(duties.socket, "socket", refuse)
+    failure = (await client.report_usage(REPORT, grant())).unwrap_err()
+    assert failure.kind is ErrorKind.ENDPOINT_FAILED
+    assert failure.outcome is Outcome.NOT_RUN
+
+
+async def test_call_that_its_caller_gives_up_counts_as_a_failure(monkeypatch):
+    """Guards against a slow platform that gets calls without a back-off."""
+    monkeypatch.setattr(call_pace, "BACKOFF_MIN_S", 1.0)
+    async with client_and_standin() as (client, standin):
+        standin.silent = True
+        with anyio.move_on_after(0.1) as scope:
+            await client.order_capacity(ORDER, grant())
+        assert scope.cancelled_caught
+        found = await client.order_capacity(ORDER, grant(0.3))
+        assert found.unwrap_err().kind is ErrorKind.OVERLOADED
+        assert found.unwrap_err().retry_after_s > 0.0
