Order endpoints for the items that must run at the same time

The need was 0.8 slots for each open item of the peak, so endpoints were ordered in calm as well.

The demand is now the items that must run at once for all of a peak to end within a third of the time to their results.

--- a/plantainstack/policy/scaling.py
+++ b/plantainstack/policy/scaling.py
@@ -22,6 +22,12 @@
 # a model with perfect placement, 0.6 to 1.0 brought fewer than 0.1 late items of 1,000;
 # many instances place less evenly.
 SLOTS_PER_ITEM = 0.8
+# Items run for 1.2 s on average. All items of a peak may take a third of the time to
+# their results: the rest is for slow endpoints and for items that begin anew. Slots for
+# all of them at once bring no results in time that this does not, but each endpoint
+# loads every version of the weights and takes connections of every instance.
+ITEM_S = 1.2
+PEAK_SHARE = 1 / 3
 # Share of the needed endpoints that are not reclaimable. Items run for 1.2 s on average
 # and a step comes every 4 s, so a third of the peak's slots is busy on average.
 BASE_SHARE = 0.5
@@ -49,6 +55,13 @@
 SURPLUS_AFTER_S = 20.0
 
 
+def concurrent_items(items: float, result_target_s: float) -> float:
+    """Return how many of the open items must run at once for results in time."""
+    if result_target_s <= 0.0:
+        return items
+    return items * min(1.0, ITEM_S / (PEAK_SHARE * result_target_s))
+
+
 class Pool(NamedTuple):
     """Identify the endpoints of one kind in one data centre."""
 
--- a/tests/policy/test_scaling.py
+++ b/tests/policy/test_scaling.py
@@ -3,6 +3,7 @@
 import pytest
 
 from plantainstack.duties import CapacityOrder, DutyAnswer, ScaleLimits
+from plantainstack.policy import scaling
 from plantainstack.policy.scaling import (
     DemandPeak,
     Pool,
@@ -256,3 +257,10 @@
         assert order.count + (1 if not order.reclaimable else 2) <= 4
     stored = found.state().orders
     assert sum(bound for _, _, _, bound in stored) <= 4
+
+
+def test_items_of_a_peak_run_in_rounds_if_the_time_to_their_results_permits():
+    """Guards against endpoints for each item, which load weights and serve no one."""
+    assert scaling.concurrent_items(400, 7.5) == pytest.approx(192)
+    assert scaling.concurrent_items(400, 1.0) == 400
+    assert scaling.concurrent_items(400, 0.0) == 400
