Shrink orders at once if the maximum was lowered

An order shrank only by at least a fifth, so that a maximum lowered from 10 to 9 left orders of 10 in force, which were also repeated. Orders of a data centre above its maximum now shrink to it without delay.

--- a/plantainstack/policy/scaling.py
+++ b/plantainstack/policy/scaling.py
@@ -422,12 +422,23 @@
             order.lower_since = None
         if target > order.count and not blocked:
             return target
-        if target < order.count and self._may_shrink(order, target, now):
-            return order.lower_max
+        if target < order.count:
+            excess = self._excess(pool.data_centre, limits)
+            if excess > 0:
+                order.lower_since = None
+                return max(target, order.count - excess)
+            if self._may_shrink(order, target, now):
+                return order.lower_max
         if not order.confirmed:
             return order.count
         return order.count if not blocked and self._differs(pool, limits, now) else None
 
+    def _excess(self, data_centre: str, limits: ScaleLimits) -> int:
+        """Return by how much both kinds exceed the maximum, after it was lowered."""
+        kinds = (False, True)
+        counts = [self._orders[Pool(data_centre, kind)].count for kind in kinds]
+        return sum(counts) - limits.count_max
+
     def _count_bound(self, pool: Pool) -> int:
         """Return the largest count of a pool that the platform may have in force.
 
--- a/tests/policy/test_scaling.py
+++ b/tests/policy/test_scaling.py
@@ -256,3 +256,14 @@
         assert order.count + (1 if not order.reclaimable else 2) <= 4
     stored = found.state().orders
     assert sum(bound for _, _, _, bound in stored) <= 4
+
+
+def test_orders_above_a_lowered_maximum_shrink_at_once():
+    """Guards against orders that stay above the maximum by less than a fifth."""
+    found = scaler(demand=1000)
+    answer_all(found, found.decide(LIMITS, 0.0), 0.0)
+    lowered = LIMITS._replace(count_max=9)
+    orders = found.decide(lowered, 1.0)
+    assert orders == [CapacityOrder("models", name, 9, False) for name in NAMES]
+    answer_all(found, orders, 1.0)
+    assert found.decide(lowered, 1.5) == []
