Take the floor from the start, not from the highest count ever seen

If the stored orders are lost, the next decision learnt the floor from the most non-reclaimable endpoints that the process had ever seen, and ordered those of a former peak again.

--- a/plantainstack/policy/scaling.py
+++ b/plantainstack/policy/scaling.py
@@ -232,7 +232,9 @@
         self._live: Counter[Pool] = Counter()
         self._reclaimed_at: dict[str, float] = {}
         self._slots = 0.0
+        # Non-reclaimable endpoints within FLOOR_LEARNING_S of the first observation.
         self._first_seen: Counter[str] = Counter()
+        self._observed_since: float | None = None
         self._floor: dict[str, int] = {}
         self._learns_floor_until = 0.0
         self._orders: dict[Pool, _PoolOrder] = {}
@@ -251,10 +253,13 @@
             live[Pool(end.data_centre, end.reclaimable)] += 1
             slots += end.slots
         self._live = live
+        if self._observed_since is None:
+            self._observed_since = now
         if live:
             self._slots = slots / live.total()
+        is_start = now - self._observed_since <= FLOOR_LEARNING_S
         for pool, count in live.items():
-            if not pool.reclaimable:
+            if is_start and not pool.reclaimable:
                 name = pool.data_centre
                 self._first_seen[name] = max(self._first_seen[name], count)
 
@@ -389,9 +394,10 @@
         )
 
     def _learn_floor(self, data_centre: str, now: float) -> None:
-        ordered = self._orders[Pool(data_centre, False)].ordered
-        if now < self._learns_floor_until and not ordered:
-            self._floor[data_centre] = self._first_seen[data_centre]
+        pool = Pool(data_centre, False)
+        if now < self._learns_floor_until and not self._orders[pool].ordered:
+            seen = (self._floor.get(data_centre, 0), self._first_seen[data_centre])
+            self._floor[data_centre] = max(*seen, self._live[pool])
 
     def _follow(self, pool: Pool, now: float) -> None:
         """Compare an order with the registered endpoints.
--- a/tests/policy/test_scaling.py
+++ b/tests/policy/test_scaling.py
@@ -267,3 +267,12 @@
     assert orders == [CapacityOrder("models", name, 9, False) for name in NAMES]
     answer_all(found, orders, 1.0)
     assert found.decide(lowered, 1.5) == []
+
+
+def test_floor_after_a_lost_row_is_what_is_registered():
+    """Guards against ordering the endpoints of a former peak again without need."""
+    found = ServiceScaler("models")
+    for now in range(200):
+        found.observe(0, registered(8 if 50 < now < 60 else 2), float(now))
+    found.restore(None, 200.0)
+    assert found.decide(LIMITS, 200.0) == []
