Read the orders again if the duty was lost and acquired unnoticed

A holder that was paused may find its lease lost and free, and acquires it within one call, so that it did not learn of the loss. If its own orders had not changed, nothing was written, no conflict showed, and it repeated orders that another holder had replaced. A new fencing token now causes the row to be read before any call.

--- a/plantainstack/services/scaling/service_orders.py
+++ b/plantainstack/services/scaling/service_orders.py
@@ -27,6 +27,8 @@
         self._lease = lease
         self._row = OrderRow(kernel.plugin("store").metadata_store, service)
         self._restored = False
+        # Fencing token of the calls since the orders were read, None without any.
+        self._fence: int | None = None
         # Data centres with a call in progress.
         self._busy: set[str] = set()
 
@@ -67,6 +69,7 @@
             log.event("scaling.not_read", service=self._service, reason=reason)
             return False
         self.scaler.restore(found.unwrap(), self._clock.now())
+        self._fence = None
         self._restored = True
         return True
 
@@ -83,6 +86,13 @@
         if grant is None:
             self.scaler.record_unsent(order, self._clock.now())
             return
+        if self._fence not in (None, grant.fence):
+            # The duty was lost and acquired again at once, after a pause; another
+            # instance may have made orders meanwhile.
+            self.forget()
+            self.scaler.record_unsent(order, self._clock.now())
+            return
+        self._fence = grant.fence
         started = self._clock.now()
         outcome = None
         with (
--- a/tests/services/test_scaling.py
+++ b/tests/services/test_scaling.py
@@ -191,6 +191,30 @@
         assert counts(stored(platform))["dc-a", True] == 33
 
 
+async def test_orders_made_while_the_duty_was_lost_unnoticed_are_read_before_any_call():
+    """Guards against repeating old orders after a pause in which another one held."""
+    platform = FakePlatform(LoopClock())
+    async with scaled("a", platform=platform) as (cloud, (kernel,)):
+        await anyio.sleep(5.0)
+        before = len(cloud.sent)
+        found = stored(platform)
+        newer = [order for order in found.orders if order[:2] != ("dc-a", True)]
+        newer = found._replace(orders=[*newer, ("dc-a", True, 33, 33)])
+        puts = ((ROW, msgspec.msgpack.encode(newer)),)
+        store = kernel.plugin("store").metadata_store
+        await store.transact(Transaction((), puts))
+        cloud.fence += 1
+        # No endpoint registers, so the orders are repeated after the boot time.
+        await until(lambda: len(cloud.sent) >= before + 4)
+        repeated = [order for _, order in cloud.sent[before:]]
+        found = [
+            o.count
+            for o in repeated
+            if (o.data_centre, o.reclaimable) == ("dc-a", True)
+        ]
+        assert set(found) == {33}
+
+
 async def test_row_that_is_not_readable_is_replaced():
     """Guards against an instance that orders nothing because of a damaged row."""
     platform = FakePlatform(LoopClock())
