Move no more items from a leaving endpoint than there are free slots

Each item was moved if some endpoint had a free slot, so that up to four at a check gave their streams up for the same slot and waited without one. Free slots are now counted once for a check and taken by each move, which also avoids a choice among all endpoints for each item while none is free.

--- a/plantainstack/services/item_migration.py
+++ b/plantainstack/services/item_migration.py
@@ -142,6 +142,7 @@
         Without a free slot, a stream stays until its connection breaks.
         """
         moved = 0
+        rooms: dict[str, float] | None = None
         for attempt in list(self._attempts.values()):
             leaves_at = self._discovery.view.leaves_at(attempt.endpoint)
             if leaves_at is None or attempt.scope.cancel_called:
@@ -150,14 +151,32 @@
                 return
             latency_s = self._discovery.balancer.latency(attempt.endpoint, now)
             progress = attempt.expected_progress(self._tokens_per_event())
-            joinable = _joinable(usable, attempt.run.software)
-            if (
-                must_leave(progress, latency_s, leaves_at, now)
-                and self._free_endpoint(joinable, attempt, now) is not None
-            ):
+            if not must_leave(progress, latency_s, leaves_at, now):
+                continue
+            if rooms is None:
+                rooms = self._rooms(usable, now)
+            to = next(
+                (
+                    end
+                    for end in _joinable(usable, attempt.run.software)
+                    if rooms.get(end.id, 0.0) > 0.0 and end.id != attempt.endpoint.id
+                ),
+                None,
+            )
+            if to is not None:
+                rooms[to.id] -= 1.0
                 self._migrate(attempt, None, now)
                 moved += 1
 
+    def _rooms(self, endpoints: list[Endpoint], now: float) -> dict[str, float]:
+        """Return the free slots of the sound endpoints, by endpoint id."""
+        balancer = self._discovery.balancer
+        return {
+            end.id: (LOAD_MAX - balancer.load(end, now)) * end.slots
+            for end in endpoints
+            if not balancer.is_avoided(end, now)
+        }
+
     def _migrate_slow(self, usable: list[Endpoint], now: float) -> None:
         balancer = self._discovery.balancer
         fastest: dict[SoftwareVersion | None, Endpoint | None] = {}
--- a/tests/services/test_reclaimed_endpoints.py
+++ b/tests/services/test_reclaimed_endpoints.py
@@ -118,3 +118,21 @@
         platform.endpoints["e3"] = endpoint("e3", reclaimable=True)
         await until(lambda: "e3" in discovery.view.known)
         assert discovery._endpoint_pause_s() == RECLAIMABLE_PAUSE_S
+
+
+async def test_no_more_items_move_than_other_endpoints_have_slots():
+    """Guards against streams that are given up for a wait for one free slot."""
+    platform = platform_of(1, EVENTS)
+    del platform.endpoints["e2"]
+    items = [item(f"i{n}", hint=EVENTS) for n in range(3)]
+    async with running(platform, "a") as (kernel,):
+        batches = kernel.plugin("batches")
+        assert (await batches.submit(batch(*items), BATCH_ROUTE)).is_ok()
+        await until(lambda: len(platform.client.opened_streams) == 3)
+        await anyio.sleep(1.0)
+        platform.endpoints["e2"] = endpoint("e2", slots=1)
+        reclaim(platform, kernel, "e1")
+        await anyio.sleep(NOTICE_S - 0.05)
+        run = batches._entries["b1"].run
+        assert len(run._attempts) == 3
+        assert len(platform.client.opened_streams) == 4
