Send no order that was decided before a loss of the duty

An order that waited behind a call of its data centre was sent under the permission of a later term, although another holder had replaced it. The stored orders are now read again only once calls in progress have ended; until then, the changed fencing token keeps such orders back.

--- a/plantainstack/services/scaling/service_orders.py
+++ b/plantainstack/services/scaling/service_orders.py
@@ -46,7 +46,8 @@
         They are stored first: if this instance ends in between, the next holder sends
         them, and none is in force that it does not know.
         """
-        if not self._restored and not await self._restore():
+        # Orders decided before a loss may still wait behind a call in progress.
+        if not self._restored and (self._busy or not await self._restore()):
             return
         orders = self.scaler.decide(limits, self._clock.now(), self._busy)
         if not orders:
--- a/tests/services/test_scaling.py
+++ b/tests/services/test_scaling.py
@@ -215,6 +215,32 @@
         assert set(found) == {33}
 
 
+async def test_order_that_waits_behind_a_call_is_not_sent_after_a_loss():
+    """Guards against an old order sent under the permission for newer ones."""
+    platform = FakePlatform(LoopClock())
+    cloud = Cloud()
+    # Both data centres wait for their first call until it is given up.
+    cloud.outcomes = [anyio.Event() for _ in range(2)]
+    async with scaled("a", cloud=cloud, platform=platform) as (_, (kernel,)):
+        await until(lambda: len(cloud.sent) == 2)
+        found = stored(platform)
+        newer = [order for order in found.orders if order[:2] != ("dc-a", True)]
+        newer = found._replace(orders=[*newer, ("dc-a", True, 33, 33)])
+        puts = ((ROW, msgspec.msgpack.encode(newer)),)
+        store = kernel.plugin("store").metadata_store
+        await store.transact(Transaction((), puts))
+        cloud.holder, cloud.fence = "other", 2
+        await anyio.sleep(1.0)
+        cloud.holder, cloud.fence = None, 2
+        await until(lambda: len(cloud.in_force) == 4)
+        sent = {
+            order.count
+            for _, order in cloud.sent
+            if (order.data_centre, order.reclaimable) == ("dc-a", True)
+        }
+        assert sent == {33}
+
+
 async def test_row_that_is_not_readable_is_replaced():
     """Guards against an instance that orders nothing because of a damaged row."""
     platform = FakePlatform(LoopClock())
