Let endpoints recover that were slow for long and are not used

The estimate of an unobserved endpoint returned to its long-term mean, which never changed again. After 30 s of slowness 3, an endpoint got none of 2,400 requests at half load, although it had recovered. After 30 s without an observation, the mean now returns to that of the service.

--- a/plantainstack/policy/endpoint_speed.py
+++ b/plantainstack/policy/endpoint_speed.py
@@ -22,6 +22,12 @@
 RETURN_S = 5.0
 # Observed time over which the long-term mean is taken.
 MEAN_S = 60.0
+# An endpoint that was slow for long and is not chosen any more cannot show that it has
+# recovered. Without an observation for FORGET_AFTER_S, its long-term mean returns to
+# that of its service, in FORGET_S by the factor e. Endpoints in use are observed more
+# often, so that their mean is kept between steps and through pauses.
+FORGET_AFTER_S = 30.0
+FORGET_S = 30.0
 # Weight of an observation in the mean of all endpoints of a service, from which an
 # endpoint's own mean starts.
 SERVICE_WEIGHT = 0.01
@@ -68,16 +74,25 @@
         self.observed_at = now
         self.reported_at = -REPORT_INTERVAL_S
 
-    def at(self, now: float) -> tuple[float, float]:
+    def at(self, now: float, service_mean: float) -> tuple[float, float]:
         """Return the mean and the variance that are expected at a time."""
         kept = exp(-max(0.0, now - self.observed_at) / RETURN_S)
         usual = USUAL_DEVIATION**2
-        mean = self.long_mean + (self.mean - self.long_mean) * kept
+        long_mean = self._long_mean_at(now, service_mean)
+        mean = long_mean + (self.mean - long_mean) * kept
         return mean, usual + (self.variance - usual) * kept**2
 
-    def observe(self, value: float, variance: float, now: float) -> None:
+    def _long_mean_at(self, now: float, service_mean: float) -> float:
+        unseen_s = max(0.0, now - self.observed_at - FORGET_AFTER_S)
+        kept = exp(-unseen_s / FORGET_S)
+        return service_mean + (self.long_mean - service_mean) * kept
+
+    def observe(
+        self, value: float, variance: float, now: float, service_mean: float
+    ) -> None:
         """Correct the estimate by an observation."""
-        mean, before = self.at(now)
+        mean, before = self.at(now, service_mean)
+        self.long_mean = self._long_mean_at(now, service_mean)
         passed_s = min(RETURN_S, max(0.0, now - self.observed_at))
         weight = passed_s / (RETURN_S + self.observed_s + passed_s)
         self.long_mean += weight * (value - self.long_mean)
@@ -114,7 +129,8 @@
         repeats = max(1.0, REPORT_INTERVAL_S / since_s)
         estimate.reported_at = now
         value = log(slowness)
-        estimate.observe(value, REPORT_VARIANCE * repeats, now)
+        service_mean = self._mean(endpoint)
+        estimate.observe(value, REPORT_VARIANCE * repeats, now, service_mean)
         before = self._means.get(endpoint.service, value)
         self._means[endpoint.service] = before + SERVICE_WEIGHT * (value - before)
 
@@ -138,7 +154,7 @@
         found = self._estimates.get(endpoint.incarnation())
         if found is None:
             return None
-        mean, variance = found.at(now)
+        mean, variance = found.at(now, self._mean(endpoint))
         usual_s = self._usual_s.get(endpoint.service) or INITIAL_USUAL_S
         age_s = max(0.0, now - found.observed_at)
         return SpeedEstimate(exp(mean), usual_s * exp(mean), sqrt(variance), age_s)
@@ -165,18 +181,22 @@
             return
         estimate = self._estimate(endpoint, now)
         usual_s = self._usual_s[endpoint.service]
+        service_mean = self._mean(endpoint)
+        slowness = exp(estimate.at(now, service_mean)[0])
         if usual_s is None:
-            usual_s = seconds / exp(estimate.at(now)[0])
+            usual_s = seconds / slowness
         else:
-            factor = seconds / exp(estimate.at(now)[0]) / usual_s
+            factor = seconds / slowness / usual_s
             usual_s *= factor**usual_weight
         self._usual_s[endpoint.service] = usual_s
-        estimate.observe(log(seconds / usual_s), variance, now)
+        estimate.observe(log(seconds / usual_s), variance, now, service_mean)
 
     def _estimate(self, endpoint: Endpoint, now: float) -> _Estimate:
         key = endpoint.incarnation()
         found = self._estimates.get(key)
         if found is None:
-            mean = self._means.get(endpoint.service, 0.0)
-            found = self._estimates[key] = _Estimate(mean, now)
+            found = self._estimates[key] = _Estimate(self._mean(endpoint), now)
         return found
+
+    def _mean(self, endpoint: Endpoint) -> float:
+        return self._means.get(endpoint.service, 0.0)
--- a/tests/policy/test_endpoint_speed.py
+++ b/tests/policy/test_endpoint_speed.py
@@ -91,6 +91,28 @@
             assert found == balancer.latency(end, number * 0.1)
 
 
+def test_endpoint_that_has_recovered_is_used_again():
+    """Guards against an endpoint that is never chosen and so never shows its speed."""
+    balancer, ends = LoadBalancer("dc-a"), ENDS[:4]
+    for number in range(600):
+        for end in ends:
+            report = EndpointLoadReport(0, 0, 8, 3.0 if end is ends[0] else 1.0)
+            balancer.record_load_report(end, report, number * 0.05)
+    chosen, running = [], []
+    for number in range(4000):
+        now = 30.0 + number * 0.05
+        while running and running[0][0] <= now:
+            _, end = running.pop(0)
+            balancer.request_ended(end)
+            balancer.record_load_report(end, EndpointLoadReport(0, 0, 8, 1.0), now)
+        if len(running) < 12:
+            found = balancer.choose(ends, now).endpoint
+            balancer.request_started(found)
+            running.append((now + 1.0, found))
+            chosen.append(found)
+    assert chosen.count(ends[0]) > 0.1 * len(chosen)
+
+
 class UnevenFleet:
     """Run items of 4 to 40 events on endpoints whose slowness changes.
 
