Check only the endpoint of a group for room, not all of them

With the default way of placement, the endpoint that a group is bound to was looked for among all endpoints with room, so that each item asked for the load of all of them: 1.2 ms with 1,100 endpoints.

--- a/plantainstack/policy/prefix_placement.py
+++ b/plantainstack/policy/prefix_placement.py
@@ -158,9 +158,9 @@
             return fastest
         group = request.item.group
         preferred = self._endpoints.get(group)
-        for endpoint in self._with_room(usable, exclude, now):
-            if endpoint.id == preferred:
-                return endpoint
+        bound = [end for end in usable if end.id == preferred]
+        for endpoint in self._with_room(bound, exclude, now):
+            return endpoint
         chosen = self._least_loaded(usable, exclude, now)
         if chosen is not None:
             self._endpoints[group] = chosen.id
--- a/tests/policy/test_prefix_placement.py
+++ b/tests/policy/test_prefix_placement.py
@@ -144,3 +144,19 @@
     assert weighed.first_s < group.first_s + 0.03
     assert weighed.first_worst_s < 1.1 * group.first_worst_s
     assert weighed.step_s < 1.05 * group.step_s
+
+
+def test_bound_group_asks_for_the_load_of_its_endpoint_only(monkeypatch):
+    """Guards against a default placement that is slow with 1,100 endpoints."""
+    setting = Setting("group")
+    chosen = setting.choose(prompt=None)
+    asked = []
+    load = setting.balancer.load
+
+    def counted(end, now):
+        asked.append(end.id)
+        return load(end, now)
+
+    monkeypatch.setattr(setting.balancer, "load", counted)
+    assert setting.choose(prompt=None) is chosen
+    assert set(asked) == {chosen.id}
