Shrink no order before the peak has been observed for its window

An instance that acquired the duty right after its start shrank orders 30 s later, within a pause of 40 s between steps, while others take a minute. It now waits until it has observed the demand as long as they.

--- a/plantainstack/policy/scaling.py
+++ b/plantainstack/policy/scaling.py
@@ -454,6 +454,10 @@
         return order.count if order.confirmed else max(order.bound, self._live[pool])
 
     def _may_shrink(self, order: _PoolOrder, target: int, now: float) -> bool:
+        if not self._peak.is_complete(now):
+            # The peak of an instance that has just started may be too low.
+            order.lower_since = None
+            return False
         if order.lower_since is None:
             order.lower_since, order.lower_max = now, target
         order.lower_max = max(order.lower_max, target)
--- a/tests/policy/test_scaling.py
+++ b/tests/policy/test_scaling.py
@@ -177,6 +177,18 @@
     assert all(order.count == 4 for order in found.decide(LIMITS, 0.0))
 
 
+def test_new_holder_that_has_just_started_shrinks_no_earlier_than_others():
+    """Guards against scaling in during a pause of 40 s between steps."""
+    orders = [(name, spot, 4, 4) for name in NAMES for spot in (False, True)]
+    found = scaler(state=ScaleState(dict.fromkeys(NAMES, 2), orders, 8.0))
+    ends = registered(4) + registered(4, reclaimable=True)
+    for now in range(1, 60):
+        found.observe(0, ends, float(now))
+        sent = found.decide(LIMITS, float(now))
+        assert all(order.count == 4 for order in sent)
+        answer_all(found, sent, float(now))
+
+
 def test_endpoints_that_register_late_are_kept():
     """Guards against scaling in what starts together with the instances."""
     found = scaler(endpoints=registered(1))
