Read registrations at once only if the end of an endpoint is unknown

Each first answer of a leaving reclaimable endpoint caused a read, also if its registration had been read. A reclaim of 275 endpoints would cause as many reads at each instance within the notice.

--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -221,7 +221,7 @@
         """Record that an answer of an endpoint says that it leaves."""
         if self.view.record_leaving(endpoint, self.kernel.clock.now()):
             self._log_leaving(endpoint, "answer")
-            if endpoint.reclaimable:
+            if endpoint.reclaimable and self.view.leaves_at(endpoint) is None:
                 # The registration states when it goes; others go with it.
                 self._endpoint_feed.read_now()
             self.changed.notify()
--- a/tests/services/test_reclaimed_endpoints.py
+++ b/tests/services/test_reclaimed_endpoints.py
@@ -136,3 +136,21 @@
         run = batches._entries["b1"].run
         assert len(run._attempts) == 3
         assert len(platform.client.opened_streams) == 4
+
+
+async def test_answer_causes_no_read_once_the_time_of_the_end_is_known(monkeypatch):
+    """Guards against a read for each endpoint that an instance uses in a reclaim."""
+    platform = platform_of(1, 1)
+    platform.endpoints["e1"] = endpoint("e1", reclaimable=True)
+    async with running(platform, "a") as (kernel,):
+        discovery = kernel.plugin("discovery")
+        await until(lambda: "e1" in discovery.view.known)
+        reads = []
+        monkeypatch.setattr(
+            discovery._endpoint_feed, "read_now", lambda: reads.append(1)
+        )
+        known = discovery.view.known["e1"]
+        reclaim(platform, kernel, "e1")
+        await until(lambda: discovery.view.leaves_at(known) is not None)
+        discovery.record_leaving(known)
+        assert reads == []
