--- a/plantainstack/services/scaling/service_orders.py
+++ b/plantainstack/services/scaling/service_orders.py
@@ -27,10 +27,10 @@
         self._lease = lease
         self._row = OrderRow(kernel.plugin("store").metadata_store, service)
         self._restored = False
+        # Fencing token of the calls since the orders were read, None without any.
+        self._fence: int | None = None
         # Data centres with a call in progress.
         self._busy: set[str] = set()
-        # Token of the calls since the orders in force were read, None before the first.
-        self._fence: int | None = None
 
     def forget(self) -> None:
         """Read the orders in force again before the next one, after a loss."""
@@ -46,7 +46,8 @@
         They are stored first: if this instance ends in between, the next holder sends
         them, and none is in force that it does not know.
         """
-        if not self._restored and not await self._restore():
+        # Orders decided before a loss may still wait behind a call in progress.
+        if not self._restored and (self._busy or not await self._restore()):
             return
         orders = self.scaler.decide(limits, self._clock.now(), self._busy)
         if not orders:
@@ -69,8 +70,8 @@
             log.event("scaling.not_read", service=self._service, reason=reason)
             return False
         self.scaler.restore(found.unwrap(), self._clock.now())
-        self._restored = True
         self._fence = None
+        self._restored = True
         return True
 
     async def _send_all(self, data_centre: str, orders: list[CapacityOrder]) -> None:
@@ -87,8 +88,9 @@
             self.scaler.record_unsent(order, self._clock.now())
             return
         if self._fence not in (None, grant.fence):
-            # The lease was lost and acquired again; another holder may have ordered.
-            self._restored = False
+            # The duty was lost and acquired again at once, after a pause; another
+            # instance may have made orders meanwhile.
+            self.forget()
             self.scaler.record_unsent(order, self._clock.now())
             return
         self._fence = grant.fence
--- a/tests/policy/test_scaling.py
+++ b/tests/policy/test_scaling.py
@@ -178,6 +178,18 @@
     assert all(order.count == 4 for order in found.decide(LIMITS, 0.0))
 
 
+def test_new_holder_that_has_just_started_shrinks_no_earlier_than_others():
+    """Guards against scaling in during a pause of 40 s between steps."""
+    orders = [(name, spot, 4, 4) for name in NAMES for spot in (False, True)]
+    found = scaler(state=ScaleState(dict.fromkeys(NAMES, 2), orders, 8.0))
+    ends = registered(4) + registered(4, reclaimable=True)
+    for now in range(1, 60):
+        found.observe(0, ends, float(now))
+        sent = found.decide(LIMITS, float(now))
+        assert all(order.count == 4 for order in sent)
+        answer_all(found, sent, float(now))
+
+
 def test_endpoints_that_register_late_are_kept():
     """Guards against scaling in what starts together with the instances."""
     found = scaler(endpoints=registered(1))
@@ -264,3 +276,23 @@
     assert scaling.concurrent_items(400, 7.5) == pytest.approx(192)
     assert scaling.concurrent_items(400, 1.0) == 400
     assert scaling.concurrent_items(400, 0.0) == 400
+
+
+def test_orders_above_a_lowered_maximum_shrink_at_once():
+    """Guards against orders that stay above the maximum by less than a fifth."""
+    found = scaler(demand=1000)
+    answer_all(found, found.decide(LIMITS, 0.0), 0.0)
+    lowered = LIMITS._replace(count_max=9)
+    orders = found.decide(lowered, 1.0)
+    assert orders == [CapacityOrder("models", name, 9, False) for name in NAMES]
+    answer_all(found, orders, 1.0)
+    assert found.decide(lowered, 1.5) == []
+
+
+def test_floor_after_a_lost_row_is_what_is_registered():
+    """Guards against ordering the endpoints of a former peak again without need."""
+    found = ServiceScaler("models")
+    for now in range(200):
+        found.observe(0, registered(8 if 50 < now < 60 else 2), float(now))
+    found.restore(None, 200.0)
+    assert found.decide(LIMITS, 200.0) == []
