Decode the configuration only when its row changes

Under strict revocation each instance reads the row about once a second. Decoding a configuration of 49 routes and 87 tenants (21 KB) takes 0.41 ms here, and the row rarely changes, so the last one is kept with the version of its row.

--- a/plantainstack/platform/store.py
+++ b/plantainstack/platform/store.py
@@ -85,6 +85,9 @@
             address, clock, FEED_CONNECTIONS, FEED_WAIT_MAX_S + FEED_MARGIN_S
         )
         self._newest_version = 0
+        # The configuration as last decoded, and the version of its row.
+        self._config: ServingConfig | None = None
+        self._config_version: int | None = None
 
     async def aclose(self) -> None:
         """Close idle connections."""
@@ -270,7 +273,11 @@
     def _valid_config(self, row: StoredRow) -> ServingConfig | None:
         if row.value is None:
             return None
-        return self._valid(row, records.decode_config(row.value))
+        # The configuration is read every second and rarely changes.
+        if not row.version or row.version != self._config_version:
+            self._config = self._valid(row, records.decode_config(row.value))
+            self._config_version = row.version
+        return self._config
 
     def _endpoint_changes(
         self, rows: RowsRead | HistoryLost
