Split the reading of bodies and the sending of responses from the ingress

read_body moves into platform/bodies.py; Response, its builders and ResponseSender move into platform/responses.py. The test of Retry-After imports the builder from there. Behaviour, log events and metrics stay as they were.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -1,29 +1,33 @@
 """HTTP interface for the platform's clients and trainers."""
 
-import io
-import math
 from contextlib import aclosing
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import Any
 from urllib.parse import parse_qs
 
 import anyio
-import msgspec
 
 from plantainstack import log, metrics
 from plantainstack.decoding import parse_decimal
-from plantainstack.errors import ERROR_TABLE, ErrorKind, Failure, Outcome
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.links.answers import AnswerGivenUp, giving_up
 from plantainstack.platform import names, records
+from plantainstack.platform.bodies import read_body
+from plantainstack.platform.responses import (
+    Response,
+    ResponseSender,
+    StreamAborted,
+    failure_response,
+    json_response,
+)
 from plantainstack.policy import draining, tenant_admission
 from plantainstack.policy.answer_memory import BodyReservation
 from plantainstack.policy.draining import StopTimes
-from plantainstack.policy.forwarding import NOT_RUN_STATUSES, RETRY_AFTER_S
 from plantainstack.policy.tenants import Tenant
 from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
 from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
 from plantainstack.services.forwarding import ClientCall
-from plantainstack.serving import ClientLimits, RequestKind, Route, TakeUp
+from plantainstack.serving import RequestKind, Route, TakeUp
 from plantainstack.tasks import record_exception
 
 # Longest time for which a request for results may wait; the platform specifies 1 s.
@@ -31,22 +35,10 @@
 RESULTS_MAX_BYTES = 900_000
 # Time after the deadline of a stream for which its last bytes may still be sent.
 SEND_GRACE_S = 0.25
-# Part of a body that is sent at once.
-PIECE_BYTES = 64 * 1024
 # Keys of the rows of results have eight digits.
 POSITION_MAX = 99_999_999
 
 
-class _Response(NamedTuple):
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes = b""
-
-
-class StreamAborted(Exception):
-    """Raised to close a client's connection in the middle of a response."""
-
-
 class Ingress:
     """ASGI application that serves clients and trainers."""
 
@@ -69,7 +61,8 @@
     async def _serve(self, scope, receive, send) -> None:
         arrived_at = self._kernel.clock.now()
         with self._kernel.body_memory.reserve() as held:
-            body = await self._read_body(scope, receive, held)
+            limits = self._discovery.limits()
+            body = await read_body(scope, receive, limits, held)
             if body is not None:
                 handler = _RequestHandler(self, scope, body, held, arrived_at, send)
                 await self._handle(handler, receive)
@@ -86,52 +79,6 @@
                 raise
             tasks.cancel_scope.cancel()
 
-    async def _read_body(
-        self, scope, receive, held: BodyReservation
-    ) -> bytes | Failure | None:
-        limits = self._discovery.limits()
-        refusal = self._refuse_head(scope, limits, held)
-        return refusal or await self._receive_body(receive, limits, held)
-
-    def _refuse_head(
-        self, scope, limits: ClientLimits, held: BodyReservation
-    ) -> Failure | None:
-        head = sum(len(name) + len(value) + 4 for name, value in scope["headers"])
-        if head > limits.header_bytes:
-            text = f"headers are limited to {limits.header_bytes} bytes"
-            return Failure.of(ErrorKind.HEADERS_TOO_LARGE, text)
-        declared = _declared_size(scope)
-        if declared > limits.body_bytes:
-            return _body_too_large(limits)
-        if not held.may_grow_to(declared):
-            return held.refusal()
-        return None
-
-    async def _receive_body(
-        self, receive, limits: ClientLimits, held: BodyReservation
-    ) -> bytes | Failure | None:
-        buffer = io.BytesIO()
-        while True:
-            message = None
-            with anyio.move_on_after(limits.idle_timeout_s) as scope:
-                held.give_up = scope.cancel
-                message = await receive()
-            if held.is_given_up:
-                return held.refusal()
-            if message is None:
-                text = f"no body data was received for {limits.idle_timeout_s} s"
-                return Failure.of(ErrorKind.REQUEST_TIMEOUT, text)
-            if message["type"] == "http.disconnect":
-                return None
-            buffer.write(message.get("body", b""))
-            if buffer.tell() > limits.body_bytes:
-                return _body_too_large(limits)
-            if not held.grow_to(buffer.tell()):
-                return held.refusal()
-            if not message.get("more_body"):
-                held.give_up = None
-                return buffer.getvalue()
-
 
 class _RequestHandler:
     """Handle one request whose body has been read."""
@@ -148,7 +95,6 @@
         self._body = body
         self._held = held
         self._arrived_at = arrived_at
-        self._send = send
         self._headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in scope["headers"]
@@ -160,6 +106,7 @@
         self._target = f"{raw_path}?{query}" if query else raw_path
         self._host = names.header(self._headers, "host") or ""
         self._request_id = names.header(self._headers, names.REQUEST_ID) or ""
+        self._sender = ResponseSender(self._kernel, self._request_id, send)
         self._has_tenants = False
         self._tenant: Tenant | None = None
 
@@ -167,18 +114,18 @@
         """Route the request and send the response."""
         if isinstance(self._body, Failure):
             self._log_refusal(self._body)
-            await self._respond(_failure_response(self._body))
+            await self._sender.respond(failure_response(self._body))
             return
         method = self._scope["method"]
         if self._path.startswith(names.LOTS_PATH) and method in ("GET", "DELETE"):
-            await self._respond(
+            await self._sender.respond(
                 self._refusal_by_key(None)
                 or self._refusal_by_stop(self._resource_deadline(method))
                 or await self._batch_resource(method)
             )
             return
         if self._path.startswith(names.ITEMS_PATH) and method == "GET":
-            await self._respond(
+            await self._sender.respond(
                 self._refusal_by_key(None)
                 or self._refusal_by_stop(self._resource_deadline(method))
                 or await self._item_body()
@@ -187,11 +134,11 @@
         found = self._forwarding.route(self._host, self._path)
         if found.is_err():
             self._log_refusal(found.unwrap_err())
-            await self._respond(_failure_response(found.unwrap_err()))
+            await self._sender.respond(failure_response(found.unwrap_err()))
             return
         await self._forward(found.unwrap())
 
-    def _refusal_by_key(self, route: Route | None) -> _Response | None:
+    def _refusal_by_key(self, route: Route | None) -> Response | None:
         """Find out the tenant of the request; refuse one without a valid key."""
         discovery = self._ingress._discovery
         cfg = discovery.serving
@@ -209,7 +156,7 @@
         reason, failure = admitted.unwrap_err()
         metrics.KEY_REFUSALS.labels(reason.value).inc()
         self._log_refusal(failure)
-        return _failure_response(failure)
+        return failure_response(failure)
 
     def _tenant_name(self) -> str | None:
         """Return the name of the tenant, empty if unknown and None without tenants."""
@@ -217,7 +164,7 @@
             return None
         return self._tenant.name if self._tenant else ""
 
-    def _refusal_by_stop(self, answer_by: float) -> _Response | None:
+    def _refusal_by_stop(self, answer_by: float) -> Response | None:
         """Refuse a request that may still run when the instance has to end."""
         times = self._ingress.stop_times
         now = self._kernel.clock.now()
@@ -226,16 +173,16 @@
         message = "the instance is stopping and may not answer in time"
         failure = Failure.of(ErrorKind.DRAINING, message)
         self._log_refusal(failure)
-        return _failure_response(failure)
+        return failure_response(failure)
 
-    async def _refusal_by_rate(self, route: Route) -> _Response | None:
+    async def _refusal_by_rate(self, route: Route) -> Response | None:
         """Refuse a request above the rate of its tenant."""
         deadline = self._route_deadline(route)
         failure = await self._rates.refusal(self._tenant, route, deadline)
         if failure is None:
             return None
         self._log_refusal(failure)
-        return _failure_response(failure)
+        return failure_response(failure)
 
     def _resource_deadline(self, method: str) -> float:
         """Return the time by which a request for a batch is answered."""
@@ -257,9 +204,9 @@
             or await self._refusal_by_rate(route)
         )
         if refusal is not None:
-            await self._respond(refusal)
+            await self._sender.respond(refusal)
         elif route.kind is RequestKind.BATCH:
-            await self._respond(await self._submit(route))
+            await self._sender.respond(await self._submit(route))
         elif route.kind is RequestKind.STREAM:
             await self._stream(route)
         else:
@@ -268,16 +215,16 @@
     async def _plain(self, route: Route) -> None:
         outcome = await self._forwarding.plain(self._client_call(route), route)
         if outcome.is_err():
-            await self._respond(_failure_response(outcome.unwrap_err()))
+            await self._sender.respond(failure_response(outcome.unwrap_err()))
             return
         answer = outcome.unwrap().answer
-        response = _Response(answer.status, answer.headers, answer.body)
+        response = Response(answer.status, answer.headers, answer.body)
         if answer.held is None:
-            await self._respond(response)
+            await self._sender.respond(response)
             return
         try:
             with giving_up(answer.held):
-                await self._respond(response)
+                await self._sender.respond(response)
         except AnswerGivenUp as exc:
             raise StreamAborted(str(exc)) from None
 
@@ -298,15 +245,15 @@
             if outcome.is_err():
                 if started:
                     raise StreamAborted(outcome.unwrap_err().message)
-                await self._respond(_failure_response(outcome.unwrap_err()))
+                await self._sender.respond(failure_response(outcome.unwrap_err()))
                 return
             part = outcome.unwrap()
             if isinstance(part, bytes):
-                await self._send_body(part, more=True)
+                await self._sender.send_body(part, more=True)
             else:
                 started = True
-                await self._send_headers(part.status, part.headers)
-        await self._send_body(b"", more=False)
+                await self._sender.send_headers(part.status, part.headers)
+        await self._sender.send_body(b"", more=False)
 
     def _refuse_decoding(self) -> Failure | None:
         """Refuse a batch whose records do not fit in memory beside its body.
@@ -319,11 +266,11 @@
             return Failure.of(ErrorKind.OVERLOADED, text)
         return None if self._held.grow_to(size) else self._held.refusal()
 
-    async def _submit(self, route: Route) -> _Response:
+    async def _submit(self, route: Route) -> Response:
         refusal = self._refuse_decoding()
         if refusal is not None:
             self._log_refusal(refusal)
-            return _failure_response(refusal)
+            return failure_response(refusal)
         decoded = records.decode_batch(
             self._request_id, self._host, self._path, self._body
         )
@@ -331,33 +278,33 @@
             reason = decoded.err() or "the request has no id"
             failure = Failure.of(ErrorKind.BAD_REQUEST, reason)
             self._log_refusal(failure)
-            return _failure_response(failure)
+            return failure_response(failure)
         batch = decoded.unwrap()
         if self._has_tenants:
             batch = records.of_tenant(batch, self._tenant_name())
         outcome = await self._batches.submit(batch, route)
         if outcome.is_err():
-            return _failure_response(outcome.unwrap_err())
-        return _Response(HTTPStatus.ACCEPTED, [])
+            return failure_response(outcome.unwrap_err())
+        return Response(HTTPStatus.ACCEPTED, [])
 
-    async def _batch_resource(self, method: str) -> _Response:
+    async def _batch_resource(self, method: str) -> Response:
         batch_id = self._path.removeprefix(names.LOTS_PATH)
         if method == "DELETE":
             ended = await self._batches.end(batch_id, self._tenant_name())
             return (
-                _failure_response(ended.unwrap_err())
+                failure_response(ended.unwrap_err())
                 if ended.is_err()
-                else _json_response({})
+                else json_response({})
             )
         after = self._query_number("after")
         if after is None:
             message = "the position is not a number"
-            return _failure_response(Failure.of(ErrorKind.BAD_REQUEST, message))
+            return failure_response(Failure.of(ErrorKind.BAD_REQUEST, message))
         found = await self._batches.results(
             batch_id, after, self._wait_s(), self._tenant_name()
         )
         if found.is_err():
-            return _failure_response(found.unwrap_err())
+            return failure_response(found.unwrap_err())
         page = found.unwrap()
         results: list[dict[str, Any]] = []
         size = 0
@@ -366,18 +313,18 @@
             if results and size > RESULTS_MAX_BYTES:
                 break
             results.append(records.encode_result(each))
-        return _json_response(
+        return json_response(
             {"total": page.total, "next": after + len(results), "results": results}
         )
 
-    async def _item_body(self) -> _Response:
+    async def _item_body(self) -> Response:
         batch_id = self._path.removeprefix(names.ITEMS_PATH)
         item_id = parse_qs(self._query).get("id", [""])[0]
         found = await self._batches.item_body(batch_id, item_id, self._tenant_name())
         if found.is_err():
-            return _failure_response(found.unwrap_err())
+            return failure_response(found.unwrap_err())
         headers = [("Content-Type", "application/octet-stream")]
-        return _Response(HTTPStatus.OK, headers, found.unwrap())
+        return Response(HTTPStatus.OK, headers, found.unwrap())
 
     def _wait_s(self) -> float:
         wait_ms = names.header(self._headers, names.WAIT_MS)
@@ -435,56 +382,6 @@
             reason=failure.message,
         )
 
-    async def _respond(self, response: _Response) -> None:
-        length = ("Content-Length", str(len(response.body)))
-        headers = [*response.headers, length]
-        if names.header(headers, names.REQUEST_ID) is None and self._request_id:
-            headers.append((names.REQUEST_ID, self._request_id))
-        await self._send_headers(response.status, headers)
-        if len(response.body) > PIECE_BYTES:
-            await self._send_pieces(response.body)
-        else:
-            await self._send_body(response.body, more=False)
-
-    async def _send_pieces(self, body: bytes) -> None:
-        """Send a body no faster than the client reads it.
-
-        The server would keep a copy of what the client has not read.
-        """
-        limit_s = self._ingress._discovery.limits().idle_timeout_s
-        for start in range(0, len(body), PIECE_BYTES):
-            with anyio.move_on_after(limit_s) as scope:
-                await self._send_body(body[start : start + PIECE_BYTES], more=True)
-            if scope.cancelled_caught:
-                raise StreamAborted(f"the client read nothing for {limit_s} s")
-        await self._send_body(b"", more=False)
-
-    async def _send_headers(self, status: int, headers) -> None:
-        if self._kernel.unready_reason() == "draining":
-            headers = [*headers, ("Connection", "close")]
-        encoded = [
-            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
-        ]
-        await self._send(
-            {"type": "http.response.start", "status": status, "headers": encoded}
-        )
-
-    async def _send_body(self, body: bytes, more: bool) -> None:
-        await self._send(
-            {"type": "http.response.body", "body": body, "more_body": more}
-        )
-
-
-def _body_too_large(limits: ClientLimits) -> Failure:
-    text = f"the body is limited to {limits.body_bytes} bytes"
-    return Failure.of(ErrorKind.BODY_TOO_LARGE, text)
-
-
-def _declared_size(scope) -> int:
-    """Return the length that the head of a request declares, or 0."""
-    text = names.header(scope["headers"], "content-length")
-    return parse_decimal(text, records.INTEGER_MAX) or 0
-
 
 async def _cancel_on_disconnect(receive, scope: anyio.CancelScope) -> None:
     while True:
@@ -492,29 +389,3 @@
         if message["type"] == "http.disconnect":
             scope.cancel()
             return
-
-
-def _json_response(content: dict[str, Any]) -> _Response:
-    headers = [("Content-Type", "application/json")]
-    return _Response(HTTPStatus.OK, headers, msgspec.json.encode(content))
-
-
-def _failure_response(failure: Failure) -> _Response:
-    """Build the response to a failure.
-
-    A status of NOT_RUN_STATUSES is sent only for the outcome `not_run`.
-    """
-    status = ERROR_TABLE[failure.kind].status
-    if failure.outcome is Outcome.NOT_RUN and status == HTTPStatus.BAD_GATEWAY:
-        status = HTTPStatus.SERVICE_UNAVAILABLE
-    if failure.outcome is not Outcome.NOT_RUN and status in NOT_RUN_STATUSES:
-        status = HTTPStatus.GATEWAY_TIMEOUT
-    headers = [("Content-Type", "application/json")]
-    if status in (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS):
-        wait_s = failure.retry_after_s
-        wait_s = RETRY_AFTER_S if wait_s is None else wait_s
-        headers.append(("Retry-After", f"{math.ceil(wait_s * 100) / 100}"))
-    if status == HTTPStatus.UNAUTHORIZED:
-        headers.append(("WWW-Authenticate", "Bearer"))
-    content = {"error": failure.kind.value, "message": failure.message}
-    return _Response(status, headers, msgspec.json.encode(content))
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -15,7 +15,7 @@
 from plantainstack.front import gateway as gateway_module
 from plantainstack.front.gateway import Gateway
 from plantainstack.interfaces import PlainAnswer
-from plantainstack.platform import ingress, names
+from plantainstack.platform import names, responses
 from plantainstack.serving import ClientLimits, EndpointAnswer, RequestKind
 from plantainstack.settings.options import Address
 from tests.platform.samples import lot
@@ -75,7 +75,7 @@
 def test_refusal_says_when_to_come_back():
     """Guards against clients that return while their request is still refused."""
     failure = Failure.of(ErrorKind.OVERLOADED, "scripted")
-    headers = ingress._failure_response(failure._replace(retry_after_s=4.2)).headers
+    headers = responses.failure_response(failure._replace(retry_after_s=4.2)).headers
     assert ("Retry-After", "4.2") in headers
 
 
