Split accepting batches from owning them

services/batches.py had grown to 599 lines and did two jobs: accepting and ending batches for trainers, and owning them (takeover, release, supervision, removal).

BatchSubmissions in services/batch_submissions.py accepts and ends batches, beside BatchReads, which answers readers. The plug-in keeps ownership, since its tasks are named in log events and metrics as Batches._take_over and the like. Smaller parts move to the modules of their data: reading the progress of a batch to batch_progress.py, appending abandoned items to batch_results.py, and the delay of the next takeover, reused ids, step owners and open items to batch_cache.py. Behaviour, log events and metrics stay as they were, and tests patch the same names.

--- a/plantainstack/services/batch_cache.py
+++ b/plantainstack/services/batch_cache.py
@@ -1,5 +1,8 @@
 """Cache of the batches that an instance knows and of their results."""
 
+from collections import Counter
+
+from plantainstack.policy.batch_owners import StepOwner
 from plantainstack.services.batch_runs import BatchRun
 from plantainstack.services.batch_store import StateRow
 from plantainstack.services.feeds import ChangeNotifier
@@ -7,6 +10,11 @@
 
 # Half of the memory that the process leaves free on the smallest machine (128 MB).
 CACHE_BYTES = 24 * 1024 * 1024
+# Delay after a takeover whose batch could not be read, doubled each time. Once it
+# exceeds the timeout of an owner, another instance tries.
+RESUME_RETRY_MIN_S = 0.4
+RESUME_RETRY_MAX_S = 8.0
+RESUME_DOUBLINGS_MAX = 10
 
 
 class BatchEntry:
@@ -31,6 +39,18 @@
         """Return whether this instance runs the batch."""
         return self.run is not None and not self.run.stopped
 
+    def is_reused_by(self, row: StateRow) -> bool:
+        """Return whether a newer row is that of another tenant's batch of this id."""
+        known = self.row
+        return row.version > known.version and row.state.tenant != known.state.tenant
+
+    def delay_resume(self, now: float) -> None:
+        """Delay the next takeover after one whose batch could not be run."""
+        doublings = min(self.failed_resumes, RESUME_DOUBLINGS_MAX)
+        delay_s = min(RESUME_RETRY_MAX_S, RESUME_RETRY_MIN_S * 2**doublings)
+        self.failed_resumes += 1
+        self.resume_at = now + delay_s
+
     def result_bytes(self) -> int:
         """Return the size of the cached texts."""
         return sum(len(each.text) for each in self.results.values())
@@ -60,6 +80,27 @@
         if entry is not None:
             self._bytes -= entry.result_bytes()
 
+    def open_items(self) -> Counter[str]:
+        """Return the number of items without a result of all open batches, by route."""
+        found: Counter[str] = Counter()
+        for entry in self.entries.values():
+            state = entry.row.state
+            if not state.is_final():
+                found[state.route] += state.total - state.listed
+        return found
+
+    def step_owners(self) -> list[StepOwner]:
+        """Return the owners of the known batches."""
+        return [
+            StepOwner(
+                entry.row.state.route,
+                entry.row.state.owner,
+                entry.known_since,
+                entry.seen_at,
+            )
+            for entry in self.entries.values()
+        ]
+
     def _evict(self, kept: BatchEntry) -> None:
         """Evict cached results, those of the earliest known batches first."""
         for entry in self.entries.values():
--- a/plantainstack/services/batch_results.py
+++ b/plantainstack/services/batch_results.py
@@ -14,7 +14,7 @@
     StateConflict,
     StateRow,
 )
-from plantainstack.serving import ItemResult
+from plantainstack.serving import Batch, ItemResult, ItemState
 
 # Delay before a write, so that items that end together share one transaction.
 APPEND_DELAY_S = 0.015
@@ -200,3 +200,29 @@
                 break
             chunk.append(result)
         return chunk
+
+
+async def append_abandoned(
+    batch_store: BatchStore,
+    row: StateRow,
+    batch: Batch,
+    listed: list[ItemResult],
+    on_row: Callable[[str, StateRow], object],
+) -> None:
+    """Append the unfinished items of a batch as abandoned, in chunks.
+
+    `on_row` is called with the id of the batch and each new state.
+    """
+    done = {result.item_id for result in listed}
+    rest = [
+        ItemResult(item.id, ItemState.ABANDONED, "", ())
+        for item in batch.items
+        if item.id not in done
+    ]
+    while rest:
+        chunk, rest = rest[:APPEND_ITEMS], rest[APPEND_ITEMS:]
+        outcome = await batch_store.append(batch.id, row, chunk)
+        if outcome.is_err() or not isinstance(outcome.unwrap(), StateRow):
+            return
+        row = outcome.unwrap()
+        on_row(batch.id, row)
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -1,33 +1,25 @@
-"""Plug-in that accepts batches, serves their results and assigns their owners."""
+"""Plug-in that tracks batches and runs those that this instance owns."""
 
 import random
 from collections import Counter
 
 import anyio
-from result import Err, Ok, Result
+from result import Result
 
 from plantainstack import log
-from plantainstack.errors import ErrorKind, Failure
+from plantainstack.errors import Failure
 from plantainstack.plugins import Plugin
 from plantainstack.policy import batch_owners, batch_scheduling
-from plantainstack.policy.batch_owners import StepOwner
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
-from plantainstack.services.batch_reads import (
-    BatchReads,
-    ResultPage,
-    record_other_tenant,
-)
-from plantainstack.services.batch_results import APPEND_ITEMS
+from plantainstack.services.batch_progress import read_progress
+from plantainstack.services.batch_reads import BatchReads, ResultPage
+from plantainstack.services.batch_results import append_abandoned
 from plantainstack.services.batch_runs import BatchRun
-from plantainstack.services.batch_store import (
-    STATE_TABLE,
-    BatchStore,
-    StateRow,
-)
-from plantainstack.services.discovery import STORE_OUTAGE_MAX_S
+from plantainstack.services.batch_store import STATE_TABLE, BatchStore, StateRow
+from plantainstack.services.batch_submissions import BatchSubmissions
 from plantainstack.services.feeds import FeedReader, recent_rows
 from plantainstack.services.item_placement import batch_route
-from plantainstack.serving import Batch, ItemResult, ItemState, Route, RowsRead
+from plantainstack.serving import Batch, ItemResult, Route, RowsRead
 from plantainstack.tasks import contained, record_exception
 
 # Pause between reads of the feed, so that one read returns several state changes.
@@ -40,9 +32,6 @@
 NEXT_STEP_PAUSE_S = 0.05
 SUPERVISE_INTERVAL_S = 0.4
 CONFIG_CHECK_S = 0.5
-# A working store answers a read within 20 ms, over a new connection too. A refusal that
-# comes later is of less use to a trainer, which then tries other instances.
-STORE_PROBE_TIMEOUT_S = 0.09
 # Delay after a failed read of the whole table. The feed still shows the batches that
 # are being written, so this delay does little harm.
 TABLE_RETRY_S = 1.0
@@ -53,11 +42,6 @@
 # slow store responds within 0.3 s.
 RELEASE_MARGIN_S = 1.5
 DRAIN_CHECK_S = 0.05
-# Delay after a takeover whose batch could not be read, doubled each time. Once it
-# exceeds the timeout of an owner, another instance tries.
-RESUME_RETRY_MIN_S = 0.4
-RESUME_RETRY_MAX_S = 8.0
-RESUME_DOUBLINGS_MAX = 10
 
 
 class Batches(Plugin):
@@ -73,9 +57,6 @@
         self._instance_id = kernel.settings.instance.id
         self._draining = False
         self._released = anyio.Event()
-        # Ids of batches that are being stored. Their runs start once the store has
-        # confirmed them, so until then they do not count as orphaned.
-        self._accepting: set[str] = set()
         self._full_read_due = anyio.Event()
         self._next_step_until = 0.0
 
@@ -109,6 +90,16 @@
             self._feed,
             self._apply_row,
         )
+        self._submissions = BatchSubmissions(
+            self.kernel.clock,
+            self._discovery,
+            self._batch_store,
+            self._cache,
+            self._feed,
+            self._choose_owner,
+            self._apply_row,
+            self._start_accepted,
+        )
         tasks.start_loop(self._read_feed)
         tasks.start_loop(self._read_full_table)
         tasks.start_loop(self._supervise)
@@ -183,8 +174,7 @@
             await run.release()
 
     def _running(self) -> list[BatchRun]:
-        runs = [entry.run for entry in self._entries.values()]
-        return [run for run in runs if run is not None and not run.stopped]
+        return [entry.run for entry in self._entries.values() if entry.is_running()]
 
     async def submit(self, batch: Batch, route: Route) -> Result[None, Failure]:
         """Store a batch and start to run it.
@@ -192,95 +182,24 @@
         Returns Ok once the whole batch is stored, or at once if its id is already
         known as that of a batch that the tenant may use.
         """
-        started = self.kernel.clock.now()
-        entry = self._entries.get(batch.id)
-        if entry is not None and self._is_open_to(entry.row, batch.tenant):
-            log.event("batch.known", batch.id, version=entry.row.version)
-            return Ok(None)
-        if not await self._store_answers(batch.id):
-            log.event("batch.refused", batch.id, reason="the store does not answer")
-            message = "the store does not answer"
-            return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, message))
-        owner = self._choose_owner(route)
-        self._accepting.add(batch.id)
-        try:
-            return await self._accept(batch, route, owner, started)
-        finally:
-            self._accepting.discard(batch.id)
-
-    async def _store_answers(self, batch_id: str) -> bool:
-        """Return whether the store answers; read a row of it if the feed is lost.
-
-        A lost feed notices the return of a silent store up to 1.9 s late. A write could
-        be done later although its submission was refused; a read has no effect.
-        """
-        if self._feed.lost_for(self.kernel.clock.now()) <= STORE_OUTAGE_MAX_S:
-            return True
-        found = None
-        with anyio.move_on_after(STORE_PROBE_TIMEOUT_S):
-            found = await self._batch_store.state(batch_id)
-        return found is not None and found.is_ok()
+        return await self._submissions.submit(batch, route)
 
     def _choose_owner(self, route: Route) -> str:
-        steps = [
-            StepOwner(
-                entry.row.state.route,
-                entry.row.state.owner,
-                entry.known_since,
-                entry.seen_at,
-            )
-            for entry in self._entries.values()
-        ]
+        steps = self._cache.step_owners()
         now = self.kernel.clock.now()
         owner = batch_owners.choose_owner(self._instance_id, route.name, steps, now)
         return "" if self._draining and owner == self._instance_id else owner
 
-    async def _accept(
-        self, batch: Batch, route: Route, owner: str, started: float
-    ) -> Result[None, Failure]:
-        outcome = await self._batch_store.accept(batch, route.name, owner)
-        seconds = round(self.kernel.clock.now() - started, 4)
-        if outcome.is_err():
-            failure = outcome.unwrap_err()
-            log.event(
-                "batch.refused",
-                batch.id,
-                seconds=seconds,
-                outcome=failure.outcome.value,
-                reason=failure.message,
-            )
-            return Err(failure)
-        row, stored_here = outcome.unwrap()
-        if not self._is_open_to(row, batch.tenant):
-            record_other_tenant(batch.id, row.state.tenant, batch.tenant)
-            message = "a batch with this id exists already"
-            return Err(Failure.of(ErrorKind.CONFLICT, message))
-        log.event(
-            "batch.accepted",
-            batch.id,
-            route=route.name,
-            tenant=batch.tenant,
-            items=len(batch.items),
-            groups_wanted=batch.groups_wanted,
-            min_version=batch.min_version,
-            stored_here=stored_here,
-            owner=row.state.owner,
-            seconds=seconds,
-        )
-        entry = self._apply_row(batch.id, row)
-        if row.state.tenant == batch.tenant:
-            entry.batch = batch
-        if not stored_here or self._draining or entry.run is not None:
-            return Ok(None)
+    def _start_accepted(
+        self, entry: BatchEntry, row: StateRow, batch: Batch, route: Route, owner: str
+    ) -> None:
+        """Run a batch that was stored here, unless the chosen owner does."""
+        if self._draining or entry.run is not None:
+            return
         if owner == self._instance_id:
             self._start_run(entry, row, batch, route, [], {})
         elif owner:
             self._tasks.start_soon(self._ensure_handover, batch.id, entry, row.version)
-        return Ok(None)
-
-    def _is_open_to(self, row: StateRow, tenant: str) -> bool:
-        has_tenants = self._discovery.serving.tenants is not None
-        return row.state.is_open_to(tenant if has_tenants else None)
 
     async def _ensure_handover(
         self, batch_id: str, entry: BatchEntry, version: int
@@ -309,34 +228,13 @@
 
     def open_items(self) -> Counter[str]:
         """Return the number of items without a result of all open batches, by route."""
-        found: Counter[str] = Counter()
-        for entry in self._entries.values():
-            state = entry.row.state
-            if not state.is_final():
-                found[state.route] += state.total - state.listed
-        return found
+        return self._cache.open_items()
 
     async def end(
         self, batch_id: str, tenant: str | None = None
     ) -> Result[None, Failure]:
         """End a batch; its listed results can still be read."""
-        known = self._entries.get(batch_id)
-        if known and known.row.state.ended and known.row.state.is_open_to(tenant):
-            return Ok(None)
-        known_version = known.row.version if known else 0
-        outcome = await self._batch_store.end(batch_id, known_version, tenant)
-        if outcome.is_err():
-            failure = outcome.unwrap_err()
-            log.event("batch.end_failed", batch_id, reason=failure.message)
-            return Err(failure)
-        row = outcome.unwrap()
-        if row is None or not row.state.is_open_to(tenant):
-            if row is not None:
-                record_other_tenant(batch_id, row.state.tenant, tenant)
-            return Err(Failure.of(ErrorKind.NOT_FOUND, "the batch does not exist"))
-        log.event("batch.ended", batch_id, listed=row.state.listed, version=row.version)
-        self._apply_row(batch_id, row)
-        return Ok(None)
+        return await self._submissions.end(batch_id, tenant)
 
     def running(self, batch_id: str) -> BatchRun | None:
         """Return the run of a batch at this instance, None if it does not run here."""
@@ -366,7 +264,7 @@
     def _apply_row(self, batch_id: str, row: StateRow) -> BatchEntry:
         now = self.kernel.clock.now()
         entry = self._entries.get(batch_id)
-        if entry is not None and _is_reused(entry.row, row):
+        if entry is not None and entry.is_reused_by(row):
             # What is cached belongs to the batch that had this id before.
             if entry.run is not None:
                 entry.run.stop()
@@ -426,7 +324,7 @@
             run.stop()
             entry = self._entries.get(run.batch.id)
             if entry is not None:
-                self._delay_resume(entry)
+                entry.delay_resume(self.kernel.clock.now())
         now = self.kernel.clock.now()
         self._next_step_until = now + batch_owners.PREVIOUS_STEP_MAX_AGE_S
 
@@ -462,7 +360,7 @@
         state = entry.row.state
         if state.ended or state.listed >= state.total:
             return False
-        if entry.pending or batch_id in self._accepting:
+        if entry.pending or batch_id in self._submissions.accepting:
             return False
         if self._discovery.serving is None:
             # Without a configuration, no batch has a route.
@@ -510,7 +408,7 @@
             await self._resume(batch_id, entry, row)
         except Exception as exc:
             record_exception("Batches._take_over", exc, batch=batch_id)
-            self._delay_resume(entry)
+            entry.delay_resume(self.kernel.clock.now())
         finally:
             entry.pending = False
 
@@ -519,68 +417,25 @@
 
         `row` is the state that the takeover has written.
         """
-        loaded, listed, partials = await self._read_progress(entry, row, batch_id)
-        for outcome in (loaded, listed, partials):
-            if outcome.is_err():
-                reason = outcome.unwrap_err().message
-                log.event("batch.not_resumed", batch_id, reason=reason)
-                self._delay_resume(entry)
-                return
+        found = await read_progress(
+            self._reads, self._batch_store, entry, row, batch_id
+        )
+        if found.is_err():
+            reason = found.unwrap_err().message
+            log.event("batch.not_resumed", batch_id, reason=reason)
+            entry.delay_resume(self.kernel.clock.now())
+            return
+        batch, listed, partials = found.unwrap()
         entry.failed_resumes = 0
-        self._cache.add_results(entry, 0, listed.unwrap())
-        route = batch_route(self._discovery.serving, loaded.unwrap())
+        self._cache.add_results(entry, 0, listed)
+        route = batch_route(self._discovery.serving, batch)
         if route is None:
-            await self._abandon(batch_id, row, loaded.unwrap(), listed.unwrap())
+            log.event("batch.route_gone", batch_id, route=row.state.route)
+            await append_abandoned(
+                self._batch_store, row, batch, listed, self._apply_row
+            )
             return
-        self._start_run(
-            entry, row, loaded.unwrap(), route, listed.unwrap(), partials.unwrap()
-        )
-
-    def _delay_resume(self, entry: BatchEntry) -> None:
-        doublings = min(entry.failed_resumes, RESUME_DOUBLINGS_MAX)
-        delay_s = min(RESUME_RETRY_MAX_S, RESUME_RETRY_MIN_S * 2**doublings)
-        entry.failed_resumes += 1
-        entry.resume_at = self.kernel.clock.now() + delay_s
-
-    async def _read_progress(
-        self, entry: BatchEntry, row: StateRow, batch_id: str
-    ) -> list[Result]:
-        """Read a batch, its listed results and its texts at the same time."""
-        reads = (
-            lambda: self._reads.load_batch(entry, batch_id),
-            lambda: self._batch_store.results(
-                batch_id, 0, row.state.listed, row.version
-            ),
-            lambda: self._batch_store.partials(batch_id, row.version),
-        )
-        found: list[Result] = [None] * len(reads)
-
-        async def read(number: int) -> None:
-            found[number] = await reads[number]()
-
-        async with anyio.create_task_group() as tasks:
-            for number in range(len(reads)):
-                tasks.start_soon(read, number)
-        return found
-
-    async def _abandon(
-        self, batch_id: str, row: StateRow, batch: Batch, listed: list[ItemResult]
-    ) -> None:
-        """List the unfinished items as abandoned, since the batch has no route."""
-        log.event("batch.route_gone", batch_id, route=row.state.route)
-        done = {result.item_id for result in listed}
-        rest = [
-            ItemResult(item.id, ItemState.ABANDONED, "", ())
-            for item in batch.items
-            if item.id not in done
-        ]
-        while rest:
-            chunk, rest = rest[:APPEND_ITEMS], rest[APPEND_ITEMS:]
-            outcome = await self._batch_store.append(batch_id, row, chunk)
-            if outcome.is_err() or not isinstance(outcome.unwrap(), StateRow):
-                return
-            row = outcome.unwrap()
-            self._apply_row(batch_id, row)
+        self._start_run(entry, row, batch, route, listed, partials)
 
     async def _remove(self, batch_id: str, entry: BatchEntry) -> None:
         try:
@@ -592,8 +447,3 @@
             log.event("batch.not_removed", batch_id, reason=reason)
             return
         self._cache.remove(batch_id)
-
-
-def _is_reused(known: StateRow, row: StateRow) -> bool:
-    """Return whether a newer row is that of another tenant's batch with the same id."""
-    return row.version > known.version and row.state.tenant != known.state.tenant
