Let a refused request wait only for those before it

A request that was refused at its turn keeps its place in the queue, but its expected wait counted all requests of its tenant and priority that came after it. In a long queue, the first request was refused after one attempt in vain.

The expected wait counts only the requests before its place.

--- a/plantainstack/policy/fair_admission.py
+++ b/plantainstack/policy/fair_admission.py
@@ -84,13 +84,12 @@
 
     def wait(self, ticket: Ticket, now: float) -> bool:
         """Queue a request; return False if its turn would come too late."""
-        wait_s = self.expected_wait_s(ticket.tenant, ticket.priority, now)
-        if now + wait_s >= ticket.leave_at:
-            return False
-        queue = self._queues.setdefault((ticket.tenant, ticket.priority), deque())
+        key = (ticket.tenant, ticket.priority)
         # One that was refused at its turn is older than those that came since.
-        place = sum(each.number < ticket.number for each in queue)
-        queue.insert(place, ticket)
+        place = sum(each.number < ticket.number for each in self._queues.get(key, ()))
+        if now + self._wait_behind_s(ticket.tenant, place, now) >= ticket.leave_at:
+            return False
+        self._queues.setdefault(key, deque()).insert(place, ticket)
         self._waiting += 1
         return True
 
@@ -152,6 +151,10 @@
     def expected_wait_s(self, tenant: str, priority: int, now: float) -> float:
         """Return for how long a new request would wait, 0.0 if nothing is known."""
         own = len(self._queues.get((tenant, priority), ()))
+        return self._wait_behind_s(tenant, own, now)
+
+    def _wait_behind_s(self, tenant: str, own: int, now: float) -> float:
+        """Return the wait behind `own` requests of the same tenant and priority."""
         if not own:
             return 0.0
         # A tenant that sent little before gets its turns among those that wait.
--- a/tests/policy/test_fair_admission.py
+++ b/tests/policy/test_fair_admission.py
@@ -211,3 +211,14 @@
     queue.take_back(tickets[2], 0.0)
     assert queue.wait(tickets[2], 0.0)
     assert queue.first(0.0) == tickets[2]
+
+
+def test_request_refused_at_its_turn_waits_only_for_those_before_it():
+    """Guards against refusing the first of a long queue after one attempt in vain."""
+    queue = FairAdmission()
+    tickets = [queue.offer("a", 5, 2.0, 0.0) for _ in range(4)]
+    assert all(queue.wait(ticket, 0.0) for ticket in tickets)
+    queue.give(tickets[0], 0.0)
+    queue.take_back(tickets[0], 0.5)
+    assert queue.wait(tickets[0], 0.5)
+    assert queue.first(0.5) == tickets[0]
