Give the turn of a client that has gone to the next request

If a client disconnected in the turn of the event loop in which its request got its turn, the tenant stayed charged for a request that was not sent, and the free slot was left idle until the next regular attempt, for up to 0.25 s.

The charge is undone, and the next waiting request tries at once.

--- a/plantainstack/services/fair_waits.py
+++ b/plantainstack/services/fair_waits.py
@@ -108,6 +108,12 @@
         try:
             with anyio.move_on_after(max(0.0, ticket.leave_at - self.now())):
                 await given.wait()
+        except BaseException:
+            # The client has gone before its request was sent.
+            if given.is_set():
+                state.queue.take_back(ticket, self.now())
+                state.slot_freed.set()
+            raise
         finally:
             metrics.FAIR_WAITING.dec()
             del state.turns[ticket]
--- a/tests/services/test_fair_waits.py
+++ b/tests/services/test_fair_waits.py
@@ -9,6 +9,7 @@
 from plantainstack.errors import ErrorKind, Outcome
 from plantainstack.interfaces import PlainAnswer
 from plantainstack.policy.tenants import Tenant, TenantDirectory
+from plantainstack.services.fair_waits import FairTurn
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import EndpointAnswer, RequestKind
 from tests.services.store_fleet import (
@@ -146,6 +147,35 @@
         assert (await send(kernels[0], BOLT)).is_ok()
 
 
+async def test_turn_of_a_client_that_has_gone_is_given_to_the_next_request():
+    """Guards against a charge for a request not sent, and a free slot left idle."""
+    platform = full_platform()
+    async with running(platform, "a") as kernels:
+        fair_waits = kernels[0].plugin("fair_waits")
+        queue = fair_waits.state("models").queue
+        now = kernels[0].clock.now()
+        gone, left = (queue.offer(name, 5, now + 2.0, now) for name in ("acme", "bolt"))
+        outcomes = []
+
+        async def wait(ticket, scope):
+            with scope:
+                turn = FairTurn(fair_waits, "models", ticket)
+                outcomes.append((ticket, await turn.wait(), kernels[0].clock.now()))
+
+        scope = anyio.CancelScope()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait, gone, scope)
+            await anyio.sleep(0)
+            tasks.start_soon(wait, left, anyio.CancelScope())
+            await anyio.sleep(0.01)
+            # The turn is given in the same turn of the event loop.
+            fair_waits.slot_freed("models")
+            scope.cancel()
+        ((ticket, given, at),) = outcomes
+        assert (ticket, given) == (left, True)
+        assert at - now < 0.05
+
+
 async def test_tenant_beside_a_burst_is_served():
     """Guards against a tenant that sends ten times as much and takes all slots."""
     platform = full_platform()
