Take no short deadline for an outage of the store

A request whose deadline had passed, or was shorter than a fetch of permits takes, recorded an outage of the store at once. Until the fetch was answered, other requests of the tenant got 503, or were admitted as a debt, although the tenant was below its rate and the store answered.

Only a fetch that has been running for 0.5 s counts as an outage. A request whose time to wait is over is refused as before.

--- a/plantainstack/services/tenant_rates.py
+++ b/plantainstack/services/tenant_rates.py
@@ -30,6 +30,9 @@
 # left; a slow store answers a call in 0.2 s, and a fetch takes two or more.
 WAIT_MAX_S = 1.0
 WAIT_SHARE = 0.5
+# A fetch of this age without an answer counts as an outage once a request has waited in
+# vain. A slow store takes 0.4 s, and a client's deadline may be shorter than any fetch.
+OUTAGE_MIN_S = 0.5
 
 _BUCKET = msgspec.msgpack.Decoder(TenantBucket)
 
@@ -50,6 +53,7 @@
         self.tenant = tenant
         self.permits = TenantPermits()
         self.fetch: anyio.Event | None = None
+        self.fetch_began_at = 0.0
         self.fetch_s = 0.0
         self.not_before = 0.0
         self.waiting = 0
@@ -129,9 +133,9 @@
                 await self._clock.sleep_until(permits.refused_until)
                 continue
             fetched = self._start_fetch(account, now)
-            if now >= wait_until:
+            if now >= account.fetch_began_at + OUTAGE_MIN_S and now >= wait_until:
                 permits.record_outage(now)
-            if fetched is None or permits.in_outage():
+            if fetched is None or permits.in_outage() or now >= wait_until:
                 break
             account.waiting += 1
             try:
@@ -147,6 +151,7 @@
         """Start or join a fetch; return None if it is too early for one."""
         if account.fetch is None and now >= account.not_before:
             account.fetch = anyio.Event()
+            account.fetch_began_at = now
             self._tasks.start_soon(self._fetch, account)
         return account.fetch
 
--- a/tests/services/test_tenant_rates.py
+++ b/tests/services/test_tenant_rates.py
@@ -231,3 +231,18 @@
     limited = fleet.tenant._replace(rate_per_s=1.0)
     assert await fleet.rates[0].refusal(limited, public, 1.0) is None
     assert await fleet.rates[0].refusal(None, SAFE_ROUTE, 1.0) is None
+
+
+@pytest.mark.parametrize("limit_s", [-1.0, 0.0, 0.001])
+async def test_short_deadline_of_one_request_is_no_outage_of_the_store(limit_s):
+    """Guards against a refusal of a tenant below its rate while the store answers."""
+    fleet = Fleet(1, 50.0)
+    rates = fleet.rates[0]
+    async with anyio.create_task_group() as tasks:
+        await rates.start(tasks)
+        async with anyio.create_task_group() as requests:
+            deadline = fleet.clock.now() + limit_s
+            requests.start_soon(rates.refusal, fleet.tenant, SAFE_ROUTE, deadline)
+            await anyio.sleep(0.002)
+            requests.start_soon(fleet.request, rates)
+    assert fleet.refusals == []
