Keep reading paused after the body of a refused request

At the end of a refused body, uvicorn resumes the transport itself.

Holding the connection pauses the transport each time.

--- a/plantainstack/front/parsing.py
+++ b/plantainstack/front/parsing.py
@@ -70,15 +70,12 @@
 
     def hold(self, held: bool) -> None:
         """Pause reading, or resume it unless the application has paused it."""
-        if held == self._is_held:
-            return
+        if held:
+            # The server resumes the transport itself after the body of a refusal.
+            self._transport.pause_reading()
+        elif self._is_held and not self.read_paused:
+            self._transport.resume_reading()
         self._is_held = held
-        if not self.read_paused:
-            (
-                self._transport.pause_reading
-                if held
-                else self._transport.resume_reading
-            )()
 
     def pause_reading(self) -> None:
         """Pause reading for the application."""
--- a/tests/front/test_server.py
+++ b/tests/front/test_server.py
@@ -4,6 +4,7 @@
 import pytest
 
 from plantainstack.front.server import FrontServer
+from plantainstack.policy.client_budget import READ_SIZE
 from plantainstack.settings.options import Address
 
 pytestmark = pytest.mark.anyio
@@ -58,3 +59,33 @@
                 while not answer.endswith(b"abc"):
                     answer += await conn.receive()
             await server.close()
+
+
+async def test_reading_stays_paused_after_the_body_of_a_refused_request():
+    """Guards against a connection that is read without bound while it is parsed."""
+
+    async def app(scope, receive, send):
+        while scope["path"] == "/" and (await receive()).get("more_body"):
+            pass
+        headers = [(b"content-length", b"0")]
+        await send({"type": "http.response.start", "status": 431, "headers": headers})
+        await send({"type": "http.response.body"})
+
+    # Of the 16 events parsed at once, the last one is the head of the refused request.
+    short = b"GET /refused HTTP/1.1\r\nHost: a\r\n\r\n" * 5
+    refused = b"POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunks = b"1\r\na\r\n" * 20_000
+    server = FrontServer(app, Address("127.0.0.1", 0))
+    budget = server.config.client_budget
+    most = 0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run_until_closed)
+        with anyio.fail_after(20.0):
+            async with await anyio.connect_tcp(*server.address) as conn:
+                tasks.start_soon(conn.send, short + refused + head + chunks)
+                while not most or budget.unparsed:
+                    await anyio.sleep(0)
+                    most = max(most, budget.unparsed)
+            await server.close()
+    assert most <= READ_SIZE
