End an answer whose last part is not read

The empty last part of a large answer was sent without a time limit. It waits until the client has read most of the part before it, so a client that left out the end kept the request, its answer and its connection for as long as it liked.

The last part has the idle time-out of the others.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -452,12 +452,13 @@
         The server would keep a copy of what the client has not read.
         """
         limit_s = self._ingress._discovery.limits().idle_timeout_s
-        for start in range(0, len(body), PIECE_BYTES):
+        # The last part is empty: it waits until the one before it is read.
+        for start in range(0, len(body) + PIECE_BYTES, PIECE_BYTES):
+            part = body[start : start + PIECE_BYTES]
             with anyio.move_on_after(limit_s) as scope:
-                await self._send_body(body[start : start + PIECE_BYTES], more=True)
+                await self._send_body(part, more=start < len(body))
             if scope.cancelled_caught:
                 raise StreamAborted(f"the client read nothing for {limit_s} s")
-        await self._send_body(b"", more=False)
 
     async def _send_headers(self, status: int, headers) -> None:
         if self._kernel.unready_reason() == "draining":
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -313,6 +313,40 @@
             await conn.answer()
 
 
+async def test_answer_whose_last_part_is_not_read_is_ended():
+    """Guards against an answer kept for ever by a client that leaves out its end."""
+    platform = FakePlatform()
+    platform.config = CONFIG._replace(limits=LIMITS)
+    size = 3 * ingress.PIECE_BYTES
+
+    async def call(endpoint, call):
+        return Ok(EndpointAnswer(PlainAnswer(200, [], bytes(size)), False, None))
+
+    parts = []
+
+    async def send(message):
+        if message.get("more_body") is False:
+            await anyio.sleep_forever()
+        parts.append(message.get("body", b""))
+
+    async def receive():
+        return messages.pop() if messages else await anyio.sleep_forever()
+
+    messages = [{"type": "http.request", "body": b"", "more_body": False}]
+    scope = {
+        "method": "GET",
+        "raw_path": b"/s/x",
+        "query_string": b"",
+        "headers": [(b"host", b"desk.example")],
+    }
+    platform.client.call = call
+    async with gateway(platform) as kernel:
+        with anyio.fail_after(5.0), pytest.raises(BaseExceptionGroup) as raised:
+            await kernel.plugin("gateway").ingress(scope, receive, send)
+        assert raised.group_contains(ingress.StreamAborted)
+    assert sum(map(len, parts)) == size
+
+
 async def test_declared_body_without_memory_is_refused_before_it_is_sent():
     """Guards against a long body that is received only to be refused."""
     async with gateway(FakePlatform()) as kernel, connected(kernel) as conn:
