Give a turn for each slot that is freed

One freed before the task that gives turns had started was not seen at all.

Freed slots are counted, and as many waiting requests try at once.

--- a/plantainstack/services/fair_waits.py
+++ b/plantainstack/services/fair_waits.py
@@ -17,8 +17,15 @@
         self.queue = FairAdmission()
         self.turns: dict[Ticket, anyio.Event] = {}
         self.slot_freed = anyio.Event()
+        # Slots freed since turns were given last, while requests wait.
+        self.freed = 0
         self.giving = False
 
+    def free_slot(self) -> None:
+        """Let one more waiting request try at once."""
+        self.freed += 1
+        self.slot_freed.set()
+
 
 class FairTurn:
     """Hold the place of one request; `refusal` tells why it had no turn."""
@@ -95,7 +102,7 @@
         """Let the first waiting request try at once, since a request has ended."""
         state = self._services.get(service)
         if state is not None:
-            state.slot_freed.set()
+            state.free_slot()
 
     async def next_turn(self, service: str, ticket: Ticket) -> bool:
         """Wait until a queued request has its turn; return False if it is too late."""
@@ -104,6 +111,7 @@
         metrics.FAIR_WAITING.inc()
         if not state.giving:
             state.giving = True
+            state.freed = 0
             self._tasks.start_soon(self._give_turns, state)
         try:
             with anyio.move_on_after(max(0.0, ticket.leave_at - self.now())):
@@ -112,7 +120,7 @@
             # The client has gone before its request was sent.
             if given.is_set():
                 state.queue.take_back(ticket, self.now())
-                state.slot_freed.set()
+                state.free_slot()
             raise
         finally:
             metrics.FAIR_WAITING.dec()
@@ -124,17 +132,23 @@
         try:
             while len(state.queue):
                 state.slot_freed = anyio.Event()
-                interval_s = state.queue.attempt_interval_s(self.now())
-                with anyio.move_on_after(interval_s):
-                    await state.slot_freed.wait()
-                now = self.now()
-                ticket = state.queue.first(now)
-                if ticket is not None:
-                    state.queue.give(ticket, now)
-                    state.turns[ticket].set()
+                if not state.freed:
+                    interval_s = state.queue.attempt_interval_s(self.now())
+                    with anyio.move_on_after(interval_s):
+                        await state.slot_freed.wait()
+                turns, state.freed = max(1, state.freed), 0
+                for _ in range(turns):
+                    self._give_turn(state)
         finally:
             state.giving = False
 
+    def _give_turn(self, state: _Service) -> None:
+        now = self.now()
+        ticket = state.queue.first(now)
+        if ticket is not None:
+            state.queue.give(ticket, now)
+            state.turns[ticket].set()
+
     def refuse(self, service: str, ticket: Ticket) -> Failure:
         """Return the failure of a request that gets no turn in time."""
         queue = self.state(service).queue
--- a/tests/services/test_fair_waits.py
+++ b/tests/services/test_fair_waits.py
@@ -176,6 +176,29 @@
         assert at - now < 0.05
 
 
+async def test_slots_freed_together_are_all_given():
+    """Guards against a free slot left idle until the next regular attempt."""
+    platform = full_platform()
+    async with running(platform, "a") as kernels:
+        fair_waits = kernels[0].plugin("fair_waits")
+        queue = fair_waits.state("models").queue
+        now = kernels[0].clock.now()
+        tickets = [queue.offer("acme", 5, now + 2.0, now) for _ in range(3)]
+        given_at = []
+
+        async def wait(ticket):
+            assert await FairTurn(fair_waits, "models", ticket).wait()
+            given_at.append(kernels[0].clock.now() - now)
+
+        async with anyio.create_task_group() as tasks:
+            for ticket in tickets:
+                tasks.start_soon(wait, ticket)
+            await anyio.sleep(0.01)
+            for _ in range(2):
+                fair_waits.slot_freed("models")
+        assert sum(at < 0.05 for at in given_at) == 2
+
+
 async def test_tenant_beside_a_burst_is_served():
     """Guards against a tenant that sends ten times as much and takes all slots."""
     platform = full_platform()
