--- a/plantainstack/platform/responses.py
+++ b/plantainstack/platform/responses.py
@@ -53,12 +53,13 @@
         The server would keep a copy of what the client has not read.
         """
         limit_s = self._kernel.plugin("discovery").limits().idle_timeout_s
-        for start in range(0, len(body), PIECE_BYTES):
+        # The last part is empty: it waits until the one before it is read.
+        for start in range(0, len(body) + PIECE_BYTES, PIECE_BYTES):
+            part = body[start : start + PIECE_BYTES]
             with anyio.move_on_after(limit_s) as scope:
-                await self.send_body(body[start : start + PIECE_BYTES], more=True)
+                await self.send_body(part, more=start < len(body))
             if scope.cancelled_caught:
                 raise StreamAborted(f"the client read nothing for {limit_s} s")
-        await self.send_body(b"", more=False)
 
     async def send_headers(self, status: int, headers) -> None:
         """Send the status and the headers of a response."""
