Receive a single large body beside small ones

A body now counts as the only one if the others are small; the memory that connections leave bounds them together. A small body still waits beside one that takes all of it, which an existing test requires.

--- a/plantainstack/policy/answer_memory.py
+++ b/plantainstack/policy/answer_memory.py
@@ -169,9 +169,10 @@
 class BodyMemory:
     """Limits the bytes that the bodies of all clients' requests take.
 
-    A body that is larger than the limit is taken while there is no other, up to
-    `single_max()`. Small bodies have a share of their own. For a body that does not
-    fit, larger ones that are still being received are given up, the largest first.
+    A body that is larger than the limit is taken while there is no other large one, up
+    to `single_max()` with the small ones. Small bodies have a share of their own. For a
+    body that does not fit, larger ones that are still being received are given up, the
+    largest first.
     """
 
     def __init__(self, total: int = BODIES_BYTES_MIN):
@@ -189,6 +190,8 @@
         others = self.held - body.size
         if not others and size > self.total:
             return size <= self.single_max()
+        if size > SMALL_BODY_BYTES and not self._has_other_large(body):
+            return others + size <= self.single_max()
         return not others or others + size <= self._limit(size)
 
     def fits_without_larger(self, body: "BodyReservation", size: int) -> bool:
@@ -224,6 +227,11 @@
         is_small = size <= SMALL_BODY_BYTES
         return self.total if is_small else self.total * (1 - SMALL_BODIES_SHARE)
 
+    def _has_other_large(self, body: "BodyReservation") -> bool:
+        return any(
+            each is not body and each.size > SMALL_BODY_BYTES for each in self._open
+        )
+
     def _larger(self, body: "BodyReservation", size: int) -> "list[BodyReservation]":
         return [
             each
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -317,7 +317,7 @@
     """Guards against an answer kept for ever by a client that leaves out its end."""
     platform = FakePlatform()
     platform.config = CONFIG._replace(limits=LIMITS)
-    size = 3 * ingress.PIECE_BYTES
+    size = 3 * responses.PIECE_BYTES
 
     async def call(endpoint, call):
         return Ok(EndpointAnswer(PlainAnswer(200, [], bytes(size)), False, None))
@@ -343,7 +343,7 @@
     async with gateway(platform) as kernel:
         with anyio.fail_after(5.0), pytest.raises(BaseExceptionGroup) as raised:
             await kernel.plugin("gateway").ingress(scope, receive, send)
-        assert raised.group_contains(ingress.StreamAborted)
+        assert raised.group_contains(responses.StreamAborted)
     assert sum(map(len, parts)) == size
 
 
--- a/tests/policy/test_answer_memory.py
+++ b/tests/policy/test_answer_memory.py
@@ -174,3 +174,15 @@
     with memory.reserve() as body:
         assert body.grow_to(120)
         assert not body.grow_to(121)
+
+
+def test_single_large_body_is_received_beside_small_ones():
+    """Guards against a slow upload that ends since an ordinary request comes."""
+    memory = BodyMemory(20 * 10**6)
+    memory.single_max = lambda: 40 * 10**6
+    with memory.reserve() as large, memory.reserve() as small:
+        assert large.grow_to(19 * 10**6)
+        assert small.grow_to(100)
+        assert large.grow_to(33 * 10**6)
+        assert not memory.reserve().grow_to(10**6)
+        assert not large.grow_to(40 * 10**6)
