--- a/plantainstack/policy/client_budget.py
+++ b/plantainstack/policy/client_budget.py
@@ -17,7 +17,7 @@
 # endpoints, peers and probes.
 CLIENT_SHARE = 2 / 3
 # Memory of a connection with a request that is being received, without the bytes
-# read; measured as 30 to 50 KB.
+# read: 30 to 50 KB with the default buffers.
 CONNECTION_BYTES = 64_000
 CONNECTIONS_MIN = 32
 READ_BYTES_MIN = 2 * 10**6
--- a/plantainstack/policy/load_balancing.py
+++ b/plantainstack/policy/load_balancing.py
@@ -24,8 +24,7 @@
 # Upper limit of the factor by which a slow endpoint's load is multiplied.
 SLOW_FACTOR_MAX = 8.0
 # Power of the factor for endpoints that report their slowness: requests end later at a
-# slow one and also keep its slots for longer. Simulated on uneven endpoints, 2 gives a
-# lower mean time than 1; 3 gives a higher worst time at a moderate load.
+# slow one and also keep its slots for longer.
 SPEED_EXPONENT = 2.0
 # Weight of a new answer in the moving average of an endpoint's latency.
 ANSWER_WEIGHT = 0.25
--- a/plantainstack/policy/prefix_placement.py
+++ b/plantainstack/policy/prefix_placement.py
@@ -22,16 +22,15 @@
 # Number of requests per slot above which an endpoint queues them.
 LOAD_MAX = 1.0
 # Wait for a slot at an endpoint whose last free slots other instances have taken, times
-# the share of such cases among those that the load suggests. Simulated, 0.15 s prefills
-# a fifth more tokens again, and no first event comes earlier.
+# the share of such cases among those that the load suggests.
 QUEUE_WAIT_S = 0.05
 # Cost of an endpoint of another data centre, which is used once local ones fill up.
 REMOTE_S = 0.02
 # Seconds per event up to this factor above the lowest count as equal; the deviation of
 # the estimates is about 0.1.
 SPEED_TOLERANCE = 1.25
-# Long items keep a step waiting by their whole length; only endpoints within this
-# factor of the fastest are equal to them. Simulated, 1.06 makes steps 2% longer.
+# Long items keep a step waiting by their whole length, so for them only endpoints
+# within this factor of the fastest are equal.
 LONG_TOLERANCE = 1.02
 # Costs that differ by less are equal.
 COST_STEP_S = 0.0005
--- a/plantainstack/policy/scaling.py
+++ b/plantainstack/policy/scaling.py
@@ -18,9 +18,8 @@
 from plantainstack.duties import CapacityOrder, DutyAnswer, ScaleLimits
 from plantainstack.serving import Endpoint
 
-# Slots for each item of the peak, so that a few items wait for less than a second. In
-# a model with perfect placement, 0.6 to 1.0 brought fewer than 0.1 late items of 1,000;
-# many instances place less evenly.
+# Slots for each item of the peak: a few items wait for less than a second. Fewer would
+# do if many instances placed evenly.
 SLOTS_PER_ITEM = 0.8
 # Items run for 1.2 s on average. All items of a peak may take a third of the time to
 # their results: the rest is for slow endpoints and for items that begin anew. Slots for
--- a/plantainstack/policy/tenant_rates.py
+++ b/plantainstack/policy/tenant_rates.py
@@ -113,7 +113,7 @@
 class Need(NamedTuple):
     """Hold how many requests wait for permits, and how many more are expected.
 
-    `overloaded` tells that the tenant has been above its rate for some time. `debt` is
+    `overloaded` means that the tenant has been above its rate for some time. `debt` is
     the number of requests that were admitted without the store.
     """
 
--- a/plantainstack/policy/tenants.py
+++ b/plantainstack/policy/tenants.py
@@ -17,7 +17,7 @@
     """Find the tenant of a key.
 
     Only digests of the keys are kept: they cannot be logged, and the time of a look-up
-    tells nothing about a key.
+    reveals nothing about a key.
     """
 
     def __init__(self, entries: Iterable[tuple[Tenant, Iterable[str]]]):
