--- a/review/8/case.py
+++ b/review/8/case.py
@@ -18,8 +18,8 @@
 SERVERS = 5
 # The site's machines.
 MEMORY_MB = 180
-# 7.9 MB as it is sent; bodies of 33.5 MB are legal.
-ITEMS = 115_000 if TROUBLE else 1_000
+# 8.3 MB as it is sent; bodies of 33.5 MB are legal.
+ITEMS = 105_000 if TROUBLE else 1_000
 DAY_S = 90.0
 
 
@@ -31,6 +31,7 @@
             "path": f"{PREFIX}{number}",
             "headers": {},
             "body": "",
+            "tokens": 5,
         }
         for number in range(ITEMS)
     ]
