--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""The request bodies of accepted batches stay in memory after the batches ended."""
+"""A server's answer to an item goes on without end and takes all memory."""
 
 import asyncio
 import os
@@ -14,13 +14,38 @@
 PREFIXES = ("/pufi791/", "/lohu930/", "/tefa112/")
 INSTANCES = 3
 SERVERS = 5
+# One server in five answers one request in 33 without an end.
+FAULTY = 1
+SPOILED_EVERY = 33
 # The site's machines.
 MEMORY_MB = 180
+LINK_BYTES_PER_S = 60_000_000
+ENDLESS_EVENT_BYTES = 16_000
+BURST_EVENTS = 8
 ITEMS = 36
-# 7.2 MB a batch, 9.6 MB as it is sent; bodies of 33.5 MB are legal.
-BODY_BYTES = 200_000 if TROUBLE else 600
 EVERY_S = 4.0
-DAY_S = 108.0
+DAY_S = 90.0
+
+
+class EndlessServer(fleet.ModelServer):
+    """A faulty server: one answer in SPOILED_EVERY does not end."""
+
+    spoils = False
+
+    async def run(self, request_id, head, writer) -> None:
+        """Answer a request; go on with events until the caller closes if spoiled."""
+        if not self.spoils or self.requests % SPOILED_EVERY:
+            await super().run(request_id, head, writer)
+            return
+        self.record(f"server {self.id} answers {request_id} without end")
+        self.begin(request_id, writer)
+        number = int(head.headers.get("last-event-id", "0"))
+        while not writer.is_closing():
+            for _ in range(BURST_EVENTS):
+                number += 1
+                self.send_event(request_id, number, ENDLESS_EVENT_BYTES, writer)
+                await writer.drain()
+            await asyncio.sleep(BURST_EVENTS * ENDLESS_EVENT_BYTES / LINK_BYTES_PER_S)
 
 
 async def read_step(record, entries, number, batch_id) -> None:
@@ -39,27 +64,17 @@
             return
 
 
-async def look(record, entries, batch_id, ids) -> None:
-    """Request the body of an item at each instance, as other requesters do."""
-    path = f"/api/items/{batch_id}?id={ids[-1]}"
-    for entry in entries:
-        found = await fleet.call(entry.port, "GET", path, {}, b"", 5.0)
-        size = len(found[1]) if found else None
-        record(f"body of an item of {batch_id} at {entry.id}: {size} bytes")
-
-
 async def train(record, entries, prefix: str, delay_s: float) -> None:
     """Submit a step every few seconds, each time at another instance."""
     number = 0
     await asyncio.sleep(delay_s)
     async with asyncio.TaskGroup() as tasks:
         while True:
-            batch_id, ids, body = fleet.batch(prefix, ITEMS, BODY_BYTES)
+            batch_id, _, body = fleet.batch(prefix, ITEMS)
             for attempt in range(INSTANCES):
                 entry = entries[(number + attempt) % INSTANCES]
                 if await fleet.submit(record, entry, prefix, batch_id, body) == 202:
                     break
-            tasks.create_task(look(record, entries, batch_id, ids))
             tasks.create_task(read_step(record, entries, number, batch_id))
             number += 1
             await asyncio.sleep(EVERY_S)
@@ -70,9 +85,11 @@
     store = fleet.Store(record)
     routes = [fleet.route(f"r{prefix[1:-1]}", prefix) for prefix in PREFIXES]
     store.write("op", "", "config", fleet.config(1, routes))
-    servers = [fleet.ModelServer(store, record, number) for number in range(SERVERS)]
+    servers = [EndlessServer(store, record, number) for number in range(SERVERS)]
     for server in servers:
         await server.start()
+    for server in servers[:FAULTY]:
+        server.spoils = TROUBLE
     entries = await fleet.start_entries(store, directory, INSTANCES)
     watch = fleet.MemoryWatch(record, entries, MEMORY_MB)
     try:
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -334,6 +334,8 @@
         self.gap_s = options.get("gap_s", 0.01)
         self.slots = options.get("slots", 16)
         self.service = options.get("service", "huvo11a")
+        self.software = options.get("software", "v1")
+        self.draining = False
         self.requests = 0
         self.running = 0
         self.ran: list[str] = []
@@ -354,9 +356,9 @@
                 "backend": self.service,
                 "address": f"127.0.0.1:{self.port}",
                 "zone": "tunis-a",
-                "version": "v1",
+                "version": self.software,
                 "slots": self.slots,
-                "state": "ready",
+                "state": "draining" if self.draining else "ready",
                 "cold_ms": 0,
                 "phase": "both",
                 "models": [{"name": MODEL, "version": 1, "adapters": []}],
@@ -366,6 +368,15 @@
             self._store.write("servers", "", self.id, entry)
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def leave(self, drain_s: float) -> None:
+        """Report `draining`, serve on for a time, and end the registration."""
+        self.draining = True
+        self._beats.cancel()
+        self._beats = asyncio.create_task(self._beat())
+        await asyncio.sleep(drain_s)
+        self._beats.cancel()
+        self._store.remove("servers", "", self.id)
+
     async def _serve(self, reader, writer) -> None:
         ends = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with contextlib.suppress(*ends):
@@ -425,14 +436,15 @@
 
     def send_event(self, request_id: str, number: int, size: int, writer) -> None:
         """Send one event of a stream."""
-        event = f"id: {number}\ndata: {event_text(request_id, number, size)}\n\n"
+        text = event_text(f"{self.software}:{request_id}", number, size)
+        event = f"id: {number}\ndata: {text}\n\n"
         data = event.encode()
         writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
 
 
-def event_text(request_id: str, number: int, size: int) -> str:
-    """Return the data of an event, which names its request and its number."""
-    start = f"{request_id}:{number}:"
+def event_text(source: str, number: int, size: int) -> str:
+    """Return the data of an event, which names its source and its number."""
+    start = f"{source}:{number}:"
     return start + "x" * max(0, size - len(start))
 
 
