--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -737,7 +737,13 @@
 async def run_case(folder: Path, play: Callable[..., Awaitable[int]]) -> int:
     """Play a case with its record and a temporary folder; return the exit code."""
     record = Record(folder / "record.txt")
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     with tempfile.TemporaryDirectory(prefix="plantainstack-review-") as directory:
-        code = await play(record, Path(directory))
+        try:
+            code = await play(record, Path(directory))
+        except (Exception, asyncio.CancelledError) as exc:
+            record(f"the case could not run: {exc!r}")
+            code = 2
     record(f"exit code {code}")
     return code
