Bound the text of an item, and count it as memory of answers

Cause: ItemRun.append_event kept the text of each event without a limit, and the memory of answers counted only the incomplete event of a stream. Checkpoints would have handed the text on to the next owner.

A text now ends at 64,000 bytes, since a result is stored in one row of 64 KiB: the attempt ends, the text is discarded and the endpoint avoided. Longer stored text is not restored, and an item that had such an answer is no longer checkpointed. The texts of unfinished items count towards the memory of answers.

--- a/plantainstack/policy/item_runs.py
+++ b/plantainstack/policy/item_runs.py
@@ -11,6 +11,10 @@
 # Status 422 means that the item can never be completed.
 UNPROCESSABLE_STATUS = 422
 FAILED_STATUS = 500
+# A result is stored in one row of at most 64 KiB, with its id, versions and score.
+TEXT_BYTES_MAX = 64_000
+# Memory that the text of an event takes besides its bytes.
+EVENT_OVERHEAD_BYTES = 64
 
 
 class StreamCheck(StrEnum):
@@ -21,6 +25,7 @@
     UNLABELLED = "unlabelled"
     OUT_OF_ORDER = "out_of_order"
     OTHER_SOFTWARE = "other_software"
+    TOO_LONG = "too_long"
 
 
 class PartialText(NamedTuple):
@@ -102,6 +107,7 @@
         self._single_version = single_version
         self.failures = 0
         self.generation = 0
+        self._was_too_long = False
         self._clear()
 
     def discard_text(self) -> None:
@@ -117,6 +123,7 @@
             return
         self.generation += 1
         del self._texts[mark.events :]
+        self._text_bytes = _joined_bytes(self._texts)
         self._versions = list(mark.versions)
         self.last_event = mark.last_event
         self.software = mark.software
@@ -132,6 +139,7 @@
         self.software: SoftwareVersion | None = None
         self._stream_software: SoftwareVersion | None = None
         self._texts: list[str] = []
+        self._text_bytes = 0
         self._versions: list[int] = []
         self._stream_version: int | None = None
         self.last_event: int | None = None
@@ -160,8 +168,12 @@
         return ItemProgress(self.generation, self.events(), self.text_complete, errors)
 
     def partial(self, stored: ItemProgress = NOTHING_STORED) -> PartialText | None:
-        """Return what has been added since `stored`, or None if that is nothing."""
-        if self.progress() == stored or not self._texts:
+        """Return what has been added since `stored`, or None if that is nothing.
+
+        Once a text was too long, nothing is stored: each answer without end would add
+        pieces, all of which the next owner reads.
+        """
+        if self.progress() == stored or not self._texts or self._was_too_long:
             return None
         first = stored.events if stored.generation == self.generation else 0
         return PartialText(
@@ -177,12 +189,15 @@
         )
 
     def restore(self, found: PartialText) -> None:
-        """Continue from stored text if all of its versions are recent enough."""
+        """Continue from stored text if it fits and its versions are recent."""
         self.failures = found.failures
         self.generation = found.generation + 1
-        if found.versions and min(found.versions) >= self._min_version:
+        size = _joined_bytes(found.texts)
+        is_recent = found.versions and min(found.versions) >= self._min_version
+        if is_recent and size <= TEXT_BYTES_MAX:
             self.generation = found.generation
             self._texts = list(found.texts)
+            self._text_bytes = size
             self._versions = list(found.versions)
             self._stream_version = found.versions[-1]
             self.software = found.software
@@ -215,7 +230,8 @@
     def append_event(self, event: StreamEvent) -> StreamCheck:
         """Append an event if it directly follows the text so far.
 
-        A change of version is checked as in `begin_stream`.
+        A change of version is checked as in `begin_stream`. The caller discards a text
+        that is too long to be stored: a faulty endpoint may send events without end.
         """
         version = self._stream_version if event.version is None else event.version
         if event.id is None or not self._follows(event.id):
@@ -225,6 +241,11 @@
         if self._single_version and self._versions and version != self._versions[-1]:
             self.discard_text()
             return StreamCheck.STALE
+        size = self._text_bytes + _joined_bytes((event.data,))
+        if size > TEXT_BYTES_MAX:
+            self._was_too_long = True
+            return StreamCheck.TOO_LONG
+        self._text_bytes = size
         self._stream_version = version
         self.software = self._stream_software
         self.last_event = event.id
@@ -262,6 +283,10 @@
         """Return the number of events collected."""
         return len(self._texts)
 
+    def memory_bytes(self) -> int:
+        """Return about how much memory the text takes."""
+        return self._text_bytes + EVENT_OVERHEAD_BYTES * len(self._texts)
+
     def _follows(self, event_id: int) -> bool:
         if self.last_event is None:
             return event_id in (0, 1)
@@ -270,3 +295,8 @@
     def _result(self, state: ItemState) -> ItemResult:
         text = "\n".join(self._texts)
         return ItemResult(self.item.id, state, text, tuple(sorted(self._versions)))
+
+
+def _joined_bytes(texts: Iterable[str]) -> int:
+    """Return the size of a text with a line feed after each of its events."""
+    return sum(len(text.encode()) + 1 for text in texts)
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -13,6 +13,7 @@
 from plantainstack.policy.software_versions import software_of
 from plantainstack.services.batch_results import ResultWriter
 from plantainstack.services.batch_store import BatchStore, StateRow
+from plantainstack.services.item_memory import ItemMemory
 from plantainstack.services.item_migration import Attempt, ItemMigration
 from plantainstack.services.item_placement import ItemPlacement
 from plantainstack.services.reward_calls import RewardRequest
@@ -72,6 +73,7 @@
         self._partials = partials
         self._placement = ItemPlacement(kernel, batch, route, self._cancel_attempts)
         self._attempts: dict[str, Attempt] = {}
+        self._memory = ItemMemory(kernel.answer_memory, self._give_up_text)
         self._migration = ItemMigration(
             kernel, self._placement, self._attempts, self._tokens_per_event
         )
@@ -97,11 +99,14 @@
         self._discovery.need_recent_endpoints()
         for item in items:
             self._progress_of_group(item).unfinished += 1
-        with self._scope:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._write_results)
-                tasks.start_soon(self._migration.run)
-                await self._start_items(tasks, items)
+        try:
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write_results)
+                    tasks.start_soon(self._migration.run)
+                    await self._start_items(tasks, items)
+        finally:
+            self._memory.end_all()
         self.stopped = True
 
     async def _write_results(self) -> None:
@@ -194,6 +199,13 @@
         self._progress_of_group(run.item).unfinished -= 1
         self._writer.end(result)
 
+    def _give_up_text(self, run: ItemRun) -> None:
+        """Discard the text of an item for other answers, and begin it anew."""
+        self._placement.discard_text(run, "memory")
+        attempt = self._attempts.get(run.item.id)
+        if attempt is not None:
+            attempt.scope.cancel()
+
     @staticmethod
     def _needs_score(run: ItemRun, result: ItemResult) -> bool:
         completed = result.state is ItemState.COMPLETED
@@ -221,6 +233,7 @@
             self._attempts[run.item.id] = attempt
             try:
                 run.begin_attempt()
+                self._memory.begin(run, endpoint)
                 with attempt.scope:
                     result = await self._attempt(run, attempt)
                 result = self._confirmed(run, endpoint, result)
@@ -235,6 +248,7 @@
                     self._placement.discard_text(run, "migrated")
                 tried_last = frozenset((endpoint.id,))
                 endpoint = await self._placement.reserve(run, tried_last, since)
+        self._memory.end(run)
         self._ended_tokens += run.item.length_hint
         self._ended_events += run.events()
         return result
@@ -336,6 +350,7 @@
             if check is not StreamCheck.KEEP:
                 self._drop_stream(run, endpoint, check)
                 return None
+            self._memory.update(run)
             self._record_event(attempt)
         return run.completed() if run.end_stream() else None
 
@@ -423,6 +438,9 @@
             min_version=self.batch.min_version,
             reason=check.value,
         )
+        if check is StreamCheck.TOO_LONG:
+            self._discovery.balancer.record_failure(endpoint, self._clock.now())
+            self._placement.discard_text(run, check.value)
 
     async def _pause(self) -> None:
         await self._clock.sleep_until(self._clock.now() + ITEM_RETRY_S)
--- a/tests/policy/test_item_runs.py
+++ b/tests/policy/test_item_runs.py
@@ -3,6 +3,7 @@
 import pytest
 
 from plantainstack.policy.item_runs import (
+    TEXT_BYTES_MAX,
     ItemProgress,
     ItemRun,
     PartialText,
@@ -244,3 +245,32 @@
     text = join_pieces(pieces)
     assert len(text.texts) == joined
     assert text.software == labels[joined - 1]
+
+
+def test_text_that_cannot_be_stored_is_not_kept_and_not_restored():
+    """Guards against answers without end, and stored pieces of them, in memory."""
+    run = make_run()
+    run.begin_stream(3)
+    too_long = "é" * (TEXT_BYTES_MAX // 2)
+    assert run.append_event(event(1, too_long)) is StreamCheck.TOO_LONG
+    assert run.events() == 0
+    assert run.append_event(event(1)) is StreamCheck.KEEP
+    assert run.partial() is None
+    restored = make_run()
+    restored.restore(PartialText(1, 0, (too_long,), (3,), 1, 0))
+    assert (restored.events(), restored.generation) == (0, 2)
+
+
+def test_memory_of_a_text_follows_what_is_discarded():
+    """Guards against texts that count as memory after they were discarded."""
+    run = make_run()
+    run.begin_stream(3)
+    run.append_event(event(1))
+    one = run.memory_bytes()
+    run.begin_attempt()
+    run.append_event(event(2))
+    assert run.memory_bytes() > one
+    run.discard_attempt()
+    assert run.memory_bytes() == one
+    run.discard_text()
+    assert run.memory_bytes() == 0
