Keep accepted batches when a route of another kind is added below theirs

Cause: the route of an accepted batch was matched as that of a new request, by the longest prefix of any kind, and a match of another kind counted as the end of the batch's route. match_batch considers routes for batches only; running batches and takeovers both use it. A batch whose path has no such route any more is abandoned as before.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -9,7 +9,7 @@
 from plantainstack import log
 from plantainstack.errors import Failure
 from plantainstack.plugins import Plugin
-from plantainstack.policy import batch_owners, batch_scheduling
+from plantainstack.policy import batch_owners, batch_scheduling, route_table
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
 from plantainstack.services.batch_progress import read_progress
 from plantainstack.services.batch_reads import BatchReads, ResultPage
@@ -18,7 +18,6 @@
 from plantainstack.services.batch_store import STATE_TABLE, BatchStore, StateRow
 from plantainstack.services.batch_submissions import BatchSubmissions
 from plantainstack.services.feeds import FeedReader, recent_rows
-from plantainstack.services.item_placement import batch_route
 from plantainstack.serving import Batch, ItemResult, Route, RowsRead
 from plantainstack.tasks import contained, record_exception
 
@@ -428,7 +427,7 @@
         batch, listed, partials = found.unwrap()
         entry.failed_resumes = 0
         self._cache.add_results(entry, 0, listed)
-        route = batch_route(self._discovery.serving, batch)
+        route = route_table.match_batch(self._discovery.serving, batch)
         if route is None:
             log.event("batch.route_gone", batch_id, route=row.state.route)
             await append_abandoned(
--- a/plantainstack/services/item_placement.py
+++ b/plantainstack/services/item_placement.py
@@ -16,9 +16,7 @@
     Batch,
     Endpoint,
     Item,
-    RequestKind,
     Route,
-    ServingConfig,
 )
 
 # Maximum wait for a free slot before the endpoints are checked again. Slots that other
@@ -29,14 +27,6 @@
 PROBE_INTERVAL_S = 0.4
 
 
-def batch_route(cfg: ServingConfig, batch: Batch) -> Route | None:
-    """Return the current route of a batch, or None if it no longer has one."""
-    found = route_table.match(cfg, batch.host, batch.path)
-    if found is None or found.kind is not RequestKind.BATCH:
-        return None
-    return found
-
-
 class ItemPlacement:
     """Reserve slots for the items of one batch, under the route in force.
 
@@ -93,7 +83,7 @@
 
     def apply_current_route(self) -> None:
         """Apply the current route; without one, no more items are sent."""
-        found = batch_route(self._discovery.serving, self.batch)
+        found = route_table.match_batch(self._discovery.serving, self.batch)
         if found is not None:
             self.route = found
             return
--- a/tests/policy/test_route_table.py
+++ b/tests/policy/test_route_table.py
@@ -5,8 +5,13 @@
 import pytest
 
 from plantainstack.policy import route_table
-from plantainstack.serving import ClientLimits, ServingConfig, WeightedService
-from tests.policy.serving_samples import route
+from plantainstack.serving import (
+    ClientLimits,
+    RequestKind,
+    ServingConfig,
+    WeightedService,
+)
+from tests.policy.serving_samples import batch, route
 
 ROUTES = (
     route(name="short", prefix="/a/"),
@@ -34,6 +39,27 @@
     assert (found.name if found else None) == name
 
 
+@pytest.mark.parametrize(
+    ("kinds", "name"),
+    [
+        ({}, "long"),
+        ({"long": RequestKind.SAFE}, "short"),
+        ({"long": RequestKind.STREAM}, "short"),
+        ({"short": RequestKind.SAFE, "long": RequestKind.SAFE}, None),
+        ({"short": RequestKind.SAFE}, "long"),
+    ],
+)
+def test_accepted_batch_keeps_to_routes_of_its_kind(kinds, name):
+    """Guards against a route of another kind that ends the batches of a route."""
+    routes = tuple(
+        each._replace(kind=kinds.get(each.name, RequestKind.BATCH)) for each in ROUTES
+    )
+    found = route_table.match_batch(
+        CFG._replace(routes=routes), batch()._replace(path="/a/b/b1")
+    )
+    assert (found.name if found else None) == name
+
+
 def test_services_are_selected_by_weight():
     """Guards against a canary service that gets the wrong share of requests."""
     weighted_route = route(
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -23,6 +23,7 @@
     CONFIG,
     MAY_HAVE_RUN,
     NOT_RUN,
+    SAFE_ROUTE,
     FakePlatform,
     MemoryStore,
     all_results,
@@ -380,6 +381,33 @@
         assert states["i0"] is ItemState.ABANDONED
 
 
+@pytest.mark.parametrize("owner_stays", [True, False])
+async def test_added_route_of_another_kind_ends_no_accepted_batch(owner_stays):
+    """Guards against items that are given up although their route is still there."""
+    platform = FakePlatform()
+    gate = platform.client.blocked_events[("i0", 2)] = anyio.Event()
+    added = SAFE_ROUTE._replace(name="r-added", prefix="/a/b/")
+    changed = CONFIG._replace(version=2, routes=(*CONFIG.routes, added))
+    submitted = four_items()._replace(path="/a/b/b1")
+    async with running(platform, "b") as kernels:
+        reader = kernels[0].plugin("batches")
+        async with running(platform, "a") as owners:
+            owner = owners[0].plugin("batches")
+            assert (await owner.submit(submitted, BATCH_ROUTE)).is_ok()
+            await all_results(owner, "b1", 3)
+            if owner_stays:
+                platform.config = changed
+                await anyio.sleep(0.5)
+                gate.set()
+                await all_results(owner, "b1", 4)
+        platform.config = changed
+        discovery = kernels[0].plugin("discovery")
+        await until(lambda: discovery.serving.version == 2)
+        gate.set()
+        found = await all_results(reader, "b1", 4)
+    assert {result.state for result in found} == {ItemState.COMPLETED}
+
+
 async def test_expired_batches_are_removed_from_the_store(monkeypatch):
     """Guards against a store that grows without bound."""
     platform = FakePlatform()
