Keep the base versions of streams by path, not by route

Cause: a stream without a record began at the base of its route, and the base was looked up under the name of the route that the path leads to at the take-up. An added, renamed, split or merged route has another name, and got a base chosen from the endpoints of that moment.

Bases are kept by host and prefix now, and the longest prefix of the path counts, whatever routes there are. A base below another one begins as a copy of it, written on the condition that the bases of all shorter prefixes are as read; like any base it is replaced only after streams without a record have ended. The base of an older build, under the route's name, is taken over. The bases moved from services/stream_versions.py to services/stream_bases.py.

The test of an unreadable base row now plays the new keys as well as the old one.

--- a/plantainstack/policy/stream_versions.py
+++ b/plantainstack/policy/stream_versions.py
@@ -2,9 +2,10 @@
 
 What two software versions of a service write does not fit together, and a client that
 goes on in a stream names nothing but a request id. A record of each stream would cost
-a write for each, so streams that begin at the base origin of their route have none:
+a write for each, so streams that begin at the base origin of their path have none:
 a stream without a record began there. The base changes only after all streams that
-began at it without a record have ended.
+began at it without a record have ended. A base is kept for the paths below a prefix
+and not for a route: routes change while their streams go on.
 """
 
 from collections.abc import Iterable, Mapping
@@ -24,6 +25,8 @@
 # Shares of the endpoints below which a base is closed, and from which it is reopened.
 CLOSE_BELOW = 0.25
 REOPEN_FROM = 0.5
+# Size of the longest key that the store takes.
+KEY_BYTES_MAX = 200
 
 
 class Origin(NamedTuple):
@@ -38,7 +41,7 @@
 
 
 class BaseOrigin(NamedTuple):
-    """Hold the origin of a route's streams that have no record.
+    """Hold the origin of the streams of some paths that have no record.
 
     While it is `closed`, every new stream needs a record.
     """
@@ -60,6 +63,19 @@
         return origin == self.base.origin
 
 
+def base_keys(host: str, path: str) -> list[str]:
+    """Return the keys of the bases that may hold for a path, the longest prefix first.
+
+    A prefix ends with a slash. Those too long for a key have no base of their own.
+    """
+    start = f"{host}{path}".encode()[:KEY_BYTES_MAX].decode(errors="ignore")
+    return [
+        start[: end + 1]
+        for end in range(len(start) - 1, len(host) - 1, -1)
+        if start[end] == "/"
+    ]
+
+
 def stream_life_s(timeouts_s: Iterable[float]) -> float:
     """Return the longest life of streams on routes with these time limits."""
     longest = max(timeouts_s, default=0.0)
@@ -86,7 +102,7 @@
 ) -> BaseOrigin | None:
     """Return the base to write in place of the current one, or None to keep it.
 
-    `counts` holds the endpoints of the route by origin. The times say for how long
+    `counts` holds the endpoints of its routes by origin. The times say for how long
     the base has been minor, and closed, as seen by this instance; `life_s` is the
     longest life of a stream.
     """
--- a/plantainstack/services/stream_runs.py
+++ b/plantainstack/services/stream_runs.py
@@ -39,6 +39,7 @@
         super().__init__(plugin, call, route)
         self._last_event: int | None = None
         self._versions = plugin.versions
+        self._path = call.target.partition("?")[0]
         # Where the events that the client has received come from.
         self._origin: Origin | None = None
         # The last record of the stream, and that of the running attempt if it has one.
@@ -105,12 +106,15 @@
         """Find out where to go on, and at which origin; return why not."""
         take_up = self._call.take_up
         if take_up is None:
-            self.service = (
-                self._versions.service_without_store(self._route) or self.service
-            )
+            only = self._versions.service_without_store(self._route, self._path)
+            self.service = only or self.service
             return None
         found = await self._versions.find_origin(
-            self._route, take_up, self._call.request_id, self._call.deadline
+            self._route,
+            self._path,
+            take_up,
+            self._call.request_id,
+            self._call.deadline,
         )
         if found.is_err():
             return found.unwrap_err()
@@ -124,7 +128,11 @@
         self._awaited = None
         if self._origin is None and self._route.resumable:
             self._awaited = self._versions.begin(
-                self._route, self._call.request_id, _origin(endpoint), self._record
+                self._route,
+                self._path,
+                self._call.request_id,
+                _origin(endpoint),
+                self._record,
             )
             self._record = self._awaited or self._record
 
@@ -135,7 +143,7 @@
             return fits and not self._is_in_doubt()
         if not self._route.resumable:
             return True
-        return self._versions.may_begin(self._route, origin, self._record)
+        return self._versions.may_begin(self._route, self._path, origin, self._record)
 
     def _failure(self) -> Failure:
         if self.ran or self.failures or self._refusal or self._origin is None:
--- a/plantainstack/services/stream_versions.py
+++ b/plantainstack/services/stream_versions.py
@@ -1,11 +1,10 @@
 """Plug-in that knows which software version began a client's stream."""
 
 import random
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from typing import NamedTuple
 
 import anyio
-import msgspec
 from result import Ok, Result
 
 from plantainstack import log, metrics
@@ -13,13 +12,8 @@
 from plantainstack.plugins import Plugin
 from plantainstack.policy import route_table, stream_versions
 from plantainstack.policy.software_versions import software_of
-from plantainstack.policy.stream_versions import (
-    UNKNOWN_ORIGIN,
-    BaseOrigin,
-    KnownBase,
-    Origin,
-)
-from plantainstack.services.shared_calls import SharedCalls
+from plantainstack.policy.stream_versions import UNKNOWN_ORIGIN, Origin
+from plantainstack.services.stream_bases import StreamBases
 from plantainstack.services.stream_records import (
     StreamRecord,
     StreamRecords,
@@ -30,21 +24,13 @@
     Endpoint,
     RequestKind,
     Route,
-    RowName,
-    StoredRow,
     TakeUp,
-    Transaction,
 )
-from plantainstack.tasks import contained
 
-BASE_TABLE = "stream_bases"
 # Time after a failed write for which the store counts as lost.
 STORE_LOST_S = 1.0
 # Maximum time of looking up the origin of a stream.
 LOOKUP_WAIT_S = 1.5
-# Timeout of one read of the bases, for which others wait. A working store responds
-# within 0.3 s.
-BASE_READ_TIMEOUT_S = 0.7
 # Largest difference that is expected between the clocks of two machines.
 CLOCK_SKEW_S = 1.0
 TICK_S = 0.5
@@ -56,24 +42,12 @@
 # Streams whose origin an instance keeps in memory.
 STREAMS_MAX = 20_000
 
-_BASE = msgspec.msgpack.Decoder(BaseOrigin)
-
 
 class _Remembered(NamedTuple):
     origin: Origin
     at: float
 
 
-class _BaseRow:
-    """Hold the row of a route's base, and since when it has been minor or closed."""
-
-    def __init__(self, known: KnownBase, version: int, now: float):
-        self.known = known
-        self.version = version
-        self.closed_at = now
-        self.minor_at: float | None = None
-
-
 class StreamVersions(Plugin):
     """Keep the origin of streams on routes whose streams may be resumed."""
 
@@ -84,8 +58,6 @@
         super().__init__(kernel)
         self._clock = kernel.clock
         self._rng = random.Random()
-        self._bases: dict[str, _BaseRow] = {}
-        self._bases_read_at = float("-inf")
         self._used = False
         self._longest_life_s = 0.0
         self._streams: OrderedDict[str, _Remembered] = OrderedDict()
@@ -95,31 +67,33 @@
         self._discovery = self.kernel.plugin("discovery")
         self._store = self.kernel.plugin("store").metadata_store
         self.records = StreamRecords(self._store, self._clock, tasks, self._rng)
-        self._base_reads = SharedCalls(tasks, self._read_base_rows, BASE_READ_TIMEOUT_S)
+        self._bases = StreamBases(
+            self._store, self._discovery, self._clock, tasks, self.records, self._rng
+        )
         tasks.start_loop(self._follow_bases)
         tasks.start_loop(self._forget)
         tasks.start_loop(self.records.run_expiry, self._life_s)
         tasks.start_loop(self.records.run_sweep, self._is_used, self._life_s)
 
     def may_begin(
-        self, route: Route, origin: Origin, earlier: StreamRecord | None
+        self, route: Route, path: str, origin: Origin, earlier: StreamRecord | None
     ) -> bool:
-        """Return whether a stream may begin at an origin.
+        """Return whether a stream of a path may begin at an origin.
 
         `earlier` is the last record of the same request, if it has one.
         """
-        if not self._needs_record(route, origin, earlier):
+        if not self._needs_record(route, path, origin, earlier):
             return True
         if earlier is not None and earlier.stored and earlier.origin == origin:
             return True
         return not self._store_is_lost()
 
-    def service_without_store(self, route: Route) -> str | None:
+    def service_without_store(self, route: Route, path: str) -> str | None:
         """Return the only service at which streams may begin while the store is lost.
 
         None stands for any, and for no such service.
         """
-        row = self._bases.get(route.name)
+        row = self._bases.find(route.host, path)
         if row is None or not self._store_is_lost():
             return None
         service = row.known.base.origin.service
@@ -129,6 +103,7 @@
     def begin(
         self,
         route: Route,
+        path: str,
         request_id: str,
         origin: Origin,
         earlier: StreamRecord | None,
@@ -138,7 +113,7 @@
         if earlier is not None and earlier.origin != origin:
             # It may still wait to be written, and would then be the only record.
             earlier.given_up = True
-        if not self._needs_record(route, origin, earlier):
+        if not self._needs_record(route, path, origin, earlier):
             return None
         if earlier is not None and earlier.origin == origin and not earlier.given_up:
             return earlier
@@ -184,7 +159,12 @@
         log.event("stream.disowned", stream=stream_id[:200], stored=stored)
 
     async def find_origin(
-        self, route: Route, take_up: TakeUp, request_id: str, deadline: float
+        self,
+        route: Route,
+        path: str,
+        take_up: TakeUp,
+        request_id: str,
+        deadline: float,
     ) -> Result[Origin, Failure]:
         """Return the origin of a stream that a client takes up."""
         found: Result[tuple[Origin, str], Failure] = unknown_origin(
@@ -195,7 +175,7 @@
         else:
             wait_s = min(LOOKUP_WAIT_S, deadline - self._clock.now())
             with anyio.move_on_after(max(0.0, wait_s)):
-                found = await self._look_up(route, take_up.stream_id)
+                found = await self._look_up(route, path, take_up.stream_id)
         services = route_table.services(route)
         if found.is_ok() and found.unwrap()[0] == UNKNOWN_ORIGIN:
             found = unknown_origin("its endpoint restarted with other software")
@@ -225,11 +205,11 @@
         return Ok(origin)
 
     def _needs_record(
-        self, route: Route, origin: Origin, earlier: StreamRecord | None
+        self, route: Route, path: str, origin: Origin, earlier: StreamRecord | None
     ) -> bool:
         if earlier is not None and earlier.may_exist:
             return True
-        row = self._bases.get(route.name)
+        row = self._bases.find(route.host, path)
         now = self._clock.now()
         return row is None or not row.known.begins_without_record(origin, now)
 
@@ -239,7 +219,7 @@
         return self._discovery.store_is_lost()
 
     async def _look_up(
-        self, route: Route, stream_id: str
+        self, route: Route, path: str, stream_id: str
     ) -> Result[tuple[Origin, str], Failure]:
         """Return the origin of a stream, and where it is known from."""
         if stream_id in self._streams:
@@ -254,13 +234,13 @@
             return found
         if found.unwrap() is not None:
             return Ok((found.unwrap(), "record"))
-        if not await self._read_bases():
+        if not await self._bases.read():
             return unknown_origin("the store does not answer")
-        if route.name not in self._bases:
-            await self._update_base(route)
-        row = self._bases.get(route.name)
+        if self._bases.find(route.host, path) is None:
+            await self._bases.create(route)
+        row = self._bases.find(route.host, path)
         if row is None:
-            return unknown_origin("the route has no base version yet")
+            return unknown_origin("its path has no base version yet")
         if not stream_id and row.known.base.closed:
             return unknown_origin("the client names no stream, and the version changes")
         return Ok((row.known.base.origin, "base"))
@@ -269,10 +249,8 @@
         while True:
             routes = self._resumable_routes()
             if routes:
-                await self._refresh(routes)
-                for route in routes:
-                    with contained("StreamVersions._update_base", route=route.name):
-                        await self._update_base(route)
+                await self._refresh_bases()
+                await self._bases.update(routes, self._life_s())
             wait_s = TICK_S * self._rng.uniform(0.7, 1.3)
             await self._clock.sleep_until(self._clock.now() + wait_s)
 
@@ -295,99 +273,11 @@
         )
         return self._longest_life_s
 
-    async def _refresh(self, routes: list[Route]) -> None:
-        age_s = self._clock.now() - self._bases_read_at
-        missing = any(route.name not in self._bases for route in routes)
-        if missing or age_s >= (REFRESH_S if self._used else IDLE_REFRESH_S):
+    async def _refresh_bases(self) -> None:
+        age_s = self._clock.now() - self._bases.read_at
+        if age_s >= (REFRESH_S if self._used else IDLE_REFRESH_S):
             self._used = False
-            await self._read_bases()
-
-    async def _read_bases(self) -> bool:
-        """Read all bases; return whether they are as of after this call began."""
-        outcome = await self._base_reads.call("")
-        if outcome is None:
-            log.event("stream.bases_unknown", reason="no answer in time")
-        return outcome is not None and outcome.is_ok()
-
-    async def _read_base_rows(self, part: str) -> Result[None, Failure]:
-        sent_at = self._clock.now()
-        outcome = await self._store.read(BASE_TABLE, part)
-        if outcome.is_err():
-            log.event("stream.bases_unknown", reason=outcome.unwrap_err().message)
-            return outcome
-        self._bases_read_at = sent_at
-        for row in outcome.unwrap().rows:
-            self._apply_base(row, sent_at)
-        return Ok(None)
-
-    def _apply_base(self, row: StoredRow, read_at: float) -> None:
-        if row.value is None:
-            return
-        decoded = self.records.decode_row(_BASE, row)
-        if decoded.is_err():
-            return
-        known = KnownBase(decoded.unwrap(), read_at)
-        current = self._bases.get(row.name.key)
-        if current is not None and row.version < current.version:
-            return
-        if current is not None and row.version == current.version:
-            if read_at > current.known.read_at:
-                current.known = known
-            return
-        self._bases[row.name.key] = _BaseRow(known, row.version, self._clock.now())
-        log.event(
-            "stream.base_changed",
-            route=row.name.key,
-            service=known.base.origin.service,
-            software=known.base.origin.software,
-            closed=known.base.closed,
-        )
-
-    async def _update_base(self, route: Route) -> None:
-        """Write the base of a route if it is missing or has to change."""
-        counts = Counter(
-            Origin(endpoint.service, endpoint.software)
-            for service in route_table.services(route)
-            for endpoint in self._discovery.usable(service)
-        )
-        row = self._bases.get(route.name)
-        now = self._clock.now()
-        wanted = None
-        if row is None:
-            wanted = stream_versions.next_base(None, counts, 0.0, 0.0, 0.0)
-        else:
-            if not stream_versions.is_minor(row.known.base, counts):
-                row.minor_at = None
-            elif row.minor_at is None:
-                # Spread, so that one instance mostly writes for all.
-                row.minor_at = now + self._rng.uniform(0.0, TICK_S * 10)
-            minor_for_s = now - row.minor_at if row.minor_at is not None else 0.0
-            wanted = stream_versions.next_base(
-                row.known.base,
-                counts,
-                minor_for_s,
-                now - row.closed_at,
-                self._life_s(),
-            )
-        if wanted is not None:
-            await self._write_base(route, wanted, row.version if row else 0)
-
-    async def _write_base(self, route: Route, base: BaseOrigin, version: int) -> None:
-        name = RowName(BASE_TABLE, "", route.name)
-        sent_at = self._clock.now()
-        value = msgspec.msgpack.encode(base)
-        outcome = await self._store.transact(
-            Transaction(expected=((name, version),), puts=((name, value),))
-        )
-        if outcome.is_err():
-            reason = outcome.unwrap_err().message
-            log.event("stream.base_not_stored", route=route.name, reason=reason)
-            return
-        done = outcome.unwrap()
-        if done.applied:
-            self._apply_base(StoredRow(name, value, done.version), sent_at)
-        for found in done.conflicts:
-            self._apply_base(found, sent_at)
+            await self._bases.read()
 
     async def _forget(self) -> None:
         """Forget streams that are over."""
--- a/tests/services/test_stream_interleavings.py
+++ b/tests/services/test_stream_interleavings.py
@@ -13,12 +13,19 @@
 from result import Err, Ok
 
 from plantainstack.errors import ErrorKind, Failure, Outcome
+from plantainstack.policy import route_table
 from plantainstack.policy import stream_versions as policy
-from plantainstack.services import stream_records, stream_runs, stream_versions
+from plantainstack.services import (
+    stream_bases,
+    stream_records,
+    stream_runs,
+    stream_versions,
+)
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import (
     EndpointChanges,
     OpenStream,
+    OperatorChanges,
     RowsRead,
     StreamEvent,
     StreamHead,
@@ -98,6 +105,13 @@
         super().__init__(platform)
         self.cut_off = False
         self.seen = {}
+        self.config = platform.config
+
+    async def operator_changes(self, cursor, wait_s):
+        await anyio.sleep(0.01)
+        if not self.cut_off:
+            self.config = self._platform.config
+        return Ok(OperatorChanges(self.config, {}, 1))
 
     async def endpoint_changes(self, cursor, wait_s):
         await anyio.sleep(0.05)
@@ -189,14 +203,13 @@
         if self.events:
             take_up = TakeUp(len(self.events), self.first_id)
             self.take_ups += 1
-        target = f"/t/{self.number}" + "x" * (self.number % 7)
         sent = ClientCall(
-            id, "POST", target, "desk.example", (), b"", deadline, take_up
+            id, "POST", self.target(), "desk.example", (), b"", deadline, take_up
         )
         failure = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._break_off, kernel, tasks.cancel_scope)
-            found = kernel.plugin("forwarding").stream(sent, STREAM_ROUTE)
+            found = kernel.plugin("forwarding").stream(sent, self.route(kernel))
             async with contextlib.aclosing(found) as parts:
                 async for part in parts:
                     if part.is_err():
@@ -216,21 +229,26 @@
         await self.day.killed[kernel.settings.instance.id].wait()
         scope.cancel()
 
+    def target(self):
+        return f"/t/{self.number}" + "x" * (self.number % 7)
+
+    def route(self, kernel):
+        return STREAM_ROUTE
+
     def is_joined(self):
         return len({software for software, _ in self.events}) > 1
 
     def is_sound(self):
         numbers = [int(number) for _, number in self.events]
-        whole = (
-            not self.done
-            or len(numbers) == 5 + (len(f"/t/{self.number}") + self.number % 7) % 7
-        )
+        whole = not self.done or len(numbers) == 5 + len(self.target()) % 7
         return whole and numbers == list(range(1, len(numbers) + 1))
 
 
 class Day:
     """Play one random day and check what clients received."""
 
+    client_type = Client
+
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.platform = FakePlatform(LoopClock())
@@ -254,13 +272,7 @@
             FaultyStore.tasks = day
             day.start_soon(self._run_instances)
             await anyio.sleep(3.0)
-            for work in (
-                self._send_streams,
-                self._release,
-                self._crash,
-                self._disturb_store,
-                self._cut_off,
-            ):
+            for work in self.works():
                 day.start_soon(work)
             await anyio.sleep(DAY_S)
             day.cancel_scope.cancel()
@@ -268,6 +280,15 @@
         assert all(each.is_sound() for each in self.clients), "missing or twice"
         assert self.refused == [], "refused although it could go on"
 
+    def works(self):
+        return (
+            self._send_streams,
+            self._release,
+            self._crash,
+            self._disturb_store,
+            self._cut_off,
+        )
+
     def check_refusal(self, kernel, software, failure):
         now = self.platform.clock.now()
         if failure.kind is ErrorKind.QUARANTINED:
@@ -302,7 +323,7 @@
     async def _send_streams(self):
         async with anyio.create_task_group() as tasks:
             for number in range(10_000):
-                client = Client(self, number)
+                client = self.client_type(self, number)
                 self.clients.append(client)
                 tasks.start_soon(client.run)
                 await anyio.sleep(self.rng.uniform(0.02, 0.4))
@@ -373,6 +394,46 @@
         await anyio.sleep(seconds)
 
 
+class RoutedClient(Client):
+    """Send a stream below one of several prefixes."""
+
+    def target(self):
+        return f"/t/{'abc'[self.number % 3]}/{self.number}" + "x" * (self.number % 7)
+
+    def route(self, kernel):
+        return kernel.plugin("forwarding").route("desk.example", self.target()).unwrap()
+
+
+class RoutedDay(Day):
+    """Split, merge, rename and move the routes of streams, too."""
+
+    client_type = RoutedClient
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self._set_routes()
+
+    def works(self):
+        return (*super().works(), self._change_routes)
+
+    def _set_routes(self):
+        prefixes = self.rng.choice(
+            [["/t/"], ["/"], ["/t/", "/t/a/"], ["/t/a/", "/t/b/", "/t/c/"]]
+        )
+        routes = [
+            STREAM_ROUTE._replace(name=self.rng.choice("xyz") + prefix, prefix=prefix)
+            for prefix in prefixes
+        ]
+        version = self.platform.config.version + 1
+        routes = (*store_fleet.CONFIG.routes, *routes)
+        self.platform.config = STREAM_CONFIG._replace(version=version, routes=routes)
+
+    async def _change_routes(self):
+        while True:
+            await anyio.sleep(self.rng.uniform(0.3, 6.0))
+            self._set_routes()
+
+
 @pytest.fixture(autouse=True)
 def faulty_platform(monkeypatch):
     """Let the instances of a day use the faulty store and the lagging list."""
@@ -392,6 +453,29 @@
     assert sum(client.done for client in clients) > len(clients) / 2
 
 
+async def test_no_text_is_joined_while_routes_change():
+    """Guards against joined texts, and take-ups refused, after changes of routes."""
+    days = [RoutedDay(seed) for seed in range(12)]
+    for day in days:
+        await day.play()
+    clients = [client for day in days for client in day.clients]
+    taken_up = [client for client in clients if client.take_ups]
+    assert len(taken_up) > 20 * len(days)
+    assert sum(client.done for client in taken_up) > len(taken_up) / 4
+
+
+async def test_bases_of_routes_in_place_of_paths_are_caught(monkeypatch):
+    """Checks the check: a wrong version keeps a base for each route."""
+
+    def find(bases, host, path):
+        found = route_table.match(bases._discovery.serving, host, path)
+        return bases._rows.get(policy.base_keys(host, found.prefix)[0])
+
+    monkeypatch.setattr(stream_bases.StreamBases, "find", find)
+    with pytest.raises(AssertionError, match="joined"):
+        await play_all(RoutedDay, range(12))
+
+
 async def test_streams_resumed_at_any_version_are_caught(monkeypatch):
     """Checks the check: a wrong version resumes within one answer at any endpoint."""
     monkeypatch.setattr(stream_runs.StreamRun, "_fits", lambda *args: True)
--- a/tests/services/test_stream_versions.py
+++ b/tests/services/test_stream_versions.py
@@ -9,8 +9,8 @@
 from plantainstack.policy.stream_versions import BASE_HANDOVER_S, BASE_TRUST_S, Origin
 from plantainstack.services import stream_records
 from plantainstack.services.forwarding import ClientCall
+from plantainstack.services.stream_bases import BASE_TABLE
 from plantainstack.services.stream_records import RECORD_TABLE, SWEEP_INTERVAL_S
-from plantainstack.services.stream_versions import BASE_TABLE
 from plantainstack.serving import RequestKind, TakeUp, WeightedService
 from tests.policy.serving_samples import endpoint, route
 from tests.services.store_fleet import CONFIG, FakePlatform, running
@@ -300,9 +300,9 @@
     async with settled(platform, "a") as (kernel,):
         versions = kernel.plugin("stream_versions")
         kernel.plugin("store").metadata_store.faults = ["down"]
-        first = versions.begin(STREAM_ROUTE, "r1", new, None)
+        first = versions.begin(STREAM_ROUTE, "/t/r1", "r1", new, None)
         await anyio.sleep(0.01)
-        assert versions.begin(STREAM_ROUTE, "r1", old, first) is None
+        assert versions.begin(STREAM_ROUTE, "/t/r1", "r1", old, first) is None
         await anyio.sleep(SETTLED_S)
         assert (await versions.records.read("r1")).unwrap() is None
 
--- a/tests/services/test_unreadable_rows.py
+++ b/tests/services/test_unreadable_rows.py
@@ -12,7 +12,7 @@
 from plantainstack.services import batch_store
 from plantainstack.services.batch_store import BatchStore
 from plantainstack.services.forwarding import ClientCall
-from plantainstack.services.stream_versions import BASE_TABLE
+from plantainstack.services.stream_bases import BASE_TABLE
 from plantainstack.serving import ItemResult, ItemState, RequestKind
 from standins.metadata_store import Rows
 from tests.policy.serving_samples import batch, endpoint, item, route
@@ -114,13 +114,14 @@
     assert platform.client.orders == []
 
 
+@pytest.mark.parametrize("key", ["r-stream", "desk.example/t/", "desk.example/"])
 @pytest.mark.parametrize("odd", ODD_VALUES)
-async def test_base_of_a_route_that_cannot_be_read_is_logged_once(odd, logged):
+async def test_base_of_a_route_that_cannot_be_read_is_logged_once(odd, key, logged):
     """Guards against log lines with each check of the bases, and lost streams."""
     platform = FakePlatform()
     stream_route = route(RequestKind.STREAM, name="r-stream", prefix="/t/")
     platform.config = CONFIG._replace(routes=(*CONFIG.routes, stream_route))
-    platform.rows.transact({}, {(BASE_TABLE, "", stream_route.name): odd})
+    platform.rows.transact({}, {(BASE_TABLE, "", key): odd})
     async with running(platform, "a") as (kernel,):
         await anyio.sleep(1.5)
         deadline = kernel.clock.now() + 5.0
