Report invalid answers in the operators' client; test invalid statuses

An operator got a traceback from the command-line client when an answer had the status 000 or 20, or no valid head, and a KeyError for 302. It caught network errors and time-outs only, and took each status below 400 for a success.

All other paths were checked with statuses that HTTP does not have: requests, streams, items, orders, reports, the store, services, engines and duties. None takes such an answer; the tests guard that.

--- a/plantainstack/commands/client.py
+++ b/plantainstack/commands/client.py
@@ -10,6 +10,11 @@
 import httpcore
 
 REQUEST_TIMEOUT_S = 10.0
+_TRANSPORT_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
 
 
 class ExitCode(IntEnum):
@@ -36,6 +41,11 @@
     body: dict[str, Any]
 
 
+def _is_of_instance(status: int) -> bool:
+    """Return whether a status is one of a success or an error of an instance."""
+    return 200 <= status < 300 or 400 <= status < 600
+
+
 class OperatorClient(NamedTuple):
     """Send requests to the operators' API of one instance; no token if it is empty."""
 
@@ -64,9 +74,13 @@
                 content=content,
                 extensions={"timeout": timeout},
             )
-        except (httpcore.NetworkError, httpcore.TimeoutException) as exc:
+        except _TRANSPORT_ERRORS as exc:
             click.echo(f"{self.server}: no answer: {exc!r}", err=True)
             sys.exit(ExitCode.UNREACHABLE)
+        if not _is_of_instance(response.status):
+            message = f"the answer has the unexpected status {response.status}"
+            click.echo(f"{self.server}: {message}", err=True)
+            sys.exit(ExitCode.UNREACHABLE)
         return Answer(response.status, _decode(response.content))
 
     def fail(self, answer: Answer) -> NoReturn:
--- a/tests/commands/test_cli.py
+++ b/tests/commands/test_cli.py
@@ -1,5 +1,8 @@
 """Tests of the operators' command-line client."""
 
+import socket
+import threading
+
 import pytest
 from click.testing import CliRunner
 
@@ -112,6 +115,28 @@
     assert "version 5 by night" in result.output
 
 
+@pytest.mark.parametrize("status", ["000", "099", "199", "302", "600", "999", "20"])
+def test_answer_with_an_invalid_status_is_an_error_message(run, status):
+    """Guards against status 000 as an answer, and against a traceback."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        thread = threading.Thread(target=answer_once, args=(listener, status))
+        thread.start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        result = run("--server", address, "status")
+        thread.join()
+    assert result.exit_code == ExitCode.UNREACHABLE
+    assert address in result.output
+    assert isinstance(result.exception, SystemExit)
+
+
+def answer_once(listener, status):
+    conn, _ = listener.accept()
+    with conn:
+        conn.recv(65536)
+        head = f"HTTP/1.1 {status} Status\r\nContent-Length: 2\r\n\r\n"
+        conn.sendall(head.encode() + b"{}")
+
+
 def test_check_parses_the_settings_of_a_store_deployment(run, tmp_path):
     """Guards against settings that are checked as another kind of file."""
     path = tmp_path / "node.ini"
--- a/tests/links/test_endpoint.py
+++ b/tests/links/test_endpoint.py
@@ -88,6 +88,19 @@
     assert all(stream.closed for stream in backend.streams)
 
 
+@pytest.mark.parametrize("status", ["000", "099", "199", "600", "999", "20", "-01"])
+async def test_answer_with_an_invalid_status_is_a_failure(status):
+    """Guards against status 000 as the answer of a service, an engine or a report."""
+    plugin, backend, clock = links(*[[answer(CHUNK, status=status)]] * 3)
+    outcomes = [
+        (await call(plugin, clock)).err_value,
+        (await chunks_of(plugin, clock))[-1].err_value,
+        (await plugin.engine(record("e1")).status()).err_value,
+    ]
+    assert all(each.outcome is Outcome.MAY_HAVE_RUN for each in outcomes)
+    assert len(backend.streams) == 3
+
+
 async def test_connection_of_a_finished_exchange_is_reused():
     plugin, backend, clock = links([answer(b"one"), answer(b"two")])
     assert (await call(plugin, clock)).ok_value.body == b"one"
