Confirm the configuration before a takeover gives up a batch

An instance that is behind could also send items to the service of a route with a shorter prefix.

Cause: a takeover decided by its own configuration, which may be older than that of the instance that accepted the batch. If it finds no route, or another one than the state row names, it reads the configuration from the store first, and tries again later while that fails.

--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -4,10 +4,10 @@
 from collections import Counter
 
 import anyio
-from result import Result
+from result import Err, Ok, Result
 
 from plantainstack import log
-from plantainstack.errors import Failure
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.plugins import Plugin
 from plantainstack.policy import batch_owners, batch_scheduling, route_table
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
@@ -427,7 +427,13 @@
         batch, listed, partials = found.unwrap()
         entry.failed_resumes = 0
         self._cache.add_results(entry, 0, listed)
-        route = route_table.match_batch(self._discovery.serving, batch)
+        confirmed = await self._confirm_route(batch, row)
+        if confirmed.is_err():
+            reason = confirmed.unwrap_err().message
+            log.event("batch.not_resumed", batch_id, reason=reason)
+            entry.delay_resume(self.kernel.clock.now())
+            return
+        route = confirmed.unwrap()
         if route is None:
             log.event("batch.route_gone", batch_id, route=row.state.route)
             await append_abandoned(
@@ -436,6 +442,22 @@
             return
         self._start_run(entry, row, batch, route, listed, partials)
 
+    async def _confirm_route(
+        self, batch: Batch, row: StateRow
+    ) -> Result[Route | None, Failure]:
+        """Return the route of a batch that another instance may have accepted.
+
+        That one may have known a newer configuration. If the route here is not the one
+        that accepted the batch, the stored configuration decides.
+        """
+        route = route_table.match_batch(self._discovery.serving, batch)
+        if route is not None and route.name == row.state.route:
+            return Ok(route)
+        if not await self._discovery.refresh_config():
+            message = "the configuration cannot be confirmed"
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
+        return Ok(route_table.match_batch(self._discovery.serving, batch))
+
     async def _remove(self, batch_id: str, entry: BatchEntry) -> None:
         try:
             outcome = await self._batch_store.remove(batch_id, entry.row)
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -176,11 +176,16 @@
             started = clock.now()
             if self.kernel.settings.tenants.strict_revocation:
                 with contained("Discovery._confirm_config"):
-                    await self._read_config(started)
+                    await self.refresh_config()
             wait_s = random.uniform(CONFIG_READ_MIN_S, CONFIG_READ_MAX_S)
             await clock.sleep_until(started + wait_s)
 
-    async def _read_config(self, started: float) -> None:
+    async def refresh_config(self) -> bool:
+        """Return whether the configuration is as stored after this call began.
+
+        It is read by a call of its own: the feed may be silent or behind.
+        """
+        started = self.kernel.clock.now()
         registry = self.kernel.plugin("store").registry
         outcome = None
         with anyio.move_on_after(CONFIG_READ_TIMEOUT_S):
@@ -188,12 +193,13 @@
         if outcome is None or outcome.is_err():
             reason = outcome.unwrap_err().message if outcome else "no answer in time"
             log.event("config.not_confirmed", reason=reason)
-            return
+            return False
         found = outcome.unwrap()
         if self._apply_operator_changes(found, True) and found.config is not None:
             self._config_read_at = started
-        else:
-            log.event("config.not_confirmed", reason="it is not the one in force")
+            return True
+        log.event("config.not_confirmed", reason="it is not the one in force")
+        return False
 
     def usable(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that can be given new requests."""
--- a/tests/services/test_batches.py
+++ b/tests/services/test_batches.py
@@ -3,8 +3,9 @@
 import anyio
 import msgspec
 import pytest
+from result import Err
 
-from plantainstack.errors import ErrorKind
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.policy import batch_scheduling
 from plantainstack.policy.item_runs import PartialText
 from plantainstack.services import batch_results, batch_store
@@ -25,6 +26,7 @@
     NOT_RUN,
     SAFE_ROUTE,
     FakePlatform,
+    FakeRegistry,
     MemoryStore,
     all_results,
     new_kernel,
@@ -408,6 +410,57 @@
     assert {result.state for result in found} == {ItemState.COMPLETED}
 
 
+class SilentRegistry(FakeRegistry):
+    """Return the first configuration to the feed, and the stored one to other reads."""
+
+    is_reachable = True
+
+    def __init__(self, platform):
+        super().__init__(platform)
+        self.first = platform.config
+
+    async def operator_changes(self, cursor, wait_s):
+        found = await super().operator_changes(cursor, wait_s)
+        if cursor is None and not self.is_reachable:
+            return Err(Failure.of(ErrorKind.TABLE_UNAVAILABLE, "scripted"))
+        if cursor is None:
+            return found
+        return found.map(lambda changes: changes._replace(config=self.first))
+
+
+@pytest.mark.parametrize("knows", ["no route", "another route"])
+async def test_owner_that_is_behind_does_not_give_up_a_batch_on_a_new_route(knows):
+    """Guards against items that are given up, or run elsewhere, by an old route."""
+    platform = FakePlatform()
+    platform.endpoints["o1"] = endpoint("o1", service="others")
+    added = BATCH_ROUTE._replace(
+        name="r-new",
+        prefix="/a/b/" if knows == "another route" else "/new/",
+        weighted_services=(WeightedService("others", 1.0),),
+    )
+    submitted = four_items()._replace(path=f"{added.prefix}b1")
+    async with running(platform, "b") as (behind,):
+        registry = behind.plugin("store").registry = SilentRegistry(platform)
+        feed = behind.plugin("discovery")._operator_feed
+        feed._read = registry.operator_changes
+        platform.config = CONFIG._replace(version=2, routes=(*CONFIG.routes, added))
+        registry.is_reachable = False
+        async with running(platform, "a") as (owner,):
+            batches = owner.plugin("batches")
+            platform.client.statuses = {f"i{number}": 503 for number in range(4)}
+            assert (await batches.submit(submitted, added)).is_ok()
+        await anyio.sleep(2.0)
+        assert behind.plugin("discovery").serving.version == 1
+        page = (await behind.plugin("batches").results("b1", 0, 0.0)).unwrap()
+        assert page.results == []
+        platform.client.statuses.clear()
+        platform.client.opened_streams.clear()
+        registry.is_reachable = True
+        found = await all_results(behind.plugin("batches"), "b1", 4)
+    assert {result.state for result in found} == {ItemState.COMPLETED}
+    assert {end for _, end, _ in platform.client.opened_streams} == {"o1"}
+
+
 async def test_expired_batches_are_removed_from_the_store(monkeypatch):
     """Guards against a store that grows without bound."""
     platform = FakePlatform()
