Bound the memory that the items of batches take in their owner

Cause: only decoding a submission was estimated.

The cache test sets the size of a result besides its text to 0, as its limit is in bytes of text.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -280,6 +280,10 @@
             self._log_refusal(failure)
             return failure_response(failure)
         batch = decoded.unwrap()
+        if not self._batches.may_run(batch):
+            failure = Failure.of(ErrorKind.OVERLOADED, "the batch has too many items")
+            self._log_refusal(failure)
+            return failure_response(failure)
         if self._has_tenants:
             batch = records.of_tenant(batch, self._tenant_name())
         outcome = await self._batches.submit(batch, route)
--- a/plantainstack/policy/batch_scheduling.py
+++ b/plantainstack/policy/batch_scheduling.py
@@ -18,6 +18,9 @@
 # Three renewals and the pause between reads of a feed. Taking a batch over from an
 # owner that is still alive costs little, since the text of its items is stored.
 OWNER_TIMEOUT_S = 1.6
+# Memory that an instance needs for each item of the batches that it runs, without the
+# texts of the items.
+ITEM_BYTES = 1200
 # Readers may return to a batch for 120 s after it was submitted.
 RETENTION_S = 150.0
 # Most items end within 1.5 s; the text of longer ones is stored while it grows.
@@ -63,6 +66,15 @@
     return now - max(seen_at, feed_healthy_since) > OWNER_TIMEOUT_S
 
 
+def has_room(items: int, running: int, memory: int) -> bool:
+    """Return whether a batch fits into the memory of an instance, in bytes.
+
+    `running` is the number of items of the batches that the instance runs. A batch
+    that was accepted by an instance with more memory may fit nowhere else.
+    """
+    return (items + running) * ITEM_BYTES <= memory
+
+
 def removal_due(owner: str, instance: str, age_s: float, *, is_final: bool) -> bool:
     """Return whether an instance should remove a batch of this age.
 
--- a/plantainstack/policy/group_starts.py
+++ b/plantainstack/policy/group_starts.py
@@ -40,19 +40,25 @@
 
     def __init__(self, items: Sequence[Item], group_of: Callable[[Item], str | None]):
         self._groups: dict[str, _Group] = {}
-        # The index of the next item of each group that may start.
-        self._ready: list[tuple[int, str]] = []
+        # The index of the next item of each group that may start, with its key; items
+        # without a group stand here by themselves. A batch may have 100,000 of them.
+        self._ready: list[tuple[int, str | Item]] = []
         # Times at which groups end to wait.
         self._held: list[tuple[float, str]] = []
         self._waited: set[str] = set()
         for number, item in enumerate(items):
             key = group_of(item)
             if key is None:
-                key = f"\0{number}"
-            self._groups.setdefault(key, _Group()).items.append((number, item))
+                self._ready.append((number, item))
+                continue
+            if key not in self._groups:
+                self._groups[key] = _Group()
+            self._groups[key].items.append((number, item))
+        heapq.heapify(self._ready)
         for key in self._groups:
             self._push(key)
-        self._current = ""
+        # The group of the last item, None if it has none.
+        self._current: str | None = None
 
     def next(self, now: float) -> Item | None:
         """Return the next item to start, None if all that are left wait."""
@@ -60,8 +66,12 @@
             self._release(heapq.heappop(self._held)[1])
         if not self._ready:
             return None
-        _, self._current = heapq.heappop(self._ready)
-        return self._groups[self._current].items.popleft()[1]
+        _, found = heapq.heappop(self._ready)
+        if isinstance(found, Item):
+            self._current = None
+            return found
+        self._current = found
+        return self._groups[found].items.popleft()[1]
 
     def next_at(self) -> float:
         """Return the time at which the next item may start in any case."""
@@ -72,8 +82,8 @@
 
         Without it, the group waits for the item, for `wait_s` at most.
         """
-        group = self._groups[self._current]
-        if not group.items:
+        group = self._groups.get(self._current)
+        if group is None or not group.items:
             return
         if hit or group.waits >= WAITS_MAX or wait_s <= 0.0:
             self._push(self._current)
--- a/plantainstack/services/prompt_placement.py
+++ b/plantainstack/services/prompt_placement.py
@@ -116,6 +116,8 @@
 
     def _prompt(self, item: Item) -> Prompt | None:
         """Return the prompt of an item if others may share its beginning."""
+        if not item.headers:
+            return None
         if item.id not in self._prompts:
             prompt = self._client.prompt(item.headers)
             is_shared = prompt is not None and _shared_tokens(prompt) > 0
--- a/tests/services/test_batch_cache.py
+++ b/tests/services/test_batch_cache.py
@@ -11,6 +11,7 @@
 @pytest.fixture(autouse=True)
 def small_cache(monkeypatch):
     monkeypatch.setattr(batch_cache, "CACHE_BYTES", 100)
+    monkeypatch.setattr(batch_cache, "RESULT_OVERHEAD_BYTES", 0)
 
 
 def add(cache, batch_id, size):
