Start a batch without room only once, and keep complete texts

A batch that another instance is to run is no longer checked for room here, so the acceptor still waits for the hand-over. A text that is complete can no longer be given up for other answers while its connection is closed. The items of a batch that is submitted again after it ended are not cached.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -281,7 +281,8 @@
             return failure_response(failure)
         batch = decoded.unwrap()
         if not self._batches.may_run(batch):
-            failure = Failure.of(ErrorKind.OVERLOADED, "the batch has too many items")
+            message = f"the instance has no memory to run {len(batch.items)} items"
+            failure = Failure.of(ErrorKind.OVERLOADED, message)
             self._log_refusal(failure)
             return failure_response(failure)
         if self._has_tenants:
--- a/plantainstack/services/batch_runs.py
+++ b/plantainstack/services/batch_runs.py
@@ -352,7 +352,11 @@
                 return None
             self._memory.update(run)
             self._record_event(attempt)
-        return run.completed() if run.end_stream() else None
+        if not run.end_stream():
+            return None
+        # A complete text must not be given up any more.
+        self._memory.end(run)
+        return run.completed()
 
     def _record_event(self, attempt: Attempt) -> None:
         now = self._clock.now()
--- a/plantainstack/services/batch_submissions.py
+++ b/plantainstack/services/batch_submissions.py
@@ -138,7 +138,7 @@
             seconds=seconds,
         )
         entry = self._apply_row(batch.id, row)
-        if row.state.tenant == batch.tenant:
+        if row.state.tenant == batch.tenant and not row.state.is_final():
             entry.batch = batch
         if stored_here:
             self._start_accepted(entry, row, batch, route, owner)
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -206,15 +206,14 @@
         """Run a batch that was stored here, unless the chosen owner does."""
         if self._draining or entry.run is not None:
             return
-        if not self._has_room(len(batch.items)):
+        if owner and owner != self._instance_id:
+            self._tasks.start_soon(self._ensure_handover, batch.id, entry, row.version)
+        elif owner and self._has_room(len(batch.items)):
+            self._start_run(entry, row, batch, route, set(), {})
+        elif owner:
             # It is taken over once there is room, here or at another instance.
             entry.batch = None
             log.event("batch.waits_for_room", batch.id, items=len(batch.items))
-            return
-        if owner == self._instance_id:
-            self._start_run(entry, row, batch, route, set(), {})
-        elif owner:
-            self._tasks.start_soon(self._ensure_handover, batch.id, entry, row.version)
 
     async def _ensure_handover(
         self, batch_id: str, entry: BatchEntry, version: int
