--- /dev/null
+++ b/review/lib4/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the scripts of this review, standard library only."""
