--- a/review/lib4/daemons.py
+++ b/review/lib4/daemons.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import signal
 import socket
 import subprocess
 import sys
@@ -83,14 +82,6 @@
                 stderr=subprocess.STDOUT,
             )  # fmt: skip
 
-    def pid(self, node: str) -> int:
-        """Return the id of an instance's process."""
-        return self._started[node].pid
-
-    def signal(self, node: str, number: signal.Signals) -> None:
-        """Send a signal to an instance."""
-        self._started[node].send_signal(number)
-
     def ended(self) -> list[str]:
         """Return the instances whose processes have ended."""
         return [node for node, each in self._started.items() if each.poll() is not None]
--- a/review/lib4/requests.py
+++ b/review/lib4/requests.py
@@ -4,8 +4,8 @@
 import time
 from typing import NamedTuple
 
-from review.lib4 import http1
-from review.lib4.store import Store
+from lib4 import http1
+from lib4.store import Store
 
 HEARTBEAT_S = 1.2
 WORK_S = 0.2
--- a/review/lib4/store.py
+++ b/review/lib4/store.py
@@ -5,7 +5,7 @@
 import json
 import time
 
-from review.lib4 import http1
+from lib4 import http1
 
 PAGE_ROWS = 500
 FEED_WAIT_MAX_S = 30.0
