Count cached results in bytes, not in characters

Python keeps each character of a text in as many bytes as its widest one needs, four with an emoji, and encoding a text for the store leaves its UTF-8 form in the same object.

The cache now holds results as they are stored in rows and decodes them for a reader, so that what is counted is what is kept, and as many results fit whatever their text. The new test failed before with 3.8 MB (typographic quote, Chinese) and 7.5 MB (emoji) where 2 MB are allowed.

--- a/plantainstack/services/batch_cache.py
+++ b/plantainstack/services/batch_cache.py
@@ -4,13 +4,13 @@
 
 from plantainstack.policy.batch_owners import StepOwner
 from plantainstack.services.batch_runs import BatchRun
-from plantainstack.services.batch_store import StateRow
+from plantainstack.services.batch_store import StateRow, decode_result, encode_result
 from plantainstack.services.feeds import ChangeNotifier
 from plantainstack.serving import Batch, ItemResult
 
 # Half of the memory that the process leaves free on the smallest machine (128 MB).
 CACHE_BYTES = 24 * 1024 * 1024
-# Memory that a cached result takes besides its text.
+# Memory that a cached result takes besides its encoding.
 RESULT_OVERHEAD_BYTES = 400
 # Delay after a takeover whose batch could not be read, doubled each time. Once it
 # exceeds the timeout of an owner, another instance tries.
@@ -27,7 +27,9 @@
         self.seen_at = now
         self.known_since = now
         self.changed = ChangeNotifier()
-        self.results: dict[int, ItemResult] = {}
+        # Encoded results by position. Decoded, a text takes as many bytes for each
+        # character as its widest one: four with an emoji.
+        self.results: dict[int, bytes] = {}
         self.batch: Batch | None = None
         self.run: BatchRun | None = None
         # Whether a takeover or the removal of the batch is in progress.
@@ -53,6 +55,11 @@
         self.failed_resumes += 1
         self.resume_at = now + delay_s
 
+    def result(self, position: int) -> ItemResult | None:
+        """Return the result at a position, None if it is not cached."""
+        encoded = self.results.get(position)
+        return None if encoded is None else decode_result(encoded)
+
     def result_bytes(self) -> int:
         """Return about how much memory the cached results take."""
         return sum(_result_bytes(each) for each in self.results.values())
@@ -71,8 +78,8 @@
         """Add the results of a batch from the position `first` on."""
         for position, result in enumerate(results, first):
             if position not in entry.results:
-                entry.results[position] = result
-                self._bytes += _result_bytes(result)
+                encoded = entry.results[position] = encode_result(result)
+                self._bytes += _result_bytes(encoded)
         if self._bytes > CACHE_BYTES:
             self._evict(entry)
         if self._bytes > CACHE_BYTES:
@@ -127,5 +134,5 @@
             self._bytes -= _result_bytes(entry.results.pop(position))
 
 
-def _result_bytes(result: ItemResult) -> int:
-    return len(result.text) + RESULT_OVERHEAD_BYTES
+def _result_bytes(encoded: bytes) -> int:
+    return len(encoded) + RESULT_OVERHEAD_BYTES
--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -208,8 +208,8 @@
                 source = ReadSource.STORE
             else:
                 failure = found.unwrap_err()
-        while len(page) < count and after + len(page) in entry.results:
-            page.append(entry.results[after + len(page)])
+        while len(page) < count and (result := entry.result(after + len(page))):
+            page.append(result)
         if page:
             return Ok(ResultPage(entry.row.state.total, page, source))
         message = failure.message if failure else "the store lacks a listed result"
--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -417,6 +417,16 @@
         return Err(Failure.of(ErrorKind.INTERNAL, message))
 
 
+def encode_result(result: ItemResult) -> bytes:
+    """Return a result as it is stored in a row."""
+    return msgspec.msgpack.encode(_without_defaults(result))
+
+
+def decode_result(encoded: bytes) -> ItemResult:
+    """Return the result that `encode_result` encoded."""
+    return _RESULT.decode(encoded)
+
+
 def _state_name(batch_id: str) -> RowName:
     return RowName(STATE_TABLE, batch_id, STATE_KEY)
 
@@ -426,7 +436,7 @@
     return [
         (
             RowName(RESULT_TABLE, batch_id, _position(row.state.listed + number)),
-            msgspec.msgpack.encode(_without_defaults(result)),
+            encode_result(result),
         )
         for number, result in enumerate(results)
     ]
--- a/tests/services/test_batch_cache.py
+++ b/tests/services/test_batch_cache.py
@@ -1,10 +1,12 @@
 """Tests of the cache of batches and results."""
 
+import tracemalloc
+
 import pytest
 
 from plantainstack.services import batch_cache
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
-from plantainstack.services.batch_store import BatchState, StateRow
+from plantainstack.services.batch_store import BatchState, StateRow, encode_result
 from plantainstack.serving import ItemResult, ItemState
 
 
@@ -14,10 +16,18 @@
     monkeypatch.setattr(batch_cache, "RESULT_OVERHEAD_BYTES", 0)
 
 
+def result_of(size):
+    """Return a result of this size when encoded."""
+    empty = ItemResult("i", ItemState.COMPLETED, "", ())
+    result = empty._replace(text="x" * (size - len(encode_result(empty))))
+    assert len(encode_result(result)) == size
+    return result
+
+
 def add(cache, batch_id, size):
     state = BatchState("a", 1, 4, 1, False, "r", "n")
     entry = cache.entries[batch_id] = BatchEntry(StateRow(state, 1), 0.0)
-    cache.add_results(entry, 0, [ItemResult("i", ItemState.COMPLETED, "x" * size, ())])
+    cache.add_results(entry, 0, [result_of(size)])
     return entry
 
 
@@ -38,3 +48,31 @@
     first, second = add(cache, "b1", 40), add(cache, "b2", 40)
     assert first.results
     assert second.results
+
+
+@pytest.mark.parametrize("character", ["", "\u00e9", "\u2019", "\u8bad", "\U0001f6b2"])
+def test_cached_results_keep_to_their_limit_whatever_their_text(monkeypatch, character):
+    """Guards against texts with several bytes a character that are counted as one."""
+    monkeypatch.setattr(batch_cache, "CACHE_BYTES", 2_000_000)
+    monkeypatch.setattr(batch_cache, "RESULT_OVERHEAD_BYTES", 400)
+    cache = BatchCache()
+    state = BatchState("a", 1, 1000, 1000, False, "r", "n")
+    entry = cache.entries["b1"] = BatchEntry(StateRow(state, 1), 0.0)
+    tracemalloc.start()
+    for position in range(1000):
+        text = f"{position:06599}{character}"
+        result = ItemResult(f"i{position}", ItemState.COMPLETED, text, (3,))
+        cache.add_results(entry, position, [result])
+    del result, text
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert size <= 2_000_000
+
+
+def test_cached_result_is_read_as_it_was_added():
+    """Guards against results that a reader gets in another form than listed."""
+    cache = BatchCache()
+    entry = add(cache, "b1", 40)
+    result = ItemResult("i", ItemState.ABANDONED, "\u2019\U0001f6b2", (3, 4), "0.5")
+    cache.add_results(entry, 1, [result])
+    assert (entry.result(1), entry.result(2)) == (result, None)
