Fill transactions and pages of results by their bytes

The writer of results filled its transactions up to 400,000 and 500,000 characters; at three bytes each and in base64 the store refused them (above 1 MB), and each owner in turn built the same transaction for ever. A planned stop lost its results and texts in the same way, and pages for readers exceeded 1 MB with these texts or with many quotes and line feeds, whose escapes in JSON did not count.

The writer adds up the encoded rows, and a page the encoded results.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -2,10 +2,10 @@
 
 from contextlib import aclosing
 from http import HTTPStatus
-from typing import Any
 from urllib.parse import parse_qs
 
 import anyio
+import msgspec
 
 from plantainstack import log, metrics
 from plantainstack.decoding import parse_decimal
@@ -27,11 +27,12 @@
 from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
 from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
 from plantainstack.services.forwarding import ClientCall
-from plantainstack.serving import RequestKind, Route, TakeUp
+from plantainstack.serving import ItemResult, RequestKind, Route, TakeUp
 from plantainstack.tasks import record_exception
 
 # Longest time for which a request for results may wait; the platform specifies 1 s.
 WAIT_MAX_S = 1.5
+# Bytes of the results in one answer; the platform allows 1 MB.
 RESULTS_MAX_BYTES = 900_000
 # Time after the deadline of a stream for which its last bytes may still be sent.
 SEND_GRACE_S = 0.25
@@ -311,13 +312,7 @@
         if found.is_err():
             return failure_response(found.unwrap_err())
         page = found.unwrap()
-        results: list[dict[str, Any]] = []
-        size = 0
-        for each in page.results:
-            size += len(each.text)
-            if results and size > RESULTS_MAX_BYTES:
-                break
-            results.append(records.encode_result(each))
+        results = _encode_results(page.results)
         return json_response(
             {"total": page.total, "next": after + len(results), "results": results}
         )
@@ -388,6 +383,19 @@
         )
 
 
+def _encode_results(results: list[ItemResult]) -> list[msgspec.Raw]:
+    """Encode results as JSON, the first one and those that fit beside it."""
+    encoded: list[msgspec.Raw] = []
+    size = 0
+    for result in results:
+        data = msgspec.json.encode(records.encode_result(result))
+        size += len(data)
+        if encoded and size > RESULTS_MAX_BYTES:
+            break
+        encoded.append(msgspec.Raw(data))
+    return encoded
+
+
 async def _cancel_on_disconnect(receive, scope: anyio.CancelScope) -> None:
     while True:
         message = await receive()
--- a/plantainstack/services/batch_results.py
+++ b/plantainstack/services/batch_results.py
@@ -13,14 +13,16 @@
     ItemPiece,
     StateConflict,
     StateRow,
+    row_bytes,
 )
 from plantainstack.serving import Batch, ItemResult, ItemState
 
 # Delay before a write, so that items that end together share one transaction.
 APPEND_DELAY_S = 0.015
+# Limits on the rows of one transaction, before their encoding in base64. Results and
+# partial texts together stay within the store's transaction limits.
 APPEND_BYTES = 400_000
 APPEND_ITEMS = 40
-# Results and partial texts together stay within the store's transaction limits.
 CHECKPOINT_BYTES = 500_000
 CHECKPOINT_ITEMS = 50
 # Below the store's limit on the size of a row.
@@ -103,8 +105,7 @@
         async with self._writing:
             stop()
             chunk = self._next_chunk()
-            bytes_left = CHECKPOINT_BYTES - sum(len(result.text) for result in chunk)
-            partials = self._unstored_pieces(0.0, bytes_left)
+            partials = self._unstored_pieces(0.0, chunk)
             outcome = await self._batch_store.release(
                 self._batch_id, self.row, chunk, partials
             )
@@ -172,20 +173,25 @@
         if now < self._next_checkpoint_at:
             return []
         self._next_checkpoint_at = now + batch_scheduling.CHECKPOINT_INTERVAL_S
-        bytes_left = CHECKPOINT_BYTES - sum(len(result.text) for result in chunk)
-        return self._unstored_pieces(batch_scheduling.CHECKPOINT_MIN_AGE_S, bytes_left)
+        return self._unstored_pieces(batch_scheduling.CHECKPOINT_MIN_AGE_S, chunk)
 
-    def _unstored_pieces(self, age_s: float, bytes_max: int) -> list[ItemPiece]:
+    def _unstored_pieces(
+        self, age_s: float, chunk: list[ItemResult]
+    ) -> list[ItemPiece]:
+        """Return unstored text that fits into one transaction with a chunk of results.
+
+        Text of items that began less than `age_s` ago is left out.
+        """
         pieces: list[ItemPiece] = []
         now = self._clock.now()
-        size = 0
+        size = sum(row_bytes(result) for result in chunk)
         for item_id, text in self._texts.items():
             piece = text.run.partial(text.stored)
             if now - text.begun_at < age_s or piece is None:
                 continue
-            length = sum(len(each) for each in piece.texts)
+            length = row_bytes(piece)
             size += length
-            if size > bytes_max or len(pieces) >= CHECKPOINT_ITEMS:
+            if size > CHECKPOINT_BYTES or len(pieces) >= CHECKPOINT_ITEMS:
                 break
             if length <= PIECE_BYTES:
                 pieces.append((item_id, piece))
@@ -195,7 +201,7 @@
         chunk: list[ItemResult] = []
         size = 0
         for result in self._ended[:APPEND_ITEMS]:
-            size += len(result.text)
+            size += row_bytes(result)
             if chunk and size > APPEND_BYTES:
                 break
             chunk.append(result)
--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -427,6 +427,18 @@
     return _RESULT.decode(encoded)
 
 
+def row_bytes(record: ItemResult | PartialText) -> int:
+    """Return the size of the row that stores a result or a piece of text."""
+    if isinstance(record, PartialText):
+        return len(_encode_piece(record))
+    return len(encode_result(record))
+
+
+def _encode_piece(piece: PartialText) -> bytes:
+    """Return a piece of text as it is stored; the key of its row names its software."""
+    return msgspec.msgpack.encode(_without_defaults(piece._replace(software=None)))
+
+
 def _state_name(batch_id: str) -> RowName:
     return RowName(STATE_TABLE, batch_id, STATE_KEY)
 
@@ -456,7 +468,7 @@
                 f"{item_id}/{piece.generation:04}-{piece.first:06}"
                 f"{_software_suffix(piece.software)}",
             ),
-            msgspec.msgpack.encode(_without_defaults(piece._replace(software=None))),
+            _encode_piece(piece),
         )
         for item_id, piece in partials
     ]
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -16,7 +16,14 @@
 from plantainstack.front.gateway import Gateway
 from plantainstack.interfaces import PlainAnswer
 from plantainstack.platform import names, responses
-from plantainstack.serving import ClientLimits, EndpointAnswer, RequestKind
+from plantainstack.services.batch_reads import ReadSource, ResultPage
+from plantainstack.serving import (
+    ClientLimits,
+    EndpointAnswer,
+    ItemResult,
+    ItemState,
+    RequestKind,
+)
 from plantainstack.settings.options import Address
 from tests.platform.samples import lot
 from tests.policy.serving_samples import route
@@ -148,6 +155,28 @@
         assert (await conn.request("GET", f"{names.LOTS_PATH}b9"))[0] == 404
 
 
+@pytest.mark.parametrize("character", ["x", "\n", "\u8bad", "\U0001f6b2"])
+async def test_page_of_results_keeps_to_its_limit_whatever_the_texts(character):
+    """Guards against pages above 1 MB, with several bytes a character or escapes."""
+    text = character * (60_000 // len(character.encode()))
+    listed = [ItemResult(f"i{n}", ItemState.COMPLETED, text, (1,)) for n in range(40)]
+
+    async def results(batch_id, after, wait_s, tenant):
+        return Ok(ResultPage(len(listed), listed[after:], ReadSource.MEMORY))
+
+    async with gateway(FakePlatform()) as kernel, connected(kernel) as conn:
+        kernel.plugin("batches").results = results
+        found = []
+        while len(found) < len(listed):
+            path = f"{names.LOTS_PATH}b1?after={len(found)}"
+            status, _, content = await conn.request("GET", path)
+            assert (status, len(content) <= 1_000_000) == (200, True)
+            page = msgspec.json.decode(content)
+            found += page["results"]
+            assert page["next"] == len(found)
+        assert {each["output"] for each in found} == {text}
+
+
 async def test_invalid_batch_is_a_bad_request():
     platform = FakePlatform()
     async with gateway(platform) as kernel, connected(kernel) as conn:
