Count the parts of an instance's memory in one budget

The cache of results had the same limit, 24 MiB, on machines of 128 and of 552 MB, whatever answers, bodies and connections took beside it: each part bounded what it keeps by itself, and no part knew of the others.

MemoryBudget adds up what the parts report. A single large body keeps to what batches leave. The gauge plantainstack_memory_bytes shows each part. The tests set the size of the cache by the budget, with the same limits as before.

--- a/plantainstack/kernel.py
+++ b/plantainstack/kernel.py
@@ -15,7 +15,8 @@
 from plantainstack.plugins import Plugin
 from plantainstack.policy import answer_memory, client_budget
 from plantainstack.policy.answer_memory import AnswerMemory, BodyMemory
-from plantainstack.policy.client_budget import ClientBudget
+from plantainstack.policy.client_budget import CONNECTION_BYTES, ClientBudget
+from plantainstack.policy.memory_budget import MemoryBudget
 from plantainstack.settings.fleet import FleetConfig
 from plantainstack.settings.instance import InstanceSettings
 from plantainstack.settings.memory import MemoryOptions
@@ -93,11 +94,25 @@
         )
         metrics.ANSWER_BYTES.set_function(lambda: self.answer_memory.held)
         metrics.BODY_BYTES.set_function(lambda: self.body_memory.held)
-        self.body_memory.single_max = self.client_budget.body_bytes_max
         metrics.CLIENT_CONNECTIONS.set_function(lambda: len(self.client_budget.clients))
+        self.memory_budget = MemoryBudget(
+            self.client_budget.sizes.memory,
+            lambda part, held: metrics.MEMORY_BYTES.labels(part).set_function(held),
+        )
+        self._add_memory_parts()
         self._stop_requested = anyio.Event()
         self._plugins = {kind.name: kind(self) for kind in self._sorted(plugin_types)}
 
+    def _add_memory_parts(self) -> None:
+        budget = self.memory_budget
+        clients = self.client_budget.clients
+        budget.add_part("connections", lambda: len(clients) * CONNECTION_BYTES)
+        budget.add_part("answers", lambda: self.answer_memory.held)
+        budget.add_part("bodies", lambda: self.body_memory.held)
+        self.body_memory.single_max = lambda: min(
+            self.client_budget.body_bytes_max(), budget.left_beside_batches("bodies")
+        )
+
     def plugin(self, name: str) -> Plugin:
         """Return the plug-in with this name; raise KernelError if there is none."""
         try:
@@ -189,6 +204,8 @@
         while True:
             await self.clock.sleep_until(self.clock.now() + TICK_INTERVAL_S)
             self.pause.check()
+            with contained("kernel.reclaim"):
+                self.memory_budget.reclaim()
 
     @staticmethod
     def _sorted(plugin_types: Iterable[type[Plugin]]) -> list[type[Plugin]]:
--- a/plantainstack/metrics.py
+++ b/plantainstack/metrics.py
@@ -48,6 +48,12 @@
     "Bytes that the bodies of clients' requests take in this process.",
     registry=REGISTRY,
 )
+MEMORY_BYTES = Gauge(
+    "plantainstack_memory_bytes",
+    "Bytes that the parts of this process hold for others, by part.",
+    ["part"],
+    registry=REGISTRY,
+)
 REQUEST_SECONDS = Histogram(
     "plantainstack_request_seconds",
     "Time from a request's arrival to the end of its answer, in seconds.",
--- a/plantainstack/services/batch_cache.py
+++ b/plantainstack/services/batch_cache.py
@@ -3,13 +3,15 @@
 from collections import Counter
 
 from plantainstack.policy.batch_owners import StepOwner
+from plantainstack.policy.memory_budget import MemoryBudget
 from plantainstack.services.batch_runs import BatchRun
 from plantainstack.services.batch_store import StateRow, decode_result, encode_result
 from plantainstack.services.feeds import ChangeNotifier
 from plantainstack.serving import Batch, ItemResult
 
-# Half of the memory that the process leaves free on the smallest machine (128 MB).
-CACHE_BYTES = 24 * 1024 * 1024
+# Share of the memory budget that the cache may take; it gets less where other parts
+# need the memory.
+CACHE_SHARE = 3 / 10
 # Memory that a cached result takes besides its encoding.
 RESULT_OVERHEAD_BYTES = 400
 # Delay after a takeover whose batch could not be read, doubled each time. Once it
@@ -66,11 +68,13 @@
 
 
 class BatchCache:
-    """Hold the known batches in `entries`, and their results up to CACHE_BYTES."""
+    """Hold the known batches in `entries`, and results as far as memory allows."""
 
-    def __init__(self):
+    def __init__(self, memory: MemoryBudget):
         self.entries: dict[str, BatchEntry] = {}
         self._bytes = 0
+        self._memory = memory
+        memory.add_part("cache", lambda: self._bytes, self._reclaim)
 
     def add_results(
         self, entry: BatchEntry, first: int, results: list[ItemResult]
@@ -80,10 +84,11 @@
             if position not in entry.results:
                 encoded = entry.results[position] = encode_result(result)
                 self._bytes += _result_bytes(encoded)
-        if self._bytes > CACHE_BYTES:
-            self._evict(entry)
-        if self._bytes > CACHE_BYTES:
-            self._evict_around(entry, range(first, first + len(results)))
+        limit = self._limit()
+        if self._bytes > limit:
+            self._evict(entry, limit)
+        if self._bytes > limit:
+            self._evict_around(entry, range(first, first + len(results)), limit)
 
     def remove(self, batch_id: str) -> None:
         """Remove a batch that no longer exists."""
@@ -112,10 +117,19 @@
             for entry in self.entries.values()
         ]
 
-    def _evict(self, kept: BatchEntry) -> None:
+    def _limit(self) -> int:
+        share = int(self._memory.total * CACHE_SHARE)
+        return min(share, self._memory.left_for("cache"))
+
+    def _reclaim(self) -> None:
+        limit = self._limit()
+        if self._bytes > limit:
+            self._evict(None, limit)
+
+    def _evict(self, kept: BatchEntry | None, limit: int) -> None:
         """Evict cached results, those of the earliest known batches first."""
         for entry in self.entries.values():
-            if self._bytes <= CACHE_BYTES / 2:
+            if self._bytes <= limit / 2:
                 return
             if entry is not kept:
                 self._bytes -= entry.result_bytes()
@@ -123,13 +137,13 @@
                 if not entry.is_running():
                     entry.batch = None
 
-    def _evict_around(self, entry: BatchEntry, page: range) -> None:
+    def _evict_around(self, entry: BatchEntry, page: range, limit: int) -> None:
         """Evict the results of a batch outside a page, those added first before others.
 
         One batch alone may have more results than the cache holds.
         """
         for position in [each for each in entry.results if each not in page]:
-            if self._bytes <= CACHE_BYTES / 2:
+            if self._bytes <= limit / 2:
                 return
             self._bytes -= _result_bytes(entry.results.pop(position))
 
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -51,7 +51,7 @@
 
     def __init__(self, kernel):
         super().__init__(kernel)
-        self._cache = BatchCache()
+        self._cache = BatchCache(kernel.memory_budget)
         self._entries = self._cache.entries
         self._instance_id = kernel.settings.instance.id
         self._draining = False
--- a/tests/services/test_large_batches.py
+++ b/tests/services/test_large_batches.py
@@ -26,6 +26,8 @@
 
 pytestmark = pytest.mark.anyio
 
+MEMORY_BYTES = 10**6
+
 
 @pytest.fixture(autouse=True)
 def shorten_times(monkeypatch):
@@ -64,12 +66,14 @@
 
 async def test_results_of_one_batch_keep_to_the_cache(monkeypatch):
     """Guards against the results of one large batch that fill the memory."""
-    monkeypatch.setattr(batch_cache, "CACHE_BYTES", 500)
+    monkeypatch.setattr(batch_cache, "CACHE_SHARE", 500 / MEMORY_BYTES)
     monkeypatch.setattr(batch_cache, "RESULT_OVERHEAD_BYTES", 0, raising=False)
     monkeypatch.setattr(batch_reads, "PAGE_RESULTS", 4)
     monkeypatch.setattr(batch_results, "APPEND_ITEMS", 4)
     platform = FakePlatform()
     async with running(platform, "a", "b") as kernels:
+        for kernel in kernels:
+            kernel.memory_budget.total = MEMORY_BYTES
         batches = [kernel.plugin("batches") for kernel in kernels]
         assert (await batches[0].submit(batch_of(40), BATCH_ROUTE)).is_ok()
         for each in batches:
