Bound the memory of open batches by their bytes

The room for batches counted 1,200 bytes for each item whatever its body took, the items of batches that others run stayed in memory, and each takeover and each reader of a body held copies of its own.

The bodies of batches that run here, or are about to, get half of the budget; others wait for room, and one that never fits is refused as not run. Items of batches that run elsewhere count as cached. Stored batches are read one object at a time, decompressed within the memory that is left, and once for all that ask for them. What encodes and decodes batches moves to a module of its own. Three tests of the size of the memory now set the shared budget.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -20,7 +20,7 @@
     failure_response,
     json_response,
 )
-from plantainstack.policy import draining, tenant_admission
+from plantainstack.policy import batch_scheduling, draining, tenant_admission
 from plantainstack.policy.answer_memory import BodyReservation
 from plantainstack.policy.draining import StopTimes
 from plantainstack.policy.tenants import Tenant
@@ -262,7 +262,7 @@
         Its size is legal, and an instance with more memory may take it.
         """
         size = len(self._body) + records.decoding_bytes(self._body)
-        if size > self._kernel.client_budget.sizes.memory:
+        if size > self._kernel.memory_budget.total:
             text = f"the records of the batch take about {size} bytes"
             return Failure.of(ErrorKind.OVERLOADED, text)
         return None if self._held.grow_to(size) else self._held.refusal()
@@ -281,7 +281,7 @@
             self._log_refusal(failure)
             return failure_response(failure)
         batch = decoded.unwrap()
-        if not self._batches.may_run(batch):
+        if not self._batches.may_run(batch_scheduling.batch_size(batch)):
             message = f"the instance has no memory to run {len(batch.items)} items"
             failure = Failure.of(ErrorKind.OVERLOADED, message)
             self._log_refusal(failure)
--- a/plantainstack/policy/batch_scheduling.py
+++ b/plantainstack/policy/batch_scheduling.py
@@ -4,6 +4,7 @@
 started first, at the fastest endpoints, and the others follow group by group.
 """
 
+from collections.abc import Iterable
 from math import ceil
 from typing import NamedTuple
 
@@ -19,8 +20,10 @@
 # owner that is still alive costs little, since the text of its items is stored.
 OWNER_TIMEOUT_S = 1.6
 # Memory that an instance needs for each item of the batches that it runs, without the
-# texts of the items.
+# texts of the items, their bodies and headers.
 ITEM_BYTES = 1200
+# Share of the memory for the bodies and headers of the batches that run.
+CONTENT_SHARE = 1 / 2
 # Readers may return to a batch for 120 s after it was submitted.
 RETENTION_S = 150.0
 # Most items end within 1.5 s; the text of longer ones is stored while it grows.
@@ -66,13 +69,47 @@
     return now - max(seen_at, feed_healthy_since) > OWNER_TIMEOUT_S
 
 
-def has_room(items: int, running: int, memory: int) -> bool:
+class BatchSize(NamedTuple):
+    """Count the items of batches, and the bytes of their bodies and headers."""
+
+    items: int = 0
+    content: int = 0
+
+    def memory_bytes(self) -> int:
+        """Return about how much memory the batches take while they run."""
+        return self.items * ITEM_BYTES + self.content
+
+
+def batch_size(batch: Batch) -> BatchSize:
+    """Return the size of a batch."""
+    content = 0
+    for item in batch.items:
+        content += len(item.body)
+        content += sum(len(name) + len(value) for name, value in item.headers)
+        if item.reward_call is not None:
+            content += len(item.reward_call.body)
+    return BatchSize(len(batch.items), content)
+
+
+def total_size(sizes: Iterable[BatchSize]) -> BatchSize:
+    """Return the size of several batches together."""
+    found = list(sizes)
+    return BatchSize(
+        sum(size.items for size in found), sum(size.content for size in found)
+    )
+
+
+def has_room(size: BatchSize, running: BatchSize, memory: int) -> bool:
     """Return whether a batch fits into the memory of an instance, in bytes.
 
-    `running` is the number of items of the batches that the instance runs. A batch
-    that was accepted by an instance with more memory may fit nowhere else.
+    `running` is the size of the batches that the instance runs. Their content takes
+    CONTENT_SHARE of the memory at most, since a batch is held several times while it
+    is accepted or read. A batch that was accepted by an instance with more memory may
+    fit nowhere else.
     """
-    return (items + running) * ITEM_BYTES <= memory
+    together = total_size((size, running))
+    fits = together.content <= memory * CONTENT_SHARE
+    return fits and together.memory_bytes() <= memory
 
 
 def removal_due(owner: str, instance: str, age_s: float, *, is_final: bool) -> bool:
--- a/plantainstack/services/batch_cache.py
+++ b/plantainstack/services/batch_cache.py
@@ -2,10 +2,14 @@
 
 from collections import Counter
 
+import anyio
+
 from plantainstack.policy.batch_owners import StepOwner
+from plantainstack.policy.batch_scheduling import BatchSize, batch_size, total_size
 from plantainstack.policy.memory_budget import MemoryBudget
+from plantainstack.services.batch_encoding import decode_result, encode_result
 from plantainstack.services.batch_runs import BatchRun
-from plantainstack.services.batch_store import StateRow, decode_result, encode_result
+from plantainstack.services.batch_store import StateRow
 from plantainstack.services.feeds import ChangeNotifier
 from plantainstack.serving import Batch, ItemResult
 
@@ -33,7 +37,11 @@
         # character as its widest one: four with an emoji.
         self.results: dict[int, bytes] = {}
         self.batch: Batch | None = None
+        # The size of the batch, once its items were known here.
+        self.size = BatchSize(row.state.total)
         self.run: BatchRun | None = None
+        # Held while the items are read, so that several readers share one read.
+        self.loading = anyio.Lock()
         # Whether a takeover or the removal of the batch is in progress.
         self.pending = False
         # Takeovers in a row after which the batch could not be read, and the time
@@ -45,6 +53,20 @@
         """Return whether this instance runs the batch."""
         return self.run is not None and not self.run.stopped
 
+    def keep_batch(self, batch: Batch) -> None:
+        """Keep the items of the batch in memory."""
+        self.batch = batch
+        self.size = batch_size(batch)
+
+    def kept_bytes(self) -> int:
+        """Return about how much memory the items of the batch take."""
+        return 0 if self.batch is None else self.size.memory_bytes()
+
+    def is_active(self) -> bool:
+        """Return whether this instance runs the batch or is about to do so."""
+        starts = self.pending and not self.row.state.is_final()
+        return starts or self.is_running()
+
     def is_reused_by(self, row: StateRow) -> bool:
         """Return whether a newer row is that of another tenant's batch of this id."""
         known = self.row
@@ -74,7 +96,8 @@
         self.entries: dict[str, BatchEntry] = {}
         self._bytes = 0
         self._memory = memory
-        memory.add_part("cache", lambda: self._bytes, self._reclaim)
+        memory.add_part("cache", self._held, self._reclaim)
+        memory.add_part("batches", self._active_bytes)
 
     def add_results(
         self, entry: BatchEntry, first: int, results: list[ItemResult]
@@ -85,9 +108,9 @@
                 encoded = entry.results[position] = encode_result(result)
                 self._bytes += _result_bytes(encoded)
         limit = self._limit()
-        if self._bytes > limit:
+        if self._held() > limit:
             self._evict(entry, limit)
-        if self._bytes > limit:
+        if self._held() > limit:
             self._evict_around(entry, range(first, first + len(results)), limit)
 
     def remove(self, batch_id: str) -> None:
@@ -117,24 +140,56 @@
             for entry in self.entries.values()
         ]
 
+    def running_size(self) -> BatchSize:
+        """Return the size of the batches that run here."""
+        return total_size(
+            entry.size for entry in self.entries.values() if entry.is_running()
+        )
+
+    def active_size(self) -> BatchSize:
+        """Return the size of the batches that run here or are about to do so."""
+        return total_size(
+            entry.size for entry in self.entries.values() if entry.is_active()
+        )
+
+    def _active_bytes(self) -> int:
+        return sum(
+            entry.size.memory_bytes()
+            for entry in self.entries.values()
+            if entry.is_running() or (entry.is_active() and entry.batch is not None)
+        )
+
+    def _held(self) -> int:
+        """Return the memory of the results and of the items that do not run here."""
+        items = sum(
+            entry.kept_bytes()
+            for entry in self.entries.values()
+            if not entry.is_active()
+        )
+        return self._bytes + items
+
     def _limit(self) -> int:
         share = int(self._memory.total * CACHE_SHARE)
         return min(share, self._memory.left_for("cache"))
 
     def _reclaim(self) -> None:
         limit = self._limit()
-        if self._bytes > limit:
+        if self._held() > limit:
             self._evict(None, limit)
 
     def _evict(self, kept: BatchEntry | None, limit: int) -> None:
-        """Evict cached results, those of the earliest known batches first."""
+        """Evict results and items, those of the earliest known batches first."""
+        held = self._held()
         for entry in self.entries.values():
-            if self._bytes <= limit / 2:
+            if held <= limit / 2:
                 return
             if entry is not kept:
-                self._bytes -= entry.result_bytes()
+                size = entry.result_bytes()
+                self._bytes -= size
+                held -= size
                 entry.results.clear()
-                if not entry.is_running():
+                if not entry.is_active():
+                    held -= entry.kept_bytes()
                     entry.batch = None
 
     def _evict_around(self, entry: BatchEntry, page: range, limit: int) -> None:
@@ -142,10 +197,13 @@
 
         One batch alone may have more results than the cache holds.
         """
+        held = self._held()
         for position in [each for each in entry.results if each not in page]:
-            if self._bytes <= limit / 2:
+            if held <= limit / 2:
                 return
-            self._bytes -= _result_bytes(entry.results.pop(position))
+            size = _result_bytes(entry.results.pop(position))
+            self._bytes -= size
+            held -= size
 
 
 def _result_bytes(encoded: bytes) -> int:
--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -12,6 +12,7 @@
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy.tenant_admission import RefusalReason
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
+from plantainstack.services.batch_loading import BatchLoader
 from plantainstack.services.batch_store import BatchStore, StateRow
 from plantainstack.services.feeds import FeedReader
 from plantainstack.services.shared_calls import SharedCalls
@@ -60,12 +61,14 @@
         clock: Clock,
         tasks: TaskRunner,
         batch_store: BatchStore,
+        loader: BatchLoader,
         cache: BatchCache,
         feed: FeedReader,
         apply_row: Callable[[str, StateRow], BatchEntry],
     ):
         self._clock = clock
         self._batch_store = batch_store
+        self._loader = loader
         self._cache = cache
         self._feed = feed
         self._apply_row = apply_row
@@ -126,12 +129,13 @@
         self, entry: BatchEntry, batch_id: str
     ) -> Result[Batch, Failure]:
         """Return a batch with its items, from the store if it is not cached."""
-        if entry.batch is not None:
-            return Ok(entry.batch)
-        found = await self._batch_store.batch(batch_id, entry.row.state.tenant)
-        if found.is_ok() and not entry.row.state.is_final():
-            entry.batch = found.unwrap()
-        return found
+        async with entry.loading:
+            if entry.batch is not None:
+                return Ok(entry.batch)
+            found = await self._loader.load(batch_id, entry.row.state.tenant)
+            if found.is_ok() and not entry.row.state.is_final():
+                entry.keep_batch(found.unwrap())
+            return found
 
     async def _results(
         self, batch_id: str, after: int, wait_s: float, tenant: str | None
--- a/plantainstack/services/batch_results.py
+++ b/plantainstack/services/batch_results.py
@@ -8,12 +8,12 @@
 from plantainstack.clock import Clock
 from plantainstack.policy import batch_scheduling
 from plantainstack.policy.item_runs import ItemRun
+from plantainstack.services.batch_encoding import row_bytes
 from plantainstack.services.batch_store import (
     BatchStore,
     ItemPiece,
     StateConflict,
     StateRow,
-    row_bytes,
 )
 from plantainstack.serving import Batch, ItemResult, ItemState
 
--- a/plantainstack/services/batch_store.py
+++ b/plantainstack/services/batch_store.py
@@ -7,7 +7,6 @@
 
 import hashlib
 import uuid
-import zlib
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 from urllib.parse import quote, unquote
@@ -20,6 +19,12 @@
 from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy.item_runs import PartialText, join_pieces
 from plantainstack.policy.software_versions import SoftwareVersion
+from plantainstack.services.batch_encoding import (
+    encode_batch,
+    encode_piece,
+    encode_result,
+    without_tenant,
+)
 from plantainstack.serving import (
     Batch,
     ItemResult,
@@ -43,6 +48,8 @@
 # Below the store's transaction limits of 1 MB in base64 and 100 entries.
 TRANSACTION_BYTES = 600_000
 TRANSACTION_ROWS = 80
+# The store's limit on the size of an object.
+OBJECT_BYTES_MAX = 8_388_608
 # A write that certainly had no effect is retried only for this time; then the caller
 # gets the failure, since another instance may reach the store.
 REFUSED_WRITE_TIMEOUT_S = 0.6
@@ -128,9 +135,10 @@
         state = BatchState(
             owner, 1, len(batch.items), 0, False, route, _nonce(), tenant=batch.tenant
         )
-        items = tuple(_without_defaults(item) for item in batch.items)
-        encoded = msgspec.msgpack.encode(_without_tenant(batch._replace(items=items)))
-        data = zlib.compress(encoded, 1)
+        data = await encode_batch(batch, OBJECT_BYTES_MAX)
+        if data is None:
+            message = f"batch {batch.id} is too large for an object of the store"
+            return Err(Failure.of(ErrorKind.OVERLOADED, message))
         if len(data) > TRANSACTION_BYTES:
             name = _object_name(batch.id, batch.tenant)
             stored = await self._store.put_object(name, data)
@@ -232,34 +240,27 @@
             lambda read: self.state_row(read.rows[0]) if read.rows else Ok(None)
         )
 
-    async def batch(self, batch_id: str, tenant: str = "") -> Result[Batch, Failure]:
-        """Read a batch of a tenant that exists, with all of its items."""
+    async def batch_rows(self, batch_id: str) -> Result[bytes, Failure]:
+        """Read the encoded items of a batch; empty if they are in an object."""
         found = await self._store.read(ITEM_TABLE, batch_id)
-        if found.is_err():
-            return found
-        data = b"".join(row.value for row in found.unwrap().rows)
-        if not data:
-            stored = await self._store.get_object(_object_name(batch_id, tenant))
-            if stored.is_err():
-                return stored
-            data = stored.unwrap() or b""
-        if not data:
-            message = f"the store returned no items of batch {batch_id}"
-            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
-        try:
-            decoded = decode(_BATCH, zlib.decompress(data))
-        except zlib.error as exc:
-            decoded = Err(str(exc))
+        return found.map(lambda read: b"".join(row.value for row in read.rows))
+
+    async def batch_object(self, batch_id: str, tenant: str) -> Result[bytes, Failure]:
+        """Read the encoded items of a batch from its object; empty without one."""
+        found = await self._store.get_object(_object_name(batch_id, tenant))
+        return found.map(lambda data: data or b"")
+
+    @staticmethod
+    def decode_batch(
+        batch_id: str, tenant: str, encoded: bytes | bytearray
+    ) -> Result[Batch, Failure]:
+        """Decode the items of a batch of a tenant."""
+        decoded = decode(_BATCH, encoded)
         if decoded.is_ok() and decoded.unwrap().tenant != tenant:
             # The id has been used again since the state was read.
             message = f"the stored items of batch {batch_id} are of another tenant"
             return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
-        return decoded.map_err(
-            lambda reason: Failure.of(
-                ErrorKind.INTERNAL,
-                f"cannot decode the stored items of batch {batch_id}: {reason}",
-            )
-        )
+        return decoded.map_err(lambda reason: unreadable_batch(batch_id, reason))
 
     async def results(
         self, batch_id: str, first: int, count: int, known_version: int
@@ -365,7 +366,7 @@
         name = _state_name(batch_id)
         transaction = Transaction(
             expected=((name, version),),
-            puts=((name, msgspec.msgpack.encode(_without_tenant(state))), *puts),
+            puts=((name, msgspec.msgpack.encode(without_tenant(state))), *puts),
         )
         now = self._clock.now()
         give_up_at = now + REFUSED_WRITE_TIMEOUT_S
@@ -417,26 +418,10 @@
         return Err(Failure.of(ErrorKind.INTERNAL, message))
 
 
-def encode_result(result: ItemResult) -> bytes:
-    """Return a result as it is stored in a row."""
-    return msgspec.msgpack.encode(_without_defaults(result))
-
-
-def decode_result(encoded: bytes) -> ItemResult:
-    """Return the result that `encode_result` encoded."""
-    return _RESULT.decode(encoded)
-
-
-def row_bytes(record: ItemResult | PartialText) -> int:
-    """Return the size of the row that stores a result or a piece of text."""
-    if isinstance(record, PartialText):
-        return len(_encode_piece(record))
-    return len(encode_result(record))
-
-
-def _encode_piece(piece: PartialText) -> bytes:
-    """Return a piece of text as it is stored; the key of its row names its software."""
-    return msgspec.msgpack.encode(_without_defaults(piece._replace(software=None)))
+def unreadable_batch(batch_id: str, reason: str) -> Failure:
+    """Return the failure of a batch whose stored items cannot be decoded."""
+    message = f"cannot decode the stored items of batch {batch_id}: {reason}"
+    return Failure.of(ErrorKind.INTERNAL, message)
 
 
 def _state_name(batch_id: str) -> RowName:
@@ -468,7 +453,7 @@
                 f"{item_id}/{piece.generation:04}-{piece.first:06}"
                 f"{_software_suffix(piece.software)}",
             ),
-            _encode_piece(piece),
+            encode_piece(piece),
         )
         for item_id, piece in partials
     ]
@@ -487,24 +472,6 @@
     return SoftwareVersion(unquote(service), unquote(version)) if separator else None
 
 
-def _without_defaults(record) -> tuple:
-    """Return the fields of a named tuple without trailing ones that have defaults.
-
-    Builds that do not know these fields reject records that contain them.
-    """
-    size = len(record)
-    names = record._fields
-    defaults = record._field_defaults
-    while names[size - 1] in defaults and record[size - 1] == defaults[names[size - 1]]:
-        size -= 1
-    return tuple(record[:size])
-
-
-def _without_tenant(record: Batch | BatchState) -> tuple:
-    """Return the fields of a record, without the last one, `tenant`, if it is empty."""
-    return tuple(record if record.tenant else record[:-1])
-
-
 def _position(number: int) -> str:
     return f"{number:08}"
 
--- a/plantainstack/services/batch_submissions.py
+++ b/plantainstack/services/batch_submissions.py
@@ -139,7 +139,7 @@
         )
         entry = self._apply_row(batch.id, row)
         if row.state.tenant == batch.tenant and not row.state.is_final():
-            entry.batch = batch
+            entry.keep_batch(batch)
         if stored_here:
             self._start_accepted(entry, row, batch, route, owner)
         return Ok(None)
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -10,7 +10,9 @@
 from plantainstack.errors import ErrorKind, Failure
 from plantainstack.plugins import Plugin
 from plantainstack.policy import batch_owners, batch_scheduling, route_table
+from plantainstack.policy.batch_scheduling import BatchSize
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
+from plantainstack.services.batch_loading import BatchLoader
 from plantainstack.services.batch_progress import read_progress
 from plantainstack.services.batch_reads import BatchReads, ResultPage
 from plantainstack.services.batch_results import append_abandoned
@@ -85,6 +87,7 @@
             self.kernel.clock,
             tasks,
             self._batch_store,
+            BatchLoader(self._batch_store, self.kernel.memory_budget),
             self._cache,
             self._feed,
             self._apply_row,
@@ -172,16 +175,15 @@
         with contained("Batches._release", batch=run.batch.id):
             await run.release()
 
-    def may_run(self, batch: Batch) -> bool:
-        """Return whether a batch would fit here if no other one ran."""
-        memory = self.kernel.client_budget.sizes.memory
-        return batch_scheduling.has_room(len(batch.items), 0, memory)
+    def may_run(self, size: BatchSize) -> bool:
+        """Return whether a batch of this size would fit here if no other one ran."""
+        memory = self.kernel.memory_budget.total
+        return batch_scheduling.has_room(size, BatchSize(), memory)
 
-    def _has_room(self, items: int) -> bool:
-        """Return whether a batch of this size fits beside those that run here."""
-        running = sum(len(run.batch.items) for run in self._running())
-        memory = self.kernel.client_budget.sizes.memory
-        return batch_scheduling.has_room(items, running, memory)
+    def _has_room(self, entry: BatchEntry, others: BatchSize) -> bool:
+        """Return whether a batch fits here beside others."""
+        memory = self.kernel.memory_budget.left_for("batches")
+        return batch_scheduling.has_room(entry.size, others, memory)
 
     def _running(self) -> list[BatchRun]:
         return [entry.run for entry in self._entries.values() if entry.is_running()]
@@ -208,7 +210,7 @@
             return
         if owner and owner != self._instance_id:
             self._tasks.start_soon(self._ensure_handover, batch.id, entry, row.version)
-        elif owner and self._has_room(len(batch.items)):
+        elif owner and self._has_room(entry, self._cache.running_size()):
             self._start_run(entry, row, batch, route, set(), {})
         elif owner:
             # It is taken over once there is room, here or at another instance.
@@ -393,7 +395,7 @@
         is_lost = is_lost or batch_scheduling.owner_lost(
             state.owner, entry.seen_at, self._healthy_since, now
         )
-        return is_lost and self._has_room(state.total)
+        return is_lost and self._has_room(entry, self._cache.active_size())
 
     async def _take_over(
         self,
@@ -465,6 +467,11 @@
                 self._batch_store, row, batch, listed, self._apply_row
             )
             return
+        if not self._has_room(entry, self._cache.running_size()):
+            entry.batch = None
+            # Its size is known only now. Another instance may have room.
+            log.event("batch.waits_for_room", batch_id, items=len(batch.items))
+            return
         self._start_run(entry, row, batch, route, listed, partials)
 
     async def _confirm_route(
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -405,8 +405,7 @@
 async def test_batch_whose_records_never_fit_here_is_refused_as_not_run():
     """Guards against many small items, whose records take ten times their size."""
     async with gateway(FakePlatform()) as kernel, connected(kernel) as conn:
-        budget = kernel.client_budget
-        budget.sizes = budget.sizes._replace(memory=3000)
+        kernel.memory_budget.total = 3000
         body = msgspec.json.encode(lot(items=20))
         headers = {"Plantainstack_Request_Id": "b-1"}
         status, _, _ = await conn.request("POST", "/a/", body, **headers)
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -12,7 +12,7 @@
 from tests.platform.samples import lot
 from tests.platform.test_ingress import connected, gateway
 from tests.policy.serving_samples import route
-from tests.services.store_fleet import CONFIG, FakePlatform, until
+from tests.services.store_fleet import CONFIG, FakePlatform, load_batch, until
 
 pytestmark = pytest.mark.anyio
 
@@ -172,7 +172,7 @@
         await status_of(conn, "GET", "/s/x", NOBODY)
         assert await submit(conn, ACME) == 202
         await until(lambda: len(platform.client.sent_calls) >= 6)
-        stored = [await kernel.plugin("batches")._batch_store.batch("b1", "acme")]
+        stored = [await load_batch(kernel.plugin("batches")._batch_store, "b1", "acme")]
         assert logged
         tables = ("batches", "batch_items", "stream_bases", "losses")
         stored += [
--- a/tests/services/store_fleet.py
+++ b/tests/services/store_fleet.py
@@ -13,6 +13,8 @@
 from plantainstack.kernel import Kernel
 from plantainstack.platform.prompts import decode_prompt
 from plantainstack.plugins import Plugin
+from plantainstack.policy.memory_budget import MemoryBudget
+from plantainstack.services.batch_loading import BatchLoader
 from plantainstack.services.batches import Batches
 from plantainstack.services.discovery import Discovery
 from plantainstack.services.duties.plugin import Duties
@@ -435,11 +437,13 @@
 
 
 @contextlib.asynccontextmanager
-async def running(platform, *names, address="127.0.0.1:1"):
-    """Run instances until the block ends."""
+async def running(platform, *names, address="127.0.0.1:1", memory=None):
+    """Run instances until the block ends; `memory` is the total of their budgets."""
     async with anyio.create_task_group() as tasks:
         kernels = [new_kernel(platform, name, address=address) for name in names]
         for kernel in kernels:
+            if memory is not None:
+                kernel.memory_budget.total = memory
             tasks.start_soon(kernel.run, False)
         for kernel in kernels:
             await until(lambda kernel=kernel: kernel.unready_reason() is None)
@@ -464,5 +468,11 @@
     return found
 
 
+async def load_batch(batch_store, batch_id, tenant=""):
+    """Read a stored batch with memory for any."""
+    loader = BatchLoader(batch_store, MemoryBudget(10**9))
+    return await loader.load(batch_id, tenant)
+
+
 NOT_RUN = Outcome.NOT_RUN
 MAY_HAVE_RUN = Outcome.MAY_HAVE_RUN
--- a/tests/services/test_batch_cache.py
+++ b/tests/services/test_batch_cache.py
@@ -7,7 +7,8 @@
 from plantainstack.policy.memory_budget import MemoryBudget
 from plantainstack.services import batch_cache
 from plantainstack.services.batch_cache import BatchCache, BatchEntry
-from plantainstack.services.batch_store import BatchState, StateRow, encode_result
+from plantainstack.services.batch_encoding import encode_result
+from plantainstack.services.batch_store import BatchState, StateRow
 from plantainstack.serving import ItemResult, ItemState
 
 
--- a/tests/services/test_large_batches.py
+++ b/tests/services/test_large_batches.py
@@ -6,6 +6,7 @@
 import pytest
 
 from plantainstack.policy import batch_scheduling
+from plantainstack.policy.batch_scheduling import BatchSize, batch_size
 from plantainstack.policy.client_budget import divide
 from plantainstack.policy.group_starts import GroupStarts
 from plantainstack.services import (
@@ -41,9 +42,8 @@
 
 def limit_items(kernel, count):
     """Let an instance have room for the items of batches, at most so many."""
-    budget = kernel.client_budget
-    memory = count * batch_scheduling.ITEM_BYTES
-    budget.sizes = budget.sizes._replace(memory=memory)
+    size = BatchSize(count, count * len(item().body))
+    kernel.memory_budget.total = size.memory_bytes()
 
 
 def test_items_without_a_group_wait_in_one_queue():
@@ -60,8 +60,10 @@
 def test_limit_admits_the_steps_of_the_target_beside_each_other():
     """Guards against steps of 4,096 items that wait for room on small machines."""
     memory = divide(160 * 10**6, 1638).memory
-    assert batch_scheduling.has_room(4096, 10 * 4096, memory)
-    assert not batch_scheduling.has_room(10**6, 0, memory)
+    step = BatchSize(4096, 4096 * 600)
+    others = BatchSize(10 * step.items, 10 * step.content)
+    assert batch_scheduling.has_room(step, others, memory)
+    assert not batch_scheduling.has_room(BatchSize(10**6), BatchSize(), memory)
 
 
 async def test_results_of_one_batch_keep_to_the_cache(monkeypatch):
@@ -142,4 +144,4 @@
         for id in ("b1", "b2"):
             found = await all_results(batches[1], id, 8)
             assert {result.state for result in found} == {ItemState.COMPLETED}
-        assert not batches[1].may_run(batch_of(8))
+        assert not batches[1].may_run(batch_size(batch_of(8)))
--- a/tests/services/test_tenant_batches.py
+++ b/tests/services/test_tenant_batches.py
@@ -18,6 +18,7 @@
     CONFIG,
     FakePlatform,
     MemoryStore,
+    load_batch,
     running,
     until,
 )
@@ -187,7 +188,7 @@
         assert len(msgspec.msgpack.decode(rows.row(STATE).value)) == fields
         assert (await store.state("b1")).unwrap().state.tenant == tenant
         row = (await store.append("b1", row, [])).unwrap()
-    assert (await store.batch("b1", tenant)).unwrap() == stored
+    assert (await load_batch(store, "b1", tenant)).unwrap() == stored
 
 
 async def test_large_batches_of_two_tenants_do_not_share_an_object(monkeypatch):
@@ -202,7 +203,7 @@
     memory.faults = []
     stored = batch(item("i2"))._replace(tenant="acme")
     row, _ = (await store.accept(stored, "r", "a")).unwrap()
-    assert (await store.batch("b1", "acme")).unwrap() == stored
+    assert (await load_batch(store, "b1", "acme")).unwrap() == stored
     assert (await store.remove("b1", row)).is_ok()
     assert len(memory.objects) == 1
 
@@ -229,4 +230,4 @@
     owned = acme_batch()._replace(tenant="bolt")
     assert (await store.accept(owned, "r", "b")).unwrap()[1]
     await store.remove("b1", former)
-    assert (await store.batch("b1", "bolt")).unwrap() == owned
+    assert (await load_batch(store, "b1", "bolt")).unwrap() == owned
--- a/tests/services/test_unreadable_rows.py
+++ b/tests/services/test_unreadable_rows.py
@@ -22,6 +22,7 @@
     FakePlatform,
     MemoryStore,
     all_results,
+    load_batch,
     running,
 )
 
@@ -76,7 +77,7 @@
     rows.transact({}, {(batch_store.ITEM_TABLE, id, "0000"): odd})
     assert (await store.results(id, 0, 1, 0)).is_err()
     assert (await store.partials(id, 0)).unwrap() == {}
-    assert (await store.batch(id)).is_err()
+    assert (await load_batch(store, id)).is_err()
     rows.transact({}, {(batch_store.STATE_TABLE, id, batch_store.STATE_KEY): odd})
     assert (await store.state(id)).is_err()
     assert (await store.end(id)).is_err()
