Reserve what decoding and storing a submission takes

What was reserved covered the body and less than its decoding; then the encoded batch, its compressed form twice and the copy to send were held beside body and items. The store's limit on an object was checked by the store, after all this.

Bodies are decoded from base64 without a text in between, the body of the request is dropped, and what storing takes is reserved before it is spent, or the submission is refused as not run.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -25,7 +25,10 @@
 from plantainstack.policy.draining import StopTimes
 from plantainstack.policy.tenants import Tenant
 from plantainstack.services.batch_reads import STATE_READ_TIMEOUT_S
-from plantainstack.services.batch_store import UNKNOWN_WRITE_TIMEOUT_S
+from plantainstack.services.batch_store import (
+    OBJECT_BYTES_MAX,
+    UNKNOWN_WRITE_TIMEOUT_S,
+)
 from plantainstack.services.forwarding import ClientCall
 from plantainstack.serving import ItemResult, RequestKind, Route, TakeUp
 from plantainstack.tasks import record_exception
@@ -66,6 +69,8 @@
             body = await read_body(scope, receive, limits, held)
             if body is not None:
                 handler = _RequestHandler(self, scope, body, held, arrived_at, send)
+                # The handler drops a body that it no longer needs.
+                del body
                 await self._handle(handler, receive)
 
     async def _handle(self, handler: "_RequestHandler", receive) -> None:
@@ -256,36 +261,46 @@
                 await self._sender.send_headers(part.status, part.headers)
         await self._sender.send_body(b"", more=False)
 
-    def _refuse_decoding(self) -> Failure | None:
-        """Refuse a batch whose records do not fit in memory beside its body.
+    def _refuse_size(self, size: int) -> Failure | None:
+        """Refuse a batch if there is no memory of this size for it.
 
         Its size is legal, and an instance with more memory may take it.
         """
-        size = len(self._body) + records.decoding_bytes(self._body)
         if size > self._kernel.memory_budget.total:
-            text = f"the records of the batch take about {size} bytes"
+            text = f"the batch takes about {size} bytes"
             return Failure.of(ErrorKind.OVERLOADED, text)
-        return None if self._held.grow_to(size) else self._held.refusal()
+        if not self._held.grow_to(size):
+            return self._held.refusal()
+        self._kernel.memory_budget.reclaim()
+        return None
 
     async def _submit(self, route: Route) -> Response:
-        refusal = self._refuse_decoding()
+        size = len(self._body) + records.decoding_bytes(self._body)
+        refusal = self._refuse_size(size)
         if refusal is not None:
             self._log_refusal(refusal)
             return failure_response(refusal)
         decoded = records.decode_batch(
             self._request_id, self._host, self._path, self._body
         )
+        self._body = b""
         if not self._request_id or decoded.is_err():
             reason = decoded.err() or "the request has no id"
             failure = Failure.of(ErrorKind.BAD_REQUEST, reason)
             self._log_refusal(failure)
             return failure_response(failure)
         batch = decoded.unwrap()
-        if not self._batches.may_run(batch_scheduling.batch_size(batch)):
+        size = batch_scheduling.batch_size(batch)
+        if not self._batches.may_run(size):
             message = f"the instance has no memory to run {len(batch.items)} items"
             failure = Failure.of(ErrorKind.OVERLOADED, message)
             self._log_refusal(failure)
             return failure_response(failure)
+        stored = batch_scheduling.storing_bytes(size, OBJECT_BYTES_MAX)
+        refusal = self._refuse_size(stored)
+        if refusal is not None:
+            self._log_refusal(refusal)
+            return failure_response(refusal)
         if self._has_tenants:
             batch = records.of_tenant(batch, self._tenant_name())
         outcome = await self._batches.submit(batch, route)
--- a/plantainstack/platform/records.py
+++ b/plantainstack/platform/records.py
@@ -1,6 +1,5 @@
 """Decoding and encoding of the platform's JSON bodies."""
 
-import base64
 import re
 from typing import Annotated, Any, Literal
 
@@ -179,14 +178,14 @@
     id: str
     hostname: str
     path: str
-    body: str
+    body: bytes
 
 
 class _BatchItemBody(msgspec.Struct):
     id: str
     path: str
     headers: dict[str, str]
-    body: str
+    body: bytes
     group: str = ""
     scorer: _Scorer | None = None
 
@@ -331,8 +330,8 @@
 def decoding_bytes(data: bytes) -> int:
     """Return about how many bytes decoding a batch takes beside its body.
 
-    That is the body once more, and up to 43 bytes were measured for each quotation
-    mark in batches of many small items.
+    That is at most the body once more, and 43 bytes for each quotation mark in batches
+    of many small items.
     """
     return len(data) + DECODING_BYTES_PER_QUOTE * data.count(b'"')
 
@@ -393,7 +392,7 @@
         item.group,
         item.path,
         headers,
-        _decode_body(item.id, item.body),
+        item.body,
         parse_decimal(header(headers, LENGTH_HINT), LENGTH_HINT_MAX) or 0,
         _reward_call(item.id, item.scorer) if item.scorer else None,
     )
@@ -404,21 +403,13 @@
         raise ValueError(f"the scorer of item {item_id!r} has no id or absolute path")
     if not _VISIBLE.fullmatch(scorer.hostname):
         raise ValueError(f"the scorer of item {item_id!r} has an invalid host")
-    body = _decode_body(item_id, scorer.body)
-    return RewardCall(scorer.id, scorer.hostname, scorer.path, body)
+    return RewardCall(scorer.id, scorer.hostname, scorer.path, scorer.body)
 
 
 def _is_target(path: str) -> bool:
     return path.startswith("/") and _VISIBLE.fullmatch(path) is not None
 
 
-def _decode_body(item_id: str, body: str) -> bytes:
-    try:
-        return base64.b64decode(body, validate=True)
-    except ValueError as exc:
-        raise ValueError(f"a body of item {item_id!r} is not base64") from exc
-
-
 def encode_result(found: ItemResult) -> dict[str, Any]:
     """Return the JSON fields of an item's result."""
     fields = {
--- a/plantainstack/policy/batch_scheduling.py
+++ b/plantainstack/policy/batch_scheduling.py
@@ -80,6 +80,16 @@
         return self.items * ITEM_BYTES + self.content
 
 
+def storing_bytes(size: BatchSize, object_bytes_max: int) -> int:
+    """Return the memory that a batch takes at most while it is stored.
+
+    These are its items, once more encoded, and twice compressed: the parts and the
+    whole, or the whole and what is on its way.
+    """
+    compressed = min(size.content, object_bytes_max)
+    return size.memory_bytes() + size.content + 2 * compressed
+
+
 def batch_size(batch: Batch) -> BatchSize:
     """Return the size of a batch."""
     content = 0
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP interface for the platform's clients, over loopback."""
 
 import asyncio
+import base64
 import contextlib
 import itertools
 import socket
@@ -412,6 +413,21 @@
     assert status == 503
 
 
+async def test_batch_that_cannot_be_stored_in_memory_is_refused_as_not_run():
+    """Guards against copies for the store that end a process of little memory."""
+    platform = FakePlatform()
+    async with gateway(platform) as kernel, connected(kernel) as conn:
+        content = lot(items=1, min_version=1)
+        content["requests"][0]["body"] = base64.b64encode(bytes(300_000)).decode()
+        body = msgspec.json.encode(content)
+        headers = {"Plantainstack_Request_Id": "b-1"}
+        for total, status in ((1_000_000, 503), (1_300_000, 202)):
+            kernel.memory_budget.total = total
+            assert (await conn.request("POST", "/a/", body, **headers))[0] == status
+            assert bool(platform.rows.parts("batches")) == (status == 202)
+        assert kernel.body_memory.held == 0
+
+
 @pytest.mark.parametrize(
     ("sent", "status"),
     [(b"GET /s/x HT", 408), (b"POST /s/x HTTP/1.1\r\nHost: a\r\n", 408)],
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,6 +1,8 @@
 """Tests of the decoding and encoding of the platform's formats."""
 
+import base64
 import copy
+import tracemalloc
 
 import msgspec
 import pytest
@@ -155,3 +157,26 @@
         "output": "a\nb",
         "versions": [6, 7],
     }
+
+
+def test_decoding_takes_no_more_memory_than_reserved():
+    """Guards against bodies that are held as text beside their bytes."""
+    content = lot(items=4)
+    for each in content["requests"]:
+        each["body"] = base64.b64encode(bytes(1_000_000)).decode()
+    data = msgspec.json.encode(content)
+    tracemalloc.start()
+    batch = records.decode_batch("b1", "desk.example", "/a/", data).unwrap()
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert len(batch.items[0].body) == 1_000_000
+    assert peak <= records.decoding_bytes(data)
+
+
+@pytest.mark.parametrize("body", ["YQ=", "YQ", "Y Q==", "YW-_", "YQ==YQ==", "\u00e9"])
+def test_body_that_is_not_base64_is_rejected(body):
+    """Guards against items that run with another body than the trainer sent."""
+    content = lot(items=2)
+    content["requests"][1]["body"] = body
+    data = msgspec.json.encode(content)
+    assert records.decode_batch("b1", "desk.example", "/a/", data).is_err()
--- a/tests/services/test_batch_memory.py
+++ b/tests/services/test_batch_memory.py
@@ -1,6 +1,7 @@
 """Tests of batches whose bodies could fill the memory of an instance."""
 
 import random
+import tracemalloc
 
 import anyio
 import pytest
@@ -12,10 +13,11 @@
     BatchSize,
     batch_size,
     has_room,
+    storing_bytes,
 )
 from plantainstack.policy.memory_budget import MemoryBudget
 from plantainstack.services.batch_loading import RECEIVING_BYTES, BatchLoader
-from plantainstack.services.batch_store import BatchStore
+from plantainstack.services.batch_store import OBJECT_BYTES_MAX, BatchStore
 from plantainstack.serving import ItemState
 from standins.metadata_store import Rows
 from tests.policy.serving_samples import batch, item, scored_item
@@ -195,6 +197,18 @@
     assert (metadata_store.objects, metadata_store.calls) == ({}, 0)
 
 
+async def test_storing_a_batch_takes_no_more_memory_than_reserved():
+    """Guards against copies of a batch that count nowhere while it is stored."""
+    store = BatchStore(MemoryStore(Rows(), SystemClock()), SystemClock())
+    stored = long_batch(body_bytes=1_500_000)
+    size = batch_size(stored)
+    tracemalloc.start()
+    assert (await store.accept(stored, "r", "a")).is_ok()
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert peak <= storing_bytes(size, OBJECT_BYTES_MAX) - size.content
+
+
 async def test_object_is_not_fetched_without_memory_for_it():
     """Guards against objects of megabytes that are received beside each other."""
     metadata_store = MemoryStore(Rows(), SystemClock())
