Return large freed buffers to the system

The GNU C library raises the size from which it returns freed blocks to the system to that of the largest one freed, up to 32 MB.

The daemon fixes that size at its initial value.

--- a/plantainstack/daemon.py
+++ b/plantainstack/daemon.py
@@ -13,6 +13,7 @@
 from plantainstack.errors import ConfigurationError
 from plantainstack.kernel import Kernel
 from plantainstack.plugins import BUILTIN_MODULES, STORE_MODULES, load_builtin
+from plantainstack.process_memory import return_large_blocks
 from plantainstack.settings.instance import InstanceSettings, load_instance
 from plantainstack.settings.node import NodeSettings, load_node
 
@@ -53,6 +54,7 @@
         sys.exit(EXIT_BAD_SETTINGS)
     log.configure(settings.log_path())
     log.bind(instance=settings.instance.id)
+    return_large_blocks()
     kernel = Kernel(
         settings,
         load_builtin(kind.modules).values(),
