Take a failed connection to the store for no outage

The feed tells whether a second read, over a new connection, failed as well; only then the grace begins. An outage that ends before the first retry is too short for registrations to expire.

--- a/plantainstack/policy/endpoint_view.py
+++ b/plantainstack/policy/endpoint_view.py
@@ -34,7 +34,11 @@
         return True
 
     def store_recovered(self, now: float) -> None:
-        """Start the grace period in which expired registrations may be renewed."""
+        """Start the grace period in which expired registrations may be renewed.
+
+        It also holds back the removal of endpoints that have left. It is for outages of
+        the store only: without one, the removals are true.
+        """
         self._grace_until = now + RENEWAL_GRACE_S
 
     def replace(self, entries: dict[str, Endpoint | None], now: float) -> None:
--- a/plantainstack/services/batches.py
+++ b/plantainstack/services/batches.py
@@ -297,7 +297,7 @@
         entry.changed.notify()
         return entry
 
-    def _handle_feed_regained(self) -> None:
+    def _handle_feed_regained(self, store_was_away: bool) -> None:
         self._healthy_since = self.kernel.clock.now()
 
     def _start_run(self, entry, row, batch, route, listed, partials) -> None:
--- a/plantainstack/services/discovery.py
+++ b/plantainstack/services/discovery.py
@@ -107,7 +107,7 @@
             registry.endpoint_changes,
             self._apply_endpoint_changes,
             self._endpoint_pause_s,
-            self._store_recovered,
+            self._handle_feed_regained,
         )
         self._registrations = SharedCalls(
             tasks, registry.endpoint, REGISTRATION_READ_TIMEOUT_S
@@ -319,8 +319,9 @@
             self.view.update(found.changed, now)
         self._publish_changes(before)
 
-    def _store_recovered(self) -> None:
-        self.view.store_recovered(self.kernel.clock.now())
+    def _handle_feed_regained(self, store_was_away: bool) -> None:
+        if store_was_away:
+            self.view.store_recovered(self.kernel.clock.now())
 
     async def _expire(self) -> None:
         while True:
--- a/plantainstack/services/feeds.py
+++ b/plantainstack/services/feeds.py
@@ -57,6 +57,8 @@
     snapshot; it may return False to say that what is known now is not what the store
     has. `pause_s` returns the pause before the next read, which combines changes
     in quick succession into one response. `wait_s` is the duration of a long poll.
+    `on_regained` is called with whether the store itself may have been away: a single
+    failure can be that of an open connection, for which a new one is used afterwards.
     Changes have a method `split`, which returns each of them alone; they are applied
     in this way if `apply` fails for all of them together.
     """
@@ -68,7 +70,7 @@
         read: Read,
         apply: Callable[[Any, bool], bool | None],
         pause_s: Callable[[], float],
-        on_regained: Callable[[], None] = lambda: None,
+        on_regained: Callable[[bool], None] = lambda store_was_away: None,
         wait_s: float = POLL_WAIT_S,
     ):
         self._name = name
@@ -163,9 +165,10 @@
                 "feed.regained",
                 feed=self._name,
                 lost_for_s=round(now - self.lost_at, 3),
+                failures=self._failures,
             )
             self.lost_at = None
-            self._on_regained()
+            self._on_regained(self._failures > 1)
         self._failures = 0
         self.answered_at = now
 
--- a/tests/services/test_feeds.py
+++ b/tests/services/test_feeds.py
@@ -4,10 +4,11 @@
 
 import anyio
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from plantainstack import metrics
 from plantainstack.clock import SystemClock
+from plantainstack.errors import ErrorKind, Failure
 from plantainstack.services.feeds import FeedReader
 from plantainstack.serving import (
     EndpointChanges,
@@ -19,6 +20,8 @@
 from tests.policy.serving_samples import endpoint
 from tests.services.store_fleet import (
     CONFIG,
+    FakePlatform,
+    running,
     until,
 )
 
@@ -30,8 +33,9 @@
 
 
 @contextlib.asynccontextmanager
-async def feed_of(read, apply):
-    feed = FeedReader("test", SystemClock(), read, apply, lambda: 0.01)
+async def feed_of(read, apply, on_regained=lambda store_was_away: None):
+    clock = SystemClock()
+    feed = FeedReader("test", clock, read, apply, lambda: 0.01, on_regained)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(feed.run)
         yield feed
@@ -62,6 +66,51 @@
     assert failures() == before + 2
 
 
+@pytest.mark.parametrize(("failures", "store_was_away"), [(1, False), (2, True)])
+async def test_feed_tells_a_failed_connection_from_an_outage(failures, store_was_away):
+    """Guards against removals that are held back while the store works."""
+    reads, regained = [], []
+
+    async def read(cursor, wait_s):
+        reads.append(cursor)
+        if len(reads) <= failures:
+            return Err(Failure.of(ErrorKind.TABLE_OUTCOME_UNKNOWN, "scripted"))
+        await anyio.sleep(0.01)
+        return Ok(RowsRead((), 1, 0.0))
+
+    async with feed_of(read, lambda found, _: None, regained.append):
+        await until(lambda: regained)
+        await anyio.sleep(0.1)
+    assert regained == [store_was_away]
+
+
+@pytest.mark.parametrize(("failures", "kept"), [(1, []), (2, ["e1"])])
+async def test_removed_endpoint_gets_no_requests_after_a_failed_connection(
+    failures, kept
+):
+    """Guards against requests to an endpoint that left while its feed was silent."""
+    platform = FakePlatform()
+    async with running(platform, "a") as (kernel,):
+        discovery = kernel.plugin("discovery")
+        await until(lambda: len(discovery.view.usable("models")) == 2)
+        registry = kernel.plugin("store").registry
+        changes, answers = registry.endpoint_changes, []
+
+        async def failing(cursor, wait_s):
+            if len(answers) < failures:
+                answers.append(cursor)
+                return Err(Failure.of(ErrorKind.TABLE_OUTCOME_UNKNOWN, "scripted"))
+            return await changes(cursor, wait_s)
+
+        discovery._endpoint_feed._read = failing
+        await until(lambda: discovery._endpoint_feed.lost_at is not None)
+        platform.endpoints["e1"] = None
+        await until(lambda: discovery._endpoint_feed.lost_at is None)
+        await anyio.sleep(0.2)
+        found = [each.id for each in discovery.view.usable("models")]
+        assert found == [*kept, "e2"]
+
+
 @pytest.mark.task_failures
 async def test_feed_that_always_fails_is_not_read_in_a_busy_loop():
     reads = []
