--- a/plantainstack/policy/answer_memory.py
+++ b/plantainstack/policy/answer_memory.py
@@ -284,5 +284,7 @@
 
     def refusal(self) -> Failure:
         """Return the failure of a request whose body does not fit."""
-        message = f"the bodies of other requests take {self._memory.held} bytes"
+        message = (
+            f"there is no memory for the body; bodies take {self._memory.held} bytes"
+        )
         return Failure.of(ErrorKind.OVERLOADED, message)
