Share failed reads of batches, and never keep a lone batch waiting

Found by reading the change of open batches. Readers of bodies waited for each other's reads, so that during an outage of the store each waited for the time-outs of all before it: they share the outcome now, and a reader waits a second at most for other objects. A batch that fits alone, and was accepted for that, waited for as long as answers or bodies took some of the memory: it runs if no other one does. The texts of items that are too young for a checkpoint are no longer decoded for it.

--- a/plantainstack/services/batch_cache.py
+++ b/plantainstack/services/batch_cache.py
@@ -3,8 +3,6 @@
 from collections import Counter
 from collections.abc import Callable
 
-import anyio
-
 from plantainstack.policy.batch_owners import StepOwner
 from plantainstack.policy.batch_scheduling import (
     BatchSize,
@@ -46,8 +44,6 @@
         # The size of the batch, once its items were known here.
         self.size = BatchSize(row.state.total)
         self.run: BatchRun | None = None
-        # Held while the items are read, so that several readers share one read.
-        self.loading = anyio.Lock()
         # Whether a takeover or the removal of the batch is in progress.
         self.pending = False
         # Takeovers in a row after which the batch could not be read, and the time
@@ -163,6 +159,9 @@
         self, entry: BatchEntry, counts: Callable[[BatchEntry], bool]
     ) -> bool:
         others = total_size(each.size for each in self.entries.values() if counts(each))
+        if not others.items:
+            # A batch that was accepted for its size alone must not wait for ever.
+            return self.has_room_alone(entry.size)
         return has_room(entry.size, others, self._memory.left_for("batches"))
 
     def _unwritten_bytes(self) -> int:
--- a/plantainstack/services/batch_loading.py
+++ b/plantainstack/services/batch_loading.py
@@ -17,6 +17,8 @@
 
 # Memory of an object that is being received: its parts, and then the whole.
 RECEIVING_BYTES = 2 * OBJECT_BYTES_MAX
+# A reader that cannot be served for longer tries another instance.
+RECEIVING_WAIT_S = 1.0
 
 
 class BatchLoader:
@@ -39,17 +41,26 @@
             return found
         if found.unwrap():
             return self._decode(batch_id, tenant, found.unwrap())
-        async with self._receiving:
-            if self._memory.left_for("loading") < RECEIVING_BYTES:
-                return Err(_no_memory(batch_id))
-            self._hold(RECEIVING_BYTES)
-            try:
-                found = await self._batch_store.batch_object(batch_id, tenant)
-                if found.is_err():
-                    return found
-                return self._decode(batch_id, tenant, found.unwrap())
-            finally:
-                self._hold(0)
+        with anyio.move_on_after(RECEIVING_WAIT_S) as scope:
+            await self._receiving.acquire()
+        if scope.cancelled_caught:
+            return Err(_no_memory(batch_id))
+        try:
+            return await self._load_object(batch_id, tenant)
+        finally:
+            self._receiving.release()
+
+    async def _load_object(self, batch_id: str, tenant: str) -> Result[Batch, Failure]:
+        if self._memory.left_for("loading") < RECEIVING_BYTES:
+            return Err(_no_memory(batch_id))
+        self._hold(RECEIVING_BYTES)
+        try:
+            found = await self._batch_store.batch_object(batch_id, tenant)
+            if found.is_err():
+                return found
+            return self._decode(batch_id, tenant, found.unwrap())
+        finally:
+            self._hold(0)
 
     def _hold(self, size: int) -> None:
         self._held = size
--- a/plantainstack/services/batch_reads.py
+++ b/plantainstack/services/batch_reads.py
@@ -23,6 +23,8 @@
 # Timeout for confirming a state; after it, the read fails and the reader can try
 # another instance. A working store responds within 0.3 s.
 STATE_READ_TIMEOUT_S = 0.7
+# Two calls of the store, and the wait for another object to be received.
+LOAD_TIMEOUT_S = 5.0
 
 
 class ReadSource(StrEnum):
@@ -72,6 +74,7 @@
         self._cache = cache
         self._feed = feed
         self._apply_row = apply_row
+        self._loads = SharedCalls(tasks, self._load, LOAD_TIMEOUT_S)
         self._present = SharedCalls(tasks, self._read_present, STATE_READ_TIMEOUT_S)
         self.waiting = 0
 
@@ -129,13 +132,24 @@
         self, entry: BatchEntry, batch_id: str
     ) -> Result[Batch, Failure]:
         """Return a batch with its items, from the store if it is not cached."""
-        async with entry.loading:
-            if entry.batch is not None:
-                return Ok(entry.batch)
-            found = await self._loader.load(batch_id, entry.row.state.tenant)
-            if found.is_ok() and not entry.row.state.is_final():
-                entry.keep_batch(found.unwrap())
-            return found
+        if entry.batch is not None:
+            return Ok(entry.batch)
+        found = await self._loads.call(batch_id)
+        if found is None:
+            message = f"batch {batch_id} was not read in time"
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, message))
+        return found
+
+    async def _load(self, batch_id: str) -> Result[Batch, Failure]:
+        entry = self._cache.entries.get(batch_id)
+        if entry is None:
+            return Err(_no_batch())
+        if entry.batch is not None:
+            return Ok(entry.batch)
+        found = await self._loader.load(batch_id, entry.row.state.tenant)
+        if found.is_ok() and not entry.row.state.is_final():
+            entry.keep_batch(found.unwrap())
+        return found
 
     async def _results(
         self, batch_id: str, after: int, wait_s: float, tenant: str | None
--- a/plantainstack/services/batch_results.py
+++ b/plantainstack/services/batch_results.py
@@ -195,8 +195,10 @@
         now = self._clock.now()
         size = sum(row_bytes(result) for result in chunk)
         for item_id, text in self._texts.items():
+            if now - text.begun_at < age_s:
+                continue
             piece = text.run.partial(text.stored)
-            if now - text.begun_at < age_s or piece is None:
+            if piece is None:
                 continue
             length = row_bytes(piece)
             size += length
--- a/tests/services/test_batch_memory.py
+++ b/tests/services/test_batch_memory.py
@@ -5,9 +5,10 @@
 
 import anyio
 import pytest
+from result import Err
 
 from plantainstack.clock import SystemClock
-from plantainstack.errors import ErrorKind, Outcome
+from plantainstack.errors import ErrorKind, Failure, Outcome
 from plantainstack.policy import batch_scheduling
 from plantainstack.policy.batch_scheduling import (
     BatchSize,
@@ -126,6 +127,17 @@
             await all_results(batches, id, ITEMS)
 
 
+async def test_accepted_batch_runs_beside_requests_if_no_other_one_runs():
+    """Guards against a batch that waits for ever, since answers always take memory."""
+    size = batch_size(long_batch())
+    async with running(FakePlatform(), "a", memory=3 * size.content) as (kernel,):
+        kernel.memory_budget.add_part("answers", lambda: 2 * size.content)
+        batches = kernel.plugin("batches")
+        assert batches.may_run(size)
+        assert (await batches.submit(long_batch(), BATCH_ROUTE)).is_ok()
+        assert len(await all_results(batches, "b1", ITEMS)) == ITEMS
+
+
 async def test_batch_that_never_fits_is_known_before_it_is_stored():
     """Guards against an accepted batch that no instance of this size ever runs."""
     async with running(FakePlatform(), "a") as (kernel,):
@@ -174,6 +186,32 @@
         assert loads == ["b1"]
 
 
+async def test_readers_of_bodies_share_a_read_that_fails():
+    """Guards against readers that wait for one failing read after the other."""
+    platform = FakePlatform()
+    platform.client.blocked_events[("b1-i0", 2)] = anyio.Event()
+    async with running(platform, "a", "b") as kernels:
+        owner, other = (kernel.plugin("batches") for kernel in kernels)
+        assert (await owner.submit(long_batch(), BATCH_ROUTE)).is_ok()
+        await until(lambda: "b1" in other._entries)
+        loads, answers = [], []
+
+        async def failing(batch_id, tenant):
+            loads.append(batch_id)
+            await anyio.sleep(0.05)
+            return Err(Failure.of(ErrorKind.STORE_UNAVAILABLE, "scripted"))
+
+        async def read():
+            answers.append(await other.item_body("b1", "b1-i1"))
+
+        other._reads._loader.load = failing
+        async with anyio.create_task_group() as tasks:
+            for _ in range(20):
+                tasks.start_soon(read)
+        assert len(loads) <= 2
+        assert {each.unwrap_err().outcome for each in answers} == {Outcome.NOT_RUN}
+
+
 @pytest.mark.parametrize("body_bytes", [300_000, 30_000_000])
 async def test_stored_batch_is_decoded_within_the_memory_that_is_left(body_bytes):
     """Guards against a small row or object whose items take all memory."""
