Name the reservations of a submission, and refuse in one place

From reading the change as a newcomer: one variable held two sizes of a batch, and six places logged and built a refusal each. The cache's count of its results has a name of its own.

--- a/plantainstack/platform/ingress.py
+++ b/plantainstack/platform/ingress.py
@@ -161,8 +161,7 @@
             return None
         reason, failure = admitted.unwrap_err()
         metrics.KEY_REFUSALS.labels(reason.value).inc()
-        self._log_refusal(failure)
-        return failure_response(failure)
+        return self._refused(failure)
 
     def _tenant_name(self) -> str | None:
         """Return the name of the tenant, empty if unknown and None without tenants."""
@@ -177,18 +176,13 @@
         if times is None or draining.may_take(times, answer_by, now):
             return None
         message = "the instance is stopping and may not answer in time"
-        failure = Failure.of(ErrorKind.DRAINING, message)
-        self._log_refusal(failure)
-        return failure_response(failure)
+        return self._refused(Failure.of(ErrorKind.DRAINING, message))
 
     async def _refusal_by_rate(self, route: Route) -> Response | None:
         """Refuse a request above the rate of its tenant."""
         deadline = self._route_deadline(route)
         failure = await self._rates.refusal(self._tenant, route, deadline)
-        if failure is None:
-            return None
-        self._log_refusal(failure)
-        return failure_response(failure)
+        return None if failure is None else self._refused(failure)
 
     def _resource_deadline(self, method: str) -> float:
         """Return the time by which a request for a batch is answered."""
@@ -261,8 +255,8 @@
                 await self._sender.send_headers(part.status, part.headers)
         await self._sender.send_body(b"", more=False)
 
-    def _refuse_size(self, size: int) -> Failure | None:
-        """Refuse a batch if there is no memory of this size for it.
+    def _reserve(self, size: int) -> Failure | None:
+        """Reserve memory for a batch; return its refusal if that is not to be had.
 
         Its size is legal, and an instance with more memory may take it.
         """
@@ -275,32 +269,26 @@
         return None
 
     async def _submit(self, route: Route) -> Response:
-        size = len(self._body) + records.decoding_bytes(self._body)
-        refusal = self._refuse_size(size)
+        decoding = len(self._body) + records.decoding_bytes(self._body)
+        refusal = self._reserve(decoding)
         if refusal is not None:
-            self._log_refusal(refusal)
-            return failure_response(refusal)
+            return self._refused(refusal)
         decoded = records.decode_batch(
             self._request_id, self._host, self._path, self._body
         )
         self._body = b""
         if not self._request_id or decoded.is_err():
             reason = decoded.err() or "the request has no id"
-            failure = Failure.of(ErrorKind.BAD_REQUEST, reason)
-            self._log_refusal(failure)
-            return failure_response(failure)
+            return self._refused(Failure.of(ErrorKind.BAD_REQUEST, reason))
         batch = decoded.unwrap()
         size = batch_scheduling.batch_size(batch)
         if not self._batches.may_run(size):
             message = f"the instance has no memory to run {len(batch.items)} items"
-            failure = Failure.of(ErrorKind.OVERLOADED, message)
-            self._log_refusal(failure)
-            return failure_response(failure)
-        stored = batch_scheduling.storing_bytes(size, OBJECT_BYTES_MAX)
-        refusal = self._refuse_size(stored)
+            return self._refused(Failure.of(ErrorKind.OVERLOADED, message))
+        storing = batch_scheduling.storing_bytes(size, OBJECT_BYTES_MAX)
+        refusal = self._reserve(storing)
         if refusal is not None:
-            self._log_refusal(refusal)
-            return failure_response(refusal)
+            return self._refused(refusal)
         if self._has_tenants:
             batch = records.of_tenant(batch, self._tenant_name())
         outcome = await self._batches.submit(batch, route)
@@ -387,6 +375,10 @@
         stream_id = names.header(self._headers, names.RESUMES) or ""
         return TakeUp(after, stream_id)
 
+    def _refused(self, failure: Failure) -> Response:
+        self._log_refusal(failure)
+        return failure_response(failure)
+
     def _log_refusal(self, failure: Failure) -> None:
         log.event(
             "request.refused",
--- a/plantainstack/services/batch_cache.py
+++ b/plantainstack/services/batch_cache.py
@@ -88,15 +88,19 @@
 
     def result_bytes(self) -> int:
         """Return about how much memory the cached results take."""
-        return sum(_result_bytes(each) for each in self.results.values())
+        return sum(_memory_bytes(each) for each in self.results.values())
 
 
 class BatchCache:
-    """Hold the known batches in `entries`, and results as far as memory allows."""
+    """Hold the known batches in `entries`.
+
+    Results and items of batches that do not run here are kept as far as the memory
+    allows. The parts of the budget that concern batches are reported from here.
+    """
 
     def __init__(self, memory: MemoryBudget):
         self.entries: dict[str, BatchEntry] = {}
-        self._bytes = 0
+        self._result_bytes = 0
         self._memory = memory
         memory.add_part("cache", self._held, self._reclaim)
         memory.add_part("batches", self._active_bytes)
@@ -109,7 +113,7 @@
         for position, result in enumerate(results, first):
             if position not in entry.results:
                 encoded = entry.results[position] = encode_result(result)
-                self._bytes += _result_bytes(encoded)
+                self._result_bytes += _memory_bytes(encoded)
         limit = self._limit()
         if self._held() > limit:
             self._evict(entry, limit)
@@ -120,7 +124,7 @@
         """Remove a batch that no longer exists."""
         entry = self.entries.pop(batch_id, None)
         if entry is not None:
-            self._bytes -= entry.result_bytes()
+            self._result_bytes -= entry.result_bytes()
 
     def open_items(self) -> Counter[str]:
         """Return the number of items without a result of all open batches, by route."""
@@ -185,7 +189,7 @@
             for entry in self.entries.values()
             if not entry.is_active()
         )
-        return self._bytes + items
+        return self._result_bytes + items
 
     def _limit(self) -> int:
         share = int(self._memory.total * CACHE_SHARE)
@@ -204,7 +208,7 @@
                 return
             if entry is not kept:
                 size = entry.result_bytes()
-                self._bytes -= size
+                self._result_bytes -= size
                 held -= size
                 entry.results.clear()
                 if not entry.is_active():
@@ -220,10 +224,10 @@
         for position in [each for each in entry.results if each not in page]:
             if held <= limit / 2:
                 return
-            size = _result_bytes(entry.results.pop(position))
-            self._bytes -= size
+            size = _memory_bytes(entry.results.pop(position))
+            self._result_bytes -= size
             held -= size
 
 
-def _result_bytes(encoded: bytes) -> int:
+def _memory_bytes(encoded: bytes) -> int:
     return len(encoded) + RESULT_OVERHEAD_BYTES
