--- a/tests/platform/endless_calls.py
+++ b/tests/platform/endless_calls.py
@@ -11,6 +11,7 @@
 
 from plantainstack.clock import SystemClock
 from plantainstack.platform.servers import PlatformEndpointClient
+from plantainstack.process_memory import return_large_blocks
 from plantainstack.settings.options import Address
 from tests.platform.test_servers import call
 from tests.policy.serving_samples import endpoint
@@ -48,5 +49,7 @@
 
 
 if __name__ == "__main__":
+    # As the daemon does at its start.
+    return_large_blocks()
     port, kind, calls, endpoints = sys.argv[1:]
     anyio.run(main, int(port), kind, int(calls), int(endpoints))
